--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,19 @@
+.PHONY: build test demo check generate bench fuzz
+
+build:
+	go build -o bin/lagoongw .
+
+test:
+	go test -count=1 -timeout 20m $(TESTFLAGS) ./...
+
+demo:
+	go run ./test/demo
+
+check:
+	bash .ci/run
+
+generate:
+	scripts/generate
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
--- /dev/null
+++ b/internal/coordination/admission/gate.go
@@ -0,0 +1,187 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+// Gate lets goroutines wait at a queue; it is safe for concurrent use.
+type Gate struct {
+	// Pool is the name of the pool behind the gate.
+	Pool string
+
+	mu      sync.Mutex
+	queue   *Queue
+	waiters map[uint64]*Pass
+	nextID  uint64
+	shed    int64
+	started int64
+}
+
+// Pass is a request at the gate.
+type Pass struct {
+	gate    *Gate
+	id      uint64
+	decided chan Refusal
+	preempt chan struct{}
+}
+
+// NewGate returns a gate before a queue.
+func NewGate(pool string, queue *Queue) *Gate {
+	return &Gate{
+		Pool:    pool,
+		queue:   queue,
+		waiters: map[uint64]*Pass{},
+	}
+}
+
+// Enter waits until the request may start; refused is set when it never will.
+func (g *Gate) Enter(ctx context.Context, item Item) (pass *Pass, refused *Refusal) {
+	g.mu.Lock()
+	g.nextID++
+	item.ID = g.nextID
+	pass = &Pass{
+		gate:    g,
+		id:      item.ID,
+		decided: make(chan Refusal, 1),
+		preempt: make(chan struct{}),
+	}
+	g.waiters[pass.id] = pass
+	g.apply(g.queue.Arrive(item, time.Now()))
+	g.mu.Unlock()
+	return pass, pass.wait(ctx)
+}
+
+func (p *Pass) wait(ctx context.Context) *Refusal {
+	select {
+	case refusal := <-p.decided:
+		if refusal.Reason != "" {
+			return &refusal
+		}
+		return nil
+	case <-ctx.Done():
+		p.Leave()
+		return &Refusal{
+			ID:     p.id,
+			Reason: "caller left",
+		}
+	}
+}
+
+// Preempt is closed when the request has to stop for a higher tier.
+func (p *Pass) Preempt() <-chan struct{} { return p.preempt }
+
+// Leave gives the place back; it may be called more than once.
+func (p *Pass) Leave() {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.waiters[p.id] == nil {
+		return
+	}
+	delete(g.waiters, p.id)
+	g.apply(g.queue.Cancel(p.id, time.Now()))
+}
+
+// Again puts a preempted request back into the queue and waits until it may go on.
+func (p *Pass) Again(ctx context.Context, left time.Duration) *Refusal {
+	g := p.gate
+	g.mu.Lock()
+	p.preempt = make(chan struct{})
+	g.apply(g.queue.Preempted(p.id, left, time.Now()))
+	g.mu.Unlock()
+	return p.wait(ctx)
+}
+
+func (g *Gate) apply(actions Actions) {
+	for _, refusal := range actions.Refuse {
+		if pass := g.waiters[refusal.ID]; pass != nil {
+			delete(g.waiters, refusal.ID)
+			g.shed++
+			pass.decided <- refusal
+		}
+	}
+	for _, id := range actions.Start {
+		if pass := g.waiters[id]; pass != nil {
+			g.started++
+			pass.decided <- Refusal{}
+		}
+	}
+	for _, id := range actions.Preempt {
+		if pass := g.waiters[id]; pass != nil {
+			close(pass.preempt)
+		}
+	}
+}
+
+// Tick advances time.
+func (g *Gate) Tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(g.queue.Tick(now))
+}
+
+// SetLimit changes the number of requests that may run at once.
+func (g *Gate) SetLimit(limit int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if limit != g.queue.Limit() {
+		g.apply(g.queue.SetLimit(limit, now))
+	}
+}
+
+// SetTrickle changes the share of starts given to the longest-waiting lower tier.
+func (g *Gate) SetTrickle(share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.TrickleShare = share
+}
+
+// Heard records a peer's row for the pool.
+func (g *Gate) Heard(peer string, row wire.PoolRow, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Floor.Heard(peer, row.Floor, row.Wish, now)
+}
+
+// Forget drops a peer's row.
+func (g *Gate) Forget(peer string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Floor.Forget(peer)
+}
+
+// Row returns what the peers are told.
+func (g *Gate) Row(now time.Time) wire.PoolRow {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.PoolRow{
+		Pool:   g.Pool,
+		Demand: g.queue.Waiting() + g.queue.Running(),
+		Floor:  g.queue.Floor.Effective(now),
+		Wish:   g.queue.Floor.Wish(),
+	}
+}
+
+// Status returns the queue's state for operators.
+func (g *Gate) Status(now time.Time) wire.PoolStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.PoolStatus{
+		Pool:     g.Pool,
+		Limit:    g.queue.Limit(),
+		InFlight: g.queue.Running(),
+		Queued:   g.queue.Waiting(),
+		Floor:    g.queue.Floor.Effective(now),
+	}
+}
+
+// Counts returns how many requests were started and how many refused.
+func (g *Gate) Counts() (started, shed int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started, g.shed
+}
--- /dev/null
+++ b/internal/coordination/admission/item.go
@@ -0,0 +1,50 @@
+package admission
+
+import "time"
+
+// Tiers is the number of service tiers; 0 is the highest.
+const Tiers = 16
+
+// LowestTier is the tier that is shed first.
+const LowestTier = Tiers - 1
+
+// Item is a request that waits for a pool or runs on it.
+type Item struct {
+	// ID names the request at this node.
+	ID uint64
+	// Tier is the service tier.
+	Tier int
+	// Due is when the first token is owed; it orders the requests of a tier.
+	Due time.Time
+	// Deadline is when an answer becomes worthless.
+	Deadline time.Time
+	// Service is the expected service time.
+	Service time.Duration
+	// Resumable reports whether the running request can be stopped and resumed without loss.
+	Resumable bool
+}
+
+// Refusal is the final word on a request that did not run.
+type Refusal struct {
+	ID         uint64
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Actions is what the queue wants done after an event.
+type Actions struct {
+	Start   []uint64
+	Refuse  []Refusal
+	Preempt []uint64
+}
+
+type waiting struct {
+	item    Item
+	arrived time.Time
+}
+
+type running struct {
+	item      Item
+	started   time.Time
+	preempted bool
+}
--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,303 @@
+package admission
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Defaults of the queue's settings.
+const (
+	DefaultTrickleShare = 0.05
+	DefaultMaxWaiting   = 256
+	DefaultReserve      = 1
+	minRetryAfter       = time.Second
+	maxRetryAfter       = 30 * time.Second
+)
+
+// Queue admits the requests of one node to one pool; it is not safe for concurrent use.
+type Queue struct {
+	// MaxWaiting bounds the waiting requests, without the reserve of each tier.
+	MaxWaiting int
+	// TrickleShare is the share of starts given to the longest-waiting lower tier.
+	TrickleShare float64
+	// Reserve is the number of waiting requests of each tier that are never shed, so that no tier starves.
+	Reserve int
+	// Floor is exchanged with the other nodes.
+	Floor Floor
+
+	limit   int
+	tiers   [Tiers][]waiting
+	work    [Tiers]time.Duration
+	count   int
+	running map[uint64]*running
+	trickle float64
+}
+
+// NewQueue returns a queue with default settings and no capacity.
+func NewQueue() *Queue {
+	return &Queue{
+		MaxWaiting:   DefaultMaxWaiting,
+		TrickleShare: DefaultTrickleShare,
+		Reserve:      DefaultReserve,
+		Floor:        NewFloor(),
+		running:      map[uint64]*running{},
+	}
+}
+
+// Limit returns the number of requests that may run at once.
+func (q *Queue) Limit() int { return q.limit }
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return q.count }
+
+// Running returns the number of running requests.
+func (q *Queue) Running() int { return len(q.running) }
+
+// SetLimit changes the number of requests that may run at once.
+func (q *Queue) SetLimit(limit int, now time.Time) Actions {
+	q.limit = limit
+	return q.start(now)
+}
+
+// Arrive takes in a request, which is started, kept waiting or refused.
+func (q *Queue) Arrive(item Item, now time.Time) Actions {
+	item.Tier = min(max(item.Tier, 0), LowestTier)
+	q.Floor.see(item.Tier)
+	if refusal, refused := q.refuse(item, now); refused {
+		return Actions{Refuse: []Refusal{refusal}}
+	}
+	evicted := q.makeRoom(item, now)
+	if len(evicted) > 0 && evicted[0].ID == item.ID {
+		return Actions{Refuse: evicted}
+	}
+	q.insert(waiting{
+		item:    item,
+		arrived: now,
+	})
+	actions := q.start(now)
+	actions.Refuse = append(evicted, actions.Refuse...)
+	actions.Preempt = q.preempt(item, now)
+	return actions
+}
+
+func (q *Queue) refuse(item Item, now time.Time) (Refusal, bool) {
+	if !now.Before(item.Deadline) {
+		return q.refusal(item, "deadline passed", now), true
+	}
+	if q.hasRoom() || len(q.tiers[item.Tier]) < q.Reserve {
+		return Refusal{}, false
+	}
+	if item.Tier > q.Floor.Effective(now) {
+		return q.refusal(item, "tier below the admission floor", now), true
+	}
+	left := item.Deadline.Sub(now)
+	if q.Wait(item.Tier) > left-min(item.Service, left/2) {
+		return q.refusal(item, "cannot start before its deadline", now), true
+	}
+	return Refusal{}, false
+}
+
+func (q *Queue) hasRoom() bool {
+	return q.count == 0 && len(q.running) < q.limit
+}
+
+// makeRoom sheds the newest request of the lowest tier when the queue is full, which may be the arriving one.
+func (q *Queue) makeRoom(item Item, now time.Time) []Refusal {
+	if q.count < q.MaxWaiting || q.hasRoom() {
+		return nil
+	}
+	lowest := q.lowestAboveReserve()
+	if lowest < item.Tier {
+		lowest = item.Tier
+	}
+	q.Floor.Pressure(lowest, now)
+	if !q.Floor.MayShed(lowest, now) {
+		return nil
+	}
+	if lowest == item.Tier {
+		return []Refusal{q.refusal(item, "queue full", now)}
+	}
+	newest := q.newest(lowest)
+	shed := q.take(lowest, newest)
+	return []Refusal{q.refusal(shed.item, "shed for a higher tier", now)}
+}
+
+func (q *Queue) lowestAboveReserve() int {
+	for tier := LowestTier; tier >= 0; tier-- {
+		if len(q.tiers[tier]) > q.Reserve {
+			return tier
+		}
+	}
+	return -1
+}
+
+func (q *Queue) newest(tier int) int {
+	newest := 0
+	for i, w := range q.tiers[tier] {
+		if w.arrived.After(q.tiers[tier][newest].arrived) {
+			newest = i
+		}
+	}
+	return newest
+}
+
+func (q *Queue) insert(w waiting) {
+	tier := w.item.Tier
+	list := q.tiers[tier]
+	at := sort.Search(len(list), func(i int) bool { return list[i].item.Due.After(w.item.Due) })
+	q.tiers[tier] = slices.Insert(list, at, w)
+	q.work[tier] += w.item.Service
+	q.count++
+}
+
+func (q *Queue) take(tier, at int) waiting {
+	w := q.tiers[tier][at]
+	q.tiers[tier] = slices.Delete(q.tiers[tier], at, at+1)
+	q.work[tier] -= w.item.Service
+	q.count--
+	return w
+}
+
+// start fills the free capacity: by tier, then by what is due first, with the trickle for lower tiers.
+func (q *Queue) start(now time.Time) Actions {
+	actions := q.Expire(now)
+	for q.count > 0 && len(q.running) < q.limit {
+		w := q.next()
+		q.running[w.item.ID] = &running{
+			item:    w.item,
+			started: now,
+		}
+		actions.Start = append(actions.Start, w.item.ID)
+	}
+	return actions
+}
+
+func (q *Queue) next() waiting {
+	top := q.topTier()
+	tier, at := q.longestWaitingBelow(top)
+	if tier < 0 {
+		return q.take(top, 0)
+	}
+	q.trickle += q.TrickleShare
+	if q.trickle < 1 {
+		return q.take(top, 0)
+	}
+	q.trickle--
+	return q.take(tier, at)
+}
+
+func (q *Queue) topTier() int {
+	for tier := range q.tiers {
+		if len(q.tiers[tier]) > 0 {
+			return tier
+		}
+	}
+	return LowestTier
+}
+
+func (q *Queue) longestWaitingBelow(top int) (tier, at int) {
+	tier = -1
+	var oldest time.Time
+	for t := top + 1; t < Tiers; t++ {
+		for i, w := range q.tiers[t] {
+			if tier < 0 || w.arrived.Before(oldest) {
+				tier, at, oldest = t, i, w.arrived
+			}
+		}
+	}
+	return tier, at
+}
+
+// Done frees the place of a request that ran.
+func (q *Queue) Done(id uint64, now time.Time) Actions {
+	delete(q.running, id)
+	return q.start(now)
+}
+
+// Cancel forgets a waiting or running request whose caller has left.
+func (q *Queue) Cancel(id uint64, now time.Time) Actions {
+	for tier := range q.tiers {
+		for i, w := range q.tiers[tier] {
+			if w.item.ID == id {
+				q.take(tier, i)
+				return q.start(now)
+			}
+		}
+	}
+	return q.Done(id, now)
+}
+
+// Expire refuses the waiting requests whose deadline has passed.
+func (q *Queue) Expire(now time.Time) Actions {
+	var actions Actions
+	for tier := range q.tiers {
+		for i := len(q.tiers[tier]) - 1; i >= 0; i-- {
+			if now.Before(q.tiers[tier][i].item.Deadline) {
+				continue
+			}
+			w := q.take(tier, i)
+			actions.Refuse = append(actions.Refuse, q.refusal(w.item, "deadline passed while waiting", now))
+		}
+	}
+	return actions
+}
+
+// Tick expires requests and lets the floor rise when the pressure is gone.
+func (q *Queue) Tick(now time.Time) Actions {
+	if q.count <= q.MaxWaiting/2 {
+		q.Floor.Relax(now)
+	}
+	return q.start(now)
+}
+
+// Wait estimates how long a request of a tier arriving now would wait to start.
+func (q *Queue) Wait(tier int) time.Duration {
+	if q.hasRoom() {
+		return 0
+	}
+	limit := time.Duration(max(q.limit, 1))
+	ahead := q.remaining()
+	for t := 0; t <= tier; t++ {
+		ahead += q.work[t]
+	}
+	strict := ahead / limit
+	if q.TrickleShare <= 0 || q.topTier() >= tier {
+		return strict
+	}
+	return min(strict, q.trickleWait(limit))
+}
+
+func (q *Queue) trickleWait(limit time.Duration) time.Duration {
+	lower := time.Duration(1)
+	for t := q.topTier() + 1; t < Tiers; t++ {
+		lower += time.Duration(len(q.tiers[t]))
+	}
+	perStart := q.meanService() / limit
+	return time.Duration(float64(lower*perStart) / q.TrickleShare)
+}
+
+func (q *Queue) meanService() time.Duration {
+	if len(q.running) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, r := range q.running {
+		sum += r.item.Service
+	}
+	return sum / time.Duration(len(q.running))
+}
+
+// remaining takes half of what runs as still to do, as for items at a random point of their service.
+func (q *Queue) remaining() time.Duration {
+	return q.meanService() * time.Duration(len(q.running)) / 2
+}
+
+func (q *Queue) refusal(item Item, reason string, _ time.Time) Refusal {
+	after := min(max(q.Wait(item.Tier), minRetryAfter), maxRetryAfter)
+	return Refusal{
+		ID:         item.ID,
+		Reason:     reason,
+		RetryAfter: after.Round(time.Second),
+	}
+}
--- /dev/null
+++ b/internal/coordination/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry orders the entry VMs that a team should use.
+package entry
--- /dev/null
+++ b/internal/coordination/estimate/classes.go
@@ -0,0 +1,62 @@
+package estimate
+
+import (
+	"sync"
+	"time"
+)
+
+// DefaultService is the service time assumed of a class of which nothing was observed.
+const DefaultService = time.Second
+
+// DefaultTokens is the output length assumed of a class of which nothing was observed.
+const DefaultTokens = 128
+
+// Classes learns the service time and the output length of each class; it is safe for concurrent use.
+type Classes struct {
+	mu      sync.Mutex
+	service map[string]*Histogram
+	tokens  map[string]*Histogram
+}
+
+// NewClasses returns an estimator that has observed nothing.
+func NewClasses() *Classes {
+	return &Classes{
+		service: map[string]*Histogram{},
+		tokens:  map[string]*Histogram{},
+	}
+}
+
+// Observe records a finished request of a class.
+func (c *Classes) Observe(class string, service time.Duration, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	histogramOf(c.service, class).Observe(float64(service.Milliseconds()))
+	if tokens > 0 {
+		histogramOf(c.tokens, class).Observe(float64(tokens))
+	}
+}
+
+// Service returns the expected service time of a class.
+func (c *Classes) Service(class string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ms := histogramOf(c.service, class).Mean(float64(DefaultService.Milliseconds()))
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// RemainingTokens returns the tokens still expected of a request that has produced some.
+func (c *Classes) RemainingTokens(class string, produced int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	expected := histogramOf(c.tokens, class).MeanAbove(float64(produced), DefaultTokens)
+	return int(expected) - produced
+}
+
+func histogramOf(histograms map[string]*Histogram, class string) *Histogram {
+	h := histograms[class]
+	if h == nil {
+		h = &Histogram{}
+		histograms[class] = h
+	}
+	return h
+}
--- /dev/null
+++ b/internal/coordination/estimate/doc.go
@@ -0,0 +1,2 @@
+// Package estimate learns service times and output lengths from what was observed.
+package estimate
--- /dev/null
+++ b/internal/coordination/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds retries and hedges as a share of successes.
+package retry
--- /dev/null
+++ b/internal/coordination/routing/router.go
@@ -0,0 +1,214 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"lagoongw/internal/coordination/rendezvous"
+	"lagoongw/internal/state/replica"
+)
+
+// Defaults of the router's settings.
+const (
+	DefaultReportLife = 2 * time.Second
+	DefaultColdPrefix = 150 * time.Millisecond
+	DefaultSameRegion = time.Millisecond
+	DefaultFarRegion  = 62 * time.Millisecond
+	DefaultService    = 400 * time.Millisecond
+	DefaultSubset     = 32
+	smallPool         = 16
+	choices           = 2
+)
+
+// Request is what the router needs to know of a request.
+type Request struct {
+	Pool    string
+	Model   string
+	Prefix  string
+	Tier    int
+	Bytes   int
+	Exclude []string
+}
+
+// Choice is the chosen upstream, or a nil replica with the reason why there is none.
+type Choice struct {
+	Replica    *replica.Replica
+	Candidates int
+	Cost       time.Duration
+	Warm       bool
+	Reason     string
+}
+
+// Router chooses upstreams; it is safe for concurrent use once its fields are set.
+type Router struct {
+	// Name is this node's name, which decides its subset of a large pool.
+	Name string
+	// AvailabilityZone and Region are where this node stands.
+	AvailabilityZone string
+	Region           string
+	// Table holds the upstreams.
+	Table *replica.Table
+	// Ejector knows the slow and failing upstreams.
+	Ejector *Ejector
+	// Link is the byte budget of the link between regions.
+	Link *Link
+	// ReportLife is the age at which a load report has lost most of its worth.
+	ReportLife time.Duration
+	// ColdPrefix is the cost of a prompt prefix that the engine has to compute.
+	ColdPrefix time.Duration
+}
+
+// Choose returns the upstream for a request; random must be uniform over all values.
+func (r *Router) Choose(request Request, random uint64, now time.Time) Choice {
+	pool := r.Table.Load().Pool(request.Pool)
+	if len(pool) == 0 {
+		return Choice{Reason: "no upstream in the pool"}
+	}
+	choice := r.choose(pool, request, random, now, false)
+	if choice.Replica == nil {
+		choice = r.choose(pool, request, random, now, true)
+	}
+	return choice
+}
+
+func (r *Router) choose(pool []*replica.Replica, request Request, random uint64, now time.Time, anyEjected bool) Choice {
+	best := Choice{Cost: math.MaxInt64}
+	mean := meanOthers(pool)
+	offset := int(random % uint64(len(pool)))
+	wanted := r.wanted(len(pool))
+	for i := range pool {
+		candidate := pool[(offset+i)%len(pool)]
+		if !r.usable(candidate, request, now, anyEjected) {
+			continue
+		}
+		best = r.better(best, candidate, request, mean, now)
+		if best.Candidates == wanted {
+			break
+		}
+	}
+	if affine := r.affine(pool, request, now, anyEjected); affine != nil {
+		best = r.better(best, affine, request, mean, now)
+	}
+	if best.Replica == nil {
+		return Choice{Reason: "no usable upstream in the pool"}
+	}
+	best.Reason = "lowest cost"
+	if best.Warm {
+		best.Reason = "lowest cost with a warm prefix"
+	}
+	return best
+}
+
+func (r *Router) wanted(size int) int {
+	if size <= smallPool {
+		return size
+	}
+	return 2 * choices
+}
+
+func (r *Router) better(best Choice, candidate *replica.Replica, request Request, mean float64, now time.Time) Choice {
+	if candidate == best.Replica {
+		return best
+	}
+	warm := candidate.Warm(request.Prefix, now)
+	cost := r.cost(candidate, request, mean, warm, now)
+	best.Candidates++
+	if best.Replica == nil || cost < best.Cost {
+		best.Replica = candidate
+		best.Cost = cost
+		best.Warm = warm
+	}
+	return best
+}
+
+func (r *Router) usable(candidate *replica.Replica, request Request, now time.Time, anyEjected bool) bool {
+	if candidate.Leaving() || !candidate.Serves(request.Model) {
+		return false
+	}
+	if !anyEjected && r.Ejector.Ejected(candidate.Name(), now) {
+		return false
+	}
+	for _, name := range request.Exclude {
+		if name == candidate.Name() {
+			return false
+		}
+	}
+	return candidate.Region() == r.Region || r.Link.Allows(request.Tier, request.Bytes, now)
+}
+
+// affine returns the upstream of the zone that a prefix belongs to, unless its load is well above the mean.
+func (r *Router) affine(pool []*replica.Replica, request Request, now time.Time, anyEjected bool) *replica.Replica {
+	const bound = 1.25
+	if request.Prefix == "" {
+		return nil
+	}
+	var best *replica.Replica
+	var bestScore uint64
+	total, count := 0, 0
+	for _, candidate := range pool {
+		if candidate.AvailabilityZone() != r.AvailabilityZone || !r.usable(candidate, request, now, anyEjected) {
+			continue
+		}
+		total += candidate.InFlight()
+		count++
+		if score := rendezvous.Score(request.Prefix, candidate.Name()); best == nil || score > bestScore {
+			best = candidate
+			bestScore = score
+		}
+	}
+	if best == nil || float64(best.InFlight()) > bound*float64(total+1)/float64(count)+1 {
+		return nil
+	}
+	return best
+}
+
+// cost estimates the time to the first token: waiting, slowing by load, the prefix, and the distance.
+func (r *Router) cost(candidate *replica.Replica, request Request, mean float64, warm bool, now time.Time) time.Duration {
+	load := float64(candidate.InFlight()) + r.others(candidate, mean, now)
+	slots := float64(candidate.Slots())
+	service := candidate.Latency()
+	if service == 0 {
+		service = DefaultService
+	}
+	ahead := math.Max(load+1-slots, 0) / slots
+	cost := time.Duration((ahead + load/slots) * float64(service))
+	if request.Prefix != "" && !warm {
+		cost += r.ColdPrefix
+	}
+	return cost + r.distance(candidate)
+}
+
+// others estimates the requests of other nodes: the report while it is fresh, the pool's mean as it ages.
+func (r *Router) others(candidate *replica.Replica, mean float64, now time.Time) float64 {
+	load := candidate.Load()
+	if load == nil {
+		return mean
+	}
+	age := now.Sub(load.Received())
+	trust := math.Exp(-age.Seconds() / r.ReportLife.Seconds())
+	return trust*float64(load.Others()) + (1-trust)*mean
+}
+
+func meanOthers(pool []*replica.Replica) float64 {
+	sum, count := 0, 0
+	for _, candidate := range pool {
+		if load := candidate.Load(); load != nil {
+			sum += load.Others()
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return float64(sum) / float64(count)
+}
+
+func (r *Router) distance(candidate *replica.Replica) time.Duration {
+	switch {
+	case candidate.AvailabilityZone() == r.AvailabilityZone:
+		return 0
+	case candidate.Region() == r.Region:
+		return DefaultSameRegion
+	}
+	return DefaultFarRegion
+}
--- /dev/null
+++ b/internal/state/build/doc.go
@@ -0,0 +1,2 @@
+// Package build tells which version of the program this is.
+package build
--- /dev/null
+++ b/internal/transport/claims/service.go
@@ -0,0 +1,255 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/claim"
+	"lagoongw/internal/protocol/record"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/platform"
+	"lagoongw/internal/transport/tail"
+)
+
+// Log is the part of the platform's log that claims need.
+type Log interface {
+	tail.Reader
+	Append(ctx context.Context, stream string, records []string) (int, error)
+}
+
+const (
+	tickEvery = 100 * time.Millisecond
+	readWait  = 2 * time.Second
+)
+
+// Service claims keys for the requests of one node; its exported fields are set before Run.
+type Service struct {
+	// Log is the platform's log.
+	Log Log
+	// Sealer seals the records.
+	Sealer record.Sealer
+	// Incarnation names this start of this node.
+	Incarnation string
+	// Partitions is the number of claims streams, the same at all nodes.
+	Partitions int
+	// Lifetime is how long a key is honoured.
+	Lifetime time.Duration
+	// VerdictTimeout bounds the wait for a verdict.
+	VerdictTimeout time.Duration
+	// Logger takes one line for each verdict.
+	Logger zerolog.Logger
+
+	parts    []*partition
+	attempts atomic.Int64
+	appends  atomic.Int64
+}
+
+type partition struct {
+	service *Service
+	stream  string
+	mu      sync.Mutex
+	claimer *claim.Claimer
+	waiters map[string]chan claim.Decision
+}
+
+// Prepare makes the partitions; it must be called before Run and Claim.
+func (s *Service) Prepare() {
+	for i := range s.Partitions {
+		index := &claim.Index{
+			Sealer:   s.Sealer,
+			Stream:   claim.Stream(i),
+			Lifetime: s.Lifetime,
+		}
+		s.parts = append(s.parts, &partition{
+			service: s,
+			stream:  claim.Stream(i),
+			claimer: claim.NewClaimer(index),
+			waiters: map[string]chan claim.Decision{},
+		})
+	}
+}
+
+// Run follows the claims streams until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, p := range s.parts {
+		group.Go(func() { p.follow(ctx) })
+		group.Go(func() { p.tick(ctx) })
+	}
+	group.Wait()
+}
+
+// Ready reports whether the whole window of every partition has been read.
+func (s *Service) Ready() bool {
+	for _, p := range s.parts {
+		p.mu.Lock()
+		ready := p.claimer.Index.Ready()
+		p.mu.Unlock()
+		if !ready {
+			return false
+		}
+	}
+	return true
+}
+
+// Keys returns the number of keys held over all partitions.
+func (s *Service) Keys() int {
+	keys := 0
+	for _, p := range s.parts {
+		p.mu.Lock()
+		keys += p.claimer.Index.Keys()
+		p.mu.Unlock()
+	}
+	return keys
+}
+
+// Unwritten returns the number of records that are not known to be in the log.
+func (s *Service) Unwritten() int {
+	unwritten := 0
+	for _, p := range s.parts {
+		p.mu.Lock()
+		unwritten += p.claimer.Unwritten()
+		p.mu.Unlock()
+	}
+	return unwritten
+}
+
+// Appends returns the number of appends sent.
+func (s *Service) Appends() int64 { return s.appends.Load() }
+
+// Ticket is a claim in progress or decided; it must be given to Finish or Release after a dispatch verdict.
+type Ticket struct {
+	Attempt string
+	part    *partition
+}
+
+// Claim waits for the verdict on a key; when the context ends first the attempt is given up and must not run.
+func (s *Service) Claim(ctx context.Context, key, digest string) (Ticket, claim.Decision) {
+	part := s.parts[claim.Partition(key, len(s.parts))]
+	ticket := Ticket{
+		Attempt: fmt.Sprintf("%s-%d", s.Incarnation, s.attempts.Add(1)),
+		part:    part,
+	}
+	waiter := make(chan claim.Decision, 1)
+	deadline := time.Now().Add(s.VerdictTimeout)
+	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	part.apply(func() claim.Actions {
+		part.waiters[ticket.Attempt] = waiter
+		return part.claimer.Submit(ticket.Attempt, key, digest, deadline)
+	})
+	decision := <-waiter
+	s.Logger.Info().
+		Str("decision", "claim").
+		Str("attempt", ticket.Attempt).
+		Str("key", key).
+		Str("verdict", string(decision.Verdict)).
+		Str("reason", decision.Reason).
+		Msg("claim decided")
+	return ticket, decision
+}
+
+// Finish records the outcome of a dispatched attempt.
+func (s *Service) Finish(ticket Ticket, result wire.ClaimRecord) {
+	ticket.part.apply(func() claim.Actions {
+		return ticket.part.claimer.Finish(ticket.Attempt, result)
+	})
+}
+
+// Release gives up a dispatch verdict of which no byte was sent.
+func (s *Service) Release(ticket Ticket) {
+	ticket.part.apply(func() claim.Actions {
+		return ticket.part.claimer.Release(ticket.Attempt)
+	})
+}
+
+// Recorded reads an outcome back from the log; ok is false when the log did not give it.
+func (s *Service) Recorded(ctx context.Context, key string, holder claim.Holder) (r wire.ClaimRecord, ok bool) {
+	stream := claim.Stream(claim.Partition(key, len(s.parts)))
+	answer, err := s.Log.Read(ctx, stream, holder.OutcomeOffset(), 0)
+	if err != nil || len(answer.Records) == 0 || answer.Records[0].Offset != holder.OutcomeOffset() {
+		return r, false
+	}
+	err = s.Sealer.Open(stream, answer.Records[0].Data, &r)
+	return r, err == nil && r.Attempt == holder.Attempt()
+}
+
+func (p *partition) follow(ctx context.Context) {
+	follower := &tail.Tail{
+		Log:    p.service.Log,
+		Stream: p.stream,
+		Wait:   readWait,
+		Begin: func(oldest, next int) {
+			p.apply(func() claim.Actions { return p.claimer.Gap(oldest, next) })
+		},
+		Record: func(entry wire.LogRecord) {
+			p.apply(func() claim.Actions { return p.claimer.Record(entry, time.Now()) })
+		},
+		Health: func(up bool, _ error) {
+			p.apply(func() claim.Actions { return p.claimer.LogDown(!up) })
+		},
+	}
+	follower.Run(ctx)
+}
+
+func (p *partition) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.apply(func() claim.Actions { return p.claimer.Tick(time.Now()) })
+		}
+	}
+}
+
+// apply runs one event through the machine and carries out its actions.
+func (p *partition) apply(event func() claim.Actions) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	actions := event()
+	for _, decision := range actions.Decisions {
+		if waiter := p.waiters[decision.Attempt]; waiter != nil {
+			delete(p.waiters, decision.Attempt)
+			waiter <- decision
+		}
+	}
+	if actions.Append != nil {
+		batch := *actions.Append
+		go p.append(batch)
+	}
+}
+
+func (p *partition) append(batch claim.Append) {
+	records := make([]string, 0, len(batch.Records))
+	for _, r := range batch.Records {
+		data, err := p.service.Sealer.Seal(p.stream, r)
+		if err != nil {
+			p.service.Logger.Error().Err(err).Str("step", "seal claim").Msg("claim dropped")
+			continue
+		}
+		records = append(records, data)
+	}
+	p.service.appends.Add(1)
+	_, err := p.service.Log.Append(context.Background(), p.stream, records)
+	result := claim.Appended
+	switch {
+	case errors.Is(err, platform.ErrNotAppended):
+		result = claim.NotAppended
+	case err != nil:
+		result = claim.MaybeAppended
+	}
+	if err != nil {
+		p.service.Logger.Warn().Err(err).Str("step", "append claims").Str("peer", "platform").Msg("log append failed")
+	}
+	p.apply(func() claim.Actions { return p.claimer.AppendDone(batch.Batch, result) })
+}
--- /dev/null
+++ b/internal/transport/command/cmd_drain.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+func cmdDrain() cmd {
+	settings := &operatorSettings{}
+	return cmd{
+		name:    "drain",
+		summary: "take an entry VM out of service without cutting a request",
+		options: settings,
+		run: func(ctx context.Context, out io.Writer, _ []string) error {
+			got, err := call(ctx, http.MethodPost, settings.Node, "/v1/operator/drain", settings.Token, nil)
+			if err != nil {
+				return err
+			}
+			var status wire.NodeStatus
+			if err := got.expect(&status); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(out, "%s is %s; its process ends when all in flight is done\n", status.Name, status.State)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/transport/command/cmd_serve.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/transport/node"
+)
+
+func cmdServe() cmd {
+	settings := &serveSettings{}
+	return cmd{
+		name:    "serve",
+		summary: "run an entry VM's process until it is drained",
+		options: settings,
+		run: func(ctx context.Context, _ io.Writer, args []string) error {
+			if len(args) > 0 {
+				return usageError{text: "serve takes no arguments, only options"}
+			}
+			return serve(ctx, settings)
+		},
+	}
+}
+
+// serve drains on the first signal; a second one is ignored, so that nothing in flight is cut.
+func serve(ctx context.Context, settings *serveSettings) error {
+	if err := settings.check(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	n := newNode(settings)
+	expvar.Publish(programName, expvar.Func(n.Vars))
+	go func() {
+		<-ctx.Done()
+		n.Drain()
+	}()
+	return n.Run(context.WithoutCancel(ctx))
+}
+
+func newNode(settings *serveSettings) *node.Node {
+	level, _ := zerolog.ParseLevel(settings.LogLevel)
+	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
+	return &node.Node{
+		Name:             settings.Name,
+		Listen:           settings.Listen,
+		PeerListen:       settings.PeerListen,
+		Address:          settings.Address,
+		PeerAddress:      settings.PeerAddress,
+		AvailabilityZone: settings.AvailabilityZone,
+		Region:           settings.Region,
+		Platform:         settings.Platform,
+		Secret:           []byte(settings.Secret),
+		OperatorHash:     settings.OperatorHash,
+		Seeds:            settings.Seeds,
+		Keep:             settings.Keep,
+		KeyLifetime:      settings.KeyLifetime,
+		Retention:        settings.Retention,
+		Partitions:       settings.Partitions,
+		Silence:          settings.Silence,
+		LogTimeout:       settings.LogTimeout,
+		LinkBytes:        settings.LinkBytes,
+		Logger:           logger,
+	}
+}
--- /dev/null
+++ b/internal/transport/members/doc.go
@@ -0,0 +1,2 @@
+// Package members drives the membership machine over peer connections.
+package members
--- /dev/null
+++ b/internal/transport/node/status.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"time"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/caller"
+)
+
+// Status returns what the node knows.
+func (n *Node) Status() wire.NodeStatus {
+	now := time.Now()
+	status := wire.NodeStatus{
+		Name:             n.Name,
+		AvailabilityZone: n.AvailabilityZone,
+		Region:           n.Region,
+		State:            n.Phase().String(),
+		Revision:         n.rules.Revision(),
+		Members:          n.members.Members(),
+		LogReachable:     n.rules.LogUp(),
+	}
+	snapshot := n.router.Table.Load()
+	for _, pool := range snapshot.Pools() {
+		row := n.pools.ensure(pool).Status(now)
+		for _, r := range snapshot.Pool(pool) {
+			row.Replicas = append(row.Replicas, n.replicaStatus(r, now))
+		}
+		status.Pools = append(status.Pools, row)
+	}
+	return status
+}
+
+func (n *Node) replicaStatus(r *replica.Replica, now time.Time) wire.ReplicaStatus {
+	reported := 0
+	if load := r.Load(); load != nil {
+		reported = load.Total()
+	}
+	return wire.ReplicaStatus{
+		Name:             r.Name(),
+		Address:          r.Address(),
+		AvailabilityZone: r.AvailabilityZone(),
+		InFlight:         r.InFlight(),
+		Reported:         reported,
+		Leaving:          r.Leaving(),
+		Ejected:          n.router.Ejector.Ejected(r.Name(), now),
+	}
+}
+
+// Vars is what the node shows by expvar.
+type Vars struct {
+	Classes       map[string]caller.ClassCounts `json:"classes"`
+	Pools         []PoolVars                    `json:"pools"`
+	InFlight      int                           `json:"in-flight"`
+	Revision      int                           `json:"revision"`
+	LogReachable  bool                          `json:"log-reachable"`
+	ClaimKeys     int                           `json:"claim-keys"`
+	ClaimAppends  int64                         `json:"claim-appends"`
+	Members       int                           `json:"members-live"`
+	LeaseHeld     bool                          `json:"lease-held"`
+	Orders        int64                         `json:"engine-orders"`
+	LinkBytes     int64                         `json:"link-bytes"`
+	PeerSent      int64                         `json:"peer-bytes-sent"`
+	PeerReceived  int64                         `json:"peer-bytes-received"`
+	LimitedTeams  int                           `json:"limited-teams"`
+	DrainPhase    string                        `json:"drain-phase"`
+	UpstreamCount int                           `json:"upstreams"`
+}
+
+// PoolVars is what the node shows of one pool by expvar.
+type PoolVars struct {
+	Pool     string `json:"pool"`
+	Limit    int    `json:"limit"`
+	InFlight int    `json:"in-flight"`
+	Queued   int    `json:"queued"`
+	Floor    int    `json:"floor"`
+	Started  int64  `json:"started"`
+	Refused  int64  `json:"refused"`
+}
+
+// Vars returns the node's metrics.
+func (n *Node) Vars() any {
+	if n.caller == nil {
+		return nil
+	}
+	sentOut, gotOut := n.client.Bytes()
+	sentIn, gotIn := n.server.Bytes()
+	_, held := n.leases.Held()
+	return Vars{
+		Classes:       n.caller.Metrics.Snapshot(),
+		Pools:         n.poolVars(),
+		InFlight:      n.caller.InFlight(),
+		Revision:      n.rules.Revision(),
+		LogReachable:  n.rules.LogUp(),
+		ClaimKeys:     n.claims.Keys(),
+		ClaimAppends:  n.claims.Appends(),
+		Members:       len(n.members.Live()),
+		LeaseHeld:     held,
+		Orders:        n.leases.Orders(),
+		LinkBytes:     n.router.Link.Used(),
+		PeerSent:      sentOut + sentIn,
+		PeerReceived:  gotOut + gotIn,
+		LimitedTeams:  n.limiter.Teams(),
+		DrainPhase:    n.Phase().String(),
+		UpstreamCount: n.router.Table.Load().All(),
+	}
+}
+
+func (n *Node) poolVars() []PoolVars {
+	now := time.Now()
+	var vars []PoolVars
+	for _, pool := range n.router.Table.Load().Pools() {
+		gate := n.pools.ensure(pool)
+		status := gate.Status(now)
+		started, refused := gate.Counts()
+		vars = append(vars, PoolVars{
+			Pool:     pool,
+			Limit:    status.Limit,
+			InFlight: status.InFlight,
+			Queued:   status.Queued,
+			Floor:    status.Floor,
+			Started:  started,
+			Refused:  refused,
+		})
+	}
+	return vars
+}
--- /dev/null
+++ b/internal/transport/operator/server.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rule"
+	"lagoongw/internal/transport/platform"
+	"lagoongw/internal/transport/rules"
+)
+
+const publishTimeout = 10 * time.Second
+
+// Server answers operators; its exported fields are set before Routes.
+type Server struct {
+	// TokenHash is the SHA-256 of the operator token in hexadecimal.
+	TokenHash string
+	// Rules holds the rule file in force.
+	Rules *rules.Service
+	// Status returns what the node knows.
+	Status func() wire.NodeStatus
+	// Drain takes the node out of service.
+	Drain func()
+	// Logger takes refused calls.
+	Logger zerolog.Logger
+}
+
+// Routes returns the operators' routes.
+func (s *Server) Routes() []rest.Route {
+	return []rest.Route{
+		s.route(http.MethodGet, "/v1/operator/status", s.status),
+		s.route(http.MethodGet, "/v1/operator/rules", s.show),
+		s.route(http.MethodPost, "/v1/operator/rules", s.publish),
+		s.route(http.MethodPost, "/v1/operator/drain", s.drain),
+		s.route(http.MethodGet, "/debug/vars", expvar.Handler().ServeHTTP),
+	}
+}
+
+func (s *Server) route(method, path string, handle http.HandlerFunc) rest.Route {
+	return rest.Route{
+		Method:  method,
+		Path:    path,
+		Handler: s.authorized(handle),
+	}
+}
+
+func (s *Server) authorized(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(rule.HashToken(token)), []byte(s.TokenHash)) != 1 {
+			s.Logger.Warn().Str("step", r.Method+" "+r.URL.Path).Str("peer", r.RemoteAddr).Msg("operator call refused")
+			refuse(w, http.StatusUnauthorized, "expected the operator token as Authorization: Bearer TOKEN")
+			return
+		}
+		handle(w, r)
+	}
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Status())
+}
+
+func (s *Server) show(w http.ResponseWriter, _ *http.Request) {
+	state, err := s.Rules.State()
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	answer(w, http.StatusOK, state)
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
+	var request wire.PublishRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*rule.MaxFileBytes)).Decode(&request); err != nil {
+		refuse(w, http.StatusBadRequest, "expected a JSON publish request: "+err.Error())
+		return
+	}
+	if request.PublishID == "" {
+		refuse(w, http.StatusBadRequest, "publish-id: missing")
+		return
+	}
+	if _, err := rule.Parse(request.Text); err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
+	defer cancel()
+	verdict, err := s.Rules.Publish(ctx, request)
+	switch {
+	case errors.Is(err, platform.ErrNotAppended):
+		refuse(w, http.StatusServiceUnavailable, "not published: "+err.Error())
+	case err != nil:
+		refuse(w, http.StatusGatewayTimeout, "it is unknown whether the file was published; run the command again: "+err.Error())
+	case !verdict.Accepted:
+		answer(w, http.StatusConflict, verdict)
+	default:
+		answer(w, http.StatusOK, verdict)
+	}
+}
+
+func (s *Server) drain(w http.ResponseWriter, _ *http.Request) {
+	s.Drain()
+	answer(w, http.StatusAccepted, s.Status())
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	answer(w, status, wire.ErrorDetail{
+		Message: message,
+		Type:    http.StatusText(status),
+	})
+}
--- /dev/null
+++ b/internal/transport/tail/doc.go
@@ -0,0 +1,2 @@
+// Package tail follows one stream of the platform's log through outages and truncation.
+package tail
--- /dev/null
+++ b/internal/transport/tail/tail.go
@@ -0,0 +1,101 @@
+package tail
+
+import (
+	"context"
+	"time"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+const (
+	firstPause = 100 * time.Millisecond
+	maxPause   = 2 * time.Second
+)
+
+// Reader reads a log stream from an offset on, waiting for the first record.
+type Reader interface {
+	Read(ctx context.Context, stream string, from int, wait time.Duration) (wire.ReadAnswer, error)
+}
+
+// Tail follows a stream; its exported fields are set before Run.
+type Tail struct {
+	// Log is the log to read.
+	Log Reader
+	// Stream is the name of the stream.
+	Stream string
+	// Wait is how long one read waits for records.
+	Wait time.Duration
+	// Pause is the time between reads that found nothing to wait for; zero reads on at once.
+	Pause func() time.Duration
+	// Begin is told the window at the first read, and again when records were dropped unread.
+	Begin func(oldest, next int)
+	// Record is given each record in order.
+	Record func(entry wire.LogRecord)
+	// Health is told after each read whether the log answered.
+	Health func(up bool, err error)
+
+	next    int
+	started bool
+}
+
+// Run follows the stream until the context ends.
+func (t *Tail) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := t.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		t.Health(err == nil, err)
+		if err == nil {
+			pause = firstPause
+			sleep(ctx, t.idle())
+			continue
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (t *Tail) idle() time.Duration {
+	if t.Pause == nil {
+		return 0
+	}
+	return t.Pause()
+}
+
+func (t *Tail) step(ctx context.Context) error {
+	wait := t.Wait
+	if !t.started {
+		wait = 0
+	}
+	answer, err := t.Log.Read(ctx, t.Stream, t.next, wait)
+	if err != nil {
+		return err
+	}
+	if !t.started || answer.Oldest > t.next {
+		t.started = true
+		t.next = answer.Oldest
+		t.Begin(answer.Oldest, answer.Next)
+	}
+	for _, entry := range answer.Records {
+		if entry.Offset < t.next {
+			continue
+		}
+		t.next = entry.Offset + 1
+		t.Record(entry)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/transport/upstream/doc.go
@@ -0,0 +1,2 @@
+// Package upstream sends requests to upstreams and tells truthfully whether one may have reached them.
+package upstream
--- /dev/null
+++ b/internal/transport/upstreams/service.go
@@ -0,0 +1,190 @@
+package upstreams
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/routing"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+)
+
+const (
+	listEvery     = time.Second
+	reportEvery   = 500 * time.Millisecond
+	reportTimeout = 2 * time.Second
+	maxPolls      = 64
+	leavingLife   = 30 * time.Second
+)
+
+// Service keeps the table; its exported fields are set before Run.
+type Service struct {
+	// Table is the table to keep.
+	Table *replica.Table
+	// Ejector judges the upstreams after each round of reports.
+	Ejector *routing.Ejector
+	// List returns the platform's list of VMs.
+	List func(ctx context.Context) ([]wire.Machine, error)
+	// Report returns what an upstream says of itself.
+	Report func(ctx context.Context, address string) (wire.LoadReport, error)
+	// Entries is given the entry VMs of the list.
+	Entries func([]wire.Machine)
+	// Logger takes one line for each upstream that leaves.
+	Logger zerolog.Logger
+
+	mu      sync.Mutex
+	leaving map[string]time.Time
+	polling map[string]bool
+}
+
+// Run refreshes the list and the reports until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { every(ctx, listEvery, s.refreshList) })
+	group.Go(func() { every(ctx, reportEvery, s.refreshReports) })
+	group.Wait()
+}
+
+func every(ctx context.Context, period time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) refreshList(ctx context.Context) {
+	machines, err := s.List(ctx)
+	if err != nil {
+		return
+	}
+	before := s.Table.Load()
+	s.Table.Update(machines)
+	for _, machine := range machines {
+		if machine.State != replica.StateLeaving || machine.Kind == replica.KindEntry {
+			continue
+		}
+		if r, known := before.Replica(machine.Name); !known || !r.Leaving() {
+			s.noteLeaving(machine.Name, "list of VMs")
+		}
+	}
+	s.markKnownLeaving()
+	if s.Entries != nil {
+		s.Entries(entriesOf(machines))
+	}
+}
+
+func entriesOf(machines []wire.Machine) []wire.Machine {
+	var entries []wire.Machine
+	for _, machine := range machines {
+		if machine.Kind == replica.KindEntry {
+			entries = append(entries, machine)
+		}
+	}
+	return entries
+}
+
+func (s *Service) refreshReports(ctx context.Context) {
+	snapshot := s.Table.Load()
+	started := 0
+	for _, pool := range snapshot.Pools() {
+		for _, r := range snapshot.Pool(pool) {
+			if started == maxPolls || !s.beginPoll(r.Name()) {
+				continue
+			}
+			started++
+			go s.poll(ctx, r)
+		}
+	}
+	s.Ejector.Tick(snapshot, time.Now())
+}
+
+func (s *Service) beginPoll(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.polling == nil {
+		s.polling = map[string]bool{}
+	}
+	if s.polling[name] {
+		return false
+	}
+	s.polling[name] = true
+	return true
+}
+
+func (s *Service) poll(ctx context.Context, r *replica.Replica) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.polling, r.Name())
+	}()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := s.Report(ctx, r.Address())
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	r.Report(report, now)
+	r.CacheEvents(report.CacheEvents, now)
+	if report.Leaving {
+		s.MarkLeaving(r.Name(), "load report")
+	}
+}
+
+// MarkLeaving notes the first sign that an upstream leaves, and keeps it for the peers.
+func (s *Service) MarkLeaving(name, sign string) {
+	r, known := s.Table.Load().Replica(name)
+	if known && !r.MarkLeaving() {
+		return
+	}
+	s.noteLeaving(name, sign)
+}
+
+func (s *Service) noteLeaving(name, sign string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving == nil {
+		s.leaving = map[string]time.Time{}
+	}
+	if _, known := s.leaving[name]; known {
+		return
+	}
+	s.leaving[name] = time.Now()
+	s.Logger.Info().
+		Str("decision", "upstream-leaving").
+		Str("upstream", name).
+		Str("sign", sign).
+		Msg("upstream gets no new work")
+}
+
+// markKnownLeaving applies signs that came before the upstream was listed.
+func (s *Service) markKnownLeaving() {
+	for _, name := range s.Leaving() {
+		if r, known := s.Table.Load().Replica(name); known {
+			r.MarkLeaving()
+		}
+	}
+}
+
+// Leaving returns the upstreams whose leaving is recent enough to be told to peers.
+func (s *Service) Leaving() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name, since := range s.leaving {
+		if time.Since(since) > leavingLife {
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command lagoongw routes language-model traffic by service level and priority.
+package main
+
+import (
+	"os"
+
+	"lagoongw/internal/transport/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,381 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rule"
+	"lagoongw/test/standin"
+)
+
+// Tokens of the fleet, which exist for tests alone.
+const (
+	OperatorToken = "operator-token-for-tests"
+	PeerSecret    = "peer-secret-for-tests"
+)
+
+// Settings say how large a fleet is.
+type Settings struct {
+	Nodes    int
+	Engines  int
+	Services int
+	// NodeArgs and EngineArgs are added to the options of every node and engine.
+	NodeArgs   []string
+	EngineArgs []string
+	// PlatformArgs are added to the options of the platform.
+	PlatformArgs []string
+}
+
+// Fleet is a platform, upstreams and nodes as processes.
+type Fleet struct {
+	Platform *Process
+	Engines  []*Process
+	Services []*Process
+	Nodes    []*Process
+
+	settings Settings
+	dir      string
+	all      []*Process
+	machines []wire.Machine
+}
+
+type place struct {
+	zone   string
+	region string
+}
+
+var places = []place{
+	{zone: "lom-a", region: "lombardia"},
+	{zone: "lom-b", region: "lombardia"},
+	{zone: "ven-a", region: "veneto"},
+}
+
+// Start builds the programs into dir and starts a fleet; Stop must be called even after an error.
+func Start(ctx context.Context, dir string, settings Settings) (*Fleet, error) {
+	f := &Fleet{
+		dir:      dir,
+		settings: settings,
+	}
+	steps := []func(context.Context) error{
+		f.build,
+		f.startPlatform,
+		f.startUpstreams,
+		f.startNodes,
+		f.waitReady,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// Stop ends every process that the fleet started.
+func (f *Fleet) Stop() {
+	for _, p := range f.all {
+		p.Kill()
+	}
+}
+
+func (f *Fleet) build(ctx context.Context) error {
+	root, err := moduleRoot(ctx)
+	if err != nil {
+		return err
+	}
+	for name, pkg := range map[string]string{
+		"lagoongw": ".",
+		"standin":  "./test/standin/program",
+	} {
+		command := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(f.dir, name), pkg)
+		command.Dir = root
+		if out, err := command.CombinedOutput(); err != nil {
+			return fmt.Errorf("build %s: %w\n%s", pkg, err, out)
+		}
+	}
+	return nil
+}
+
+func moduleRoot(ctx context.Context) (string, error) {
+	out, err := exec.CommandContext(ctx, "go", "env", "GOMOD").Output()
+	return filepath.Dir(strings.TrimSpace(string(out))), err
+}
+
+// start starts a program whose first argument after its own is the address it gets.
+func (f *Fleet) start(name, program string, args func(address string) []string) (*Process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	p, err := start(f.dir, name, filepath.Join(f.dir, program), args(address)...)
+	if err != nil {
+		return nil, err
+	}
+	p.Address = address
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+func (f *Fleet) startPlatform(context.Context) error {
+	p, err := f.start("platform", "standin", func(address string) []string {
+		return append([]string{"--kind", "platform", "--listen", address, "--list-lag", "200ms"}, f.settings.PlatformArgs...)
+	})
+	f.Platform = p
+	return err
+}
+
+func (f *Fleet) startUpstreams(context.Context) error {
+	for i := range f.settings.Engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		p, err := f.start(name, "standin", func(address string) []string {
+			args := []string{"--kind", "engine", "--listen", address, "--name", name, "--model", "planner", "--report-lag", "200ms"}
+			return append(args, f.settings.EngineArgs...)
+		})
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, p)
+		f.addMachine(p, "engine", "engines", places[i%len(places)], []string{"planner"})
+	}
+	for i := range f.settings.Services {
+		name := fmt.Sprintf("order-desk-%d", i+1)
+		p, err := f.start(name, "standin", func(address string) []string {
+			return []string{"--kind", "service", "--listen", address, "--slots", "64"}
+		})
+		if err != nil {
+			return err
+		}
+		f.Services = append(f.Services, p)
+		f.addMachine(p, "service", "orders", places[i%len(places)], nil)
+	}
+	return nil
+}
+
+func (f *Fleet) addMachine(p *Process, kind, pool string, at place, models []string) {
+	f.machines = append(f.machines, wire.Machine{
+		Name:             p.Name,
+		Kind:             kind,
+		Pool:             pool,
+		Address:          p.Address,
+		PeerAddress:      p.PeerAddress,
+		AvailabilityZone: at.zone,
+		Region:           at.region,
+		State:            "live",
+		Slots:            8,
+		Models:           models,
+	})
+}
+
+func (f *Fleet) startNodes(ctx context.Context) error {
+	for i := range f.settings.Nodes {
+		if _, err := f.StartNode(i + 1); err != nil {
+			return err
+		}
+	}
+	return f.PublishMachines(ctx)
+}
+
+// StartNode starts one more node; PublishMachines makes the platform list it.
+func (f *Fleet) StartNode(number int) (*Process, error) {
+	at := places[(number-1)%len(places)]
+	name := fmt.Sprintf("entry-%d", number)
+	peerAddress, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	var seeds []string
+	if len(f.Nodes) > 0 {
+		seeds = []string{"--peer", f.Nodes[0].PeerAddress}
+	}
+	p, err := f.start(name, "lagoongw", func(address string) []string {
+		args := []string{
+			"serve", "--name", name,
+			"--listen", address, "--address", address,
+			"--peer-listen", peerAddress, "--peer-address", peerAddress,
+			"--availability-zone", at.zone, "--region", at.region,
+			"--platform", "http://" + f.Platform.Address,
+			"--secret", PeerSecret, "--operator-token-sha256", rule.HashToken(OperatorToken),
+			"--keep-answer", "1s",
+		}
+		return append(append(args, seeds...), f.settings.NodeArgs...)
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.PeerAddress = peerAddress
+	f.Nodes = append(f.Nodes, p)
+	f.addMachine(p, "entry", "", at, nil)
+	return p, nil
+}
+
+// PublishMachines tells the platform which VMs there are.
+func (f *Fleet) PublishMachines(ctx context.Context) error {
+	return retry(ctx, func() error {
+		return f.post(ctx, f.Platform.Address, "/control/vms", "", wire.MachineList{Machines: f.machines}, nil)
+	})
+}
+
+// SetMachineState changes the state of a VM in the platform's list.
+func (f *Fleet) SetMachineState(ctx context.Context, name, state string) error {
+	for i := range f.machines {
+		if f.machines[i].Name == name {
+			f.machines[i].State = state
+		}
+	}
+	return f.PublishMachines(ctx)
+}
+
+// waitReady waits until every node knows every other one and all upstreams.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	for _, node := range f.Nodes {
+		err := retry(ctx, func() error {
+			status, err := f.Status(ctx, node)
+			if err != nil {
+				return err
+			}
+			return f.complete(node, status)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) complete(node *Process, status wire.NodeStatus) error {
+	upstreams := 0
+	for _, pool := range status.Pools {
+		upstreams += len(pool.Replicas)
+	}
+	if len(status.Members) < len(f.Nodes) || upstreams < len(f.Engines)+len(f.Services) {
+		return fmt.Errorf("%s knows %d members and %d upstreams", node.Name, len(status.Members), upstreams)
+	}
+	return nil
+}
+
+// Status asks a node what it knows.
+func (f *Fleet) Status(ctx context.Context, node *Process) (wire.NodeStatus, error) {
+	var status wire.NodeStatus
+	err := f.do(ctx, http.MethodGet, node.Address, "/v1/operator/status", OperatorToken, nil, &status)
+	return status, err
+}
+
+// Publish publishes a rule file through a node, on top of the revision in force there.
+func (f *Fleet) Publish(ctx context.Context, node *Process, id, text string) (wire.RuleVerdict, error) {
+	var state wire.RuleState
+	var verdict wire.RuleVerdict
+	err := retry(ctx, func() error {
+		return f.do(ctx, http.MethodGet, node.Address, "/v1/operator/rules", OperatorToken, nil, &state)
+	})
+	if err != nil {
+		return verdict, err
+	}
+	err = f.post(ctx, node.Address, "/v1/operator/rules", OperatorToken, wire.PublishRequest{
+		PublishID: id,
+		Base:      state.Revision,
+		Text:      text,
+	}, &verdict)
+	return verdict, err
+}
+
+// WaitRevision waits until every given node has a revision in force.
+func (f *Fleet) WaitRevision(ctx context.Context, revision int, nodes ...*Process) error {
+	for _, node := range nodes {
+		err := retry(ctx, func() error {
+			status, err := f.Status(ctx, node)
+			if err == nil && status.Revision < revision {
+				err = fmt.Errorf("%s is at revision %d", node.Name, status.Revision)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Fault makes a stand-in misbehave.
+func (f *Fleet) Fault(ctx context.Context, p *Process, fault standin.Fault) error {
+	return f.post(ctx, p.Address, "/control/fault", "", fault, nil)
+}
+
+// Executions returns how often each key was executed, over all order desks.
+func (f *Fleet) Executions(ctx context.Context) (map[string]int, error) {
+	sum := map[string]int{}
+	for _, service := range f.Services {
+		var counts map[string]int
+		if err := f.do(ctx, http.MethodGet, service.Address, "/control/executions", "", nil, &counts); err != nil {
+			return nil, err
+		}
+		for key, count := range counts {
+			sum[key] += count
+		}
+	}
+	return sum, nil
+}
+
+func (f *Fleet) post(ctx context.Context, address, path, token string, request, into any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	return f.do(ctx, http.MethodPost, address, path, token, body, into)
+}
+
+func (f *Fleet) do(ctx context.Context, method, address, path, token string, body []byte, into any) error {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s %s: %d %s", method, path, response.StatusCode, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
+
+// retry calls a step until it succeeds, for a bounded time.
+func retry(ctx context.Context, step func() error) error {
+	const (
+		limit = 20 * time.Second
+		pause = 50 * time.Millisecond
+	)
+	until := time.Now().Add(limit)
+	for {
+		err := step()
+		if err == nil || ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
+
+// TempDir makes the directory of a fleet's programs and logs.
+func TempDir() (string, error) {
+	return os.MkdirTemp("", "lagoongw-fleet-")
+}
--- /dev/null
+++ b/test/fleet/request.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+// Answer is what a caller learned.
+type Answer struct {
+	Status    int
+	RequestID string
+	Outcome   string
+	Body      string
+	// Pieces are the offsets of a stream's pieces; Whole reports its end mark.
+	Pieces []int
+	Text   string
+	Whole  bool
+}
+
+// Order posts an order with an idempotency key.
+func Order(ctx context.Context, node *Process, token, key, body string) (Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Address+"/services/orders/orders", strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return send(r)
+}
+
+// Chat asks for a completion of a number of tokens, streamed or not.
+func Chat(ctx context.Context, node *Process, token, prompt string, tokens int, stream bool) (Answer, error) {
+	body := fmt.Sprintf(`{"model":"planner","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Content-Type", "application/json")
+	return send(r)
+}
+
+func send(r *http.Request) (Answer, error) {
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := Answer{
+		Status:    response.StatusCode,
+		RequestID: response.Header.Get("Lagoongw-Request-Id"),
+		Outcome:   response.Header.Get("Lagoongw-Outcome"),
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err = answer.readStream(response.Body)
+		answer.Outcome = response.Trailer.Get("Lagoongw-Outcome")
+		return answer, err
+	}
+	body, err := io.ReadAll(response.Body)
+	answer.Body = string(body)
+	return answer, err
+}
+
+func (a *Answer) readStream(body io.Reader) error {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Whole = true
+			continue
+		}
+		var piece wire.ChatAnswer
+		if err := json.Unmarshal([]byte(data), &piece); err != nil {
+			return err
+		}
+		if len(piece.Choices) == 0 || piece.Choices[0].Delta == nil {
+			continue
+		}
+		a.Pieces = append(a.Pieces, piece.Offset)
+		a.Text += piece.Choices[0].Delta.Content
+	}
+	return scanner.Err()
+}
