--- /dev/null
+++ b/internal/coordination/rollout/fold_test.go
@@ -0,0 +1,270 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lagoongw/internal/protocol/record"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rule"
+)
+
+var sealer = record.Sealer{Secret: []byte("secret of the tests")}
+
+func fileText(n int) string {
+	return fmt.Sprintf("rule=general class=advice tier=%d idempotent=yes # asked for by sales\n", n)
+}
+
+func seal(t testing.TB, offset int, r wire.RuleRecord) wire.LogRecord {
+	t.Helper()
+	data, err := sealer.Seal(Stream, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire.LogRecord{
+		Offset: offset,
+		Data:   data,
+	}
+}
+
+func publishRecord(id string, base int, before, after string) wire.RuleRecord {
+	return wire.RuleRecord{
+		Type:      wire.RuleRecordTypePublish,
+		PublishID: id,
+		Base:      base,
+		Hash:      rule.Hash(after),
+		Edits:     rule.Delta(before, after),
+	}
+}
+
+func foldAll(log []wire.LogRecord, oldest int) *Fold {
+	f := NewFold(sealer)
+	f.Window(oldest)
+	for _, entry := range log {
+		if entry.Offset >= oldest {
+			f.Apply(entry)
+		}
+	}
+	return f
+}
+
+func TestOfRacingOperatorsOneWins(t *testing.T) {
+	is := is.New(t)
+	log := []wire.LogRecord{
+		seal(t, 0, publishRecord("first", -1, "", fileText(1))),
+		seal(t, 1, publishRecord("anna", 0, fileText(1), fileText(2))),
+		seal(t, 2, publishRecord("bruno", 0, fileText(1), fileText(3))),
+	}
+	f := foldAll(log, 0)
+	anna, _ := f.Verdict("anna")
+	bruno, _ := f.Verdict("bruno")
+	is.True(anna.Accepted)
+	is.True(!bruno.Accepted)
+	is.Equal(bruno.Revision, 1) // the loser is told the winner's revision
+	is.Equal(f.Text(), fileText(2))
+}
+
+func TestRepeatedPublishCountsOnce(t *testing.T) {
+	is := is.New(t)
+	first := publishRecord("first", -1, "", fileText(1))
+	f := foldAll([]wire.LogRecord{
+		seal(t, 0, first),
+		seal(t, 1, first),
+	}, 0)
+	is.Equal(f.Revision(), 0)
+	is.Equal(len(f.History()), 1)
+}
+
+func TestBadRecordsAreRefusedByAll(t *testing.T) {
+	good := seal(t, 0, publishRecord("first", -1, "", fileText(1)))
+	wrongHash := publishRecord("bad", 0, fileText(1), fileText(2))
+	wrongHash.Hash = rule.Hash("else")
+	wrongEdit := publishRecord("bad", 0, fileText(1), fileText(2))
+	wrongEdit.Edits[0].Delete = 99
+	future := publishRecord("bad", 7, fileText(1), fileText(2))
+	for name, data := range map[string]string{
+		"not sealed":      `0000 {"type":"publish"}`,
+		"empty":           "",
+		"sealed for else": sealElse(t),
+		"cut short":       seal(t, 1, publishRecord("bad", 0, fileText(1), fileText(2))).Data[:60],
+		"wrong hash":      seal(t, 1, wrongHash).Data,
+		"wrong edit":      seal(t, 1, wrongEdit).Data,
+		"future base":     seal(t, 1, future).Data,
+		"not a rule file": seal(t, 1, publishRecord("bad", 0, fileText(1), "rule=x tier=99\n")).Data,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := foldAll([]wire.LogRecord{good, {
+				Offset: 1,
+				Data:   data,
+			}}, 0)
+			is.Equal(f.Revision(), 0)
+			is.Equal(f.Text(), fileText(1))
+		})
+	}
+}
+
+func sealElse(t *testing.T) string {
+	data, err := sealer.Seal("claims-0", publishRecord("bad", 0, fileText(1), fileText(2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestEveryOrderOfRacingPublishesFoldsAlike(t *testing.T) {
+	records := []wire.RuleRecord{
+		publishRecord("a", -1, "", fileText(1)),
+		publishRecord("b", -1, "", fileText(2)),
+		publishRecord("c", 0, fileText(1), fileText(3)),
+		publishRecord("d", 0, fileText(2), fileText(4)),
+		publishRecord("e", 1, fileText(3), fileText(5)),
+	}
+	orders := 0
+	permute(len(records), func(order []int) {
+		orders++
+		var log []wire.LogRecord
+		for offset, i := range order {
+			log = append(log, seal(t, offset, records[i]))
+		}
+		checkOrder(t, log)
+	})
+	t.Logf("%d orders", orders)
+}
+
+// checkOrder folds a log at several nodes: whole, from a peer in the middle, and from a checkpoint in a truncated log.
+func checkOrder(t *testing.T, log []wire.LogRecord) {
+	t.Helper()
+	whole := foldAll(log, 0)
+	accepted := 0
+	last := -1
+	for _, verdict := range whole.History() {
+		if verdict.Accepted {
+			accepted++
+			if verdict.Revision <= last {
+				t.Fatalf("revision went back from %d to %d", last, verdict.Revision)
+			}
+			last = verdict.Revision
+		}
+	}
+	if accepted == 0 {
+		t.Fatal("no publish won although one was based on the empty file")
+	}
+	for cut := range log {
+		early := foldAll(log[:cut], 0)
+		late := foldAll(log[:cut/2], 0)
+		before := late.Revision()
+		late.Merge(early.DeltaSince(late.Revision()))
+		if late.Revision() < before {
+			t.Fatalf("merge went back from %d to %d", before, late.Revision())
+		}
+		for _, entry := range log {
+			late.Apply(entry)
+		}
+		if late.Text() != whole.Text() || late.Revision() != whole.Revision() {
+			t.Fatalf("a node helped by a peer differs: %d, not %d", late.Revision(), whole.Revision())
+		}
+		checkTruncated(t, log, cut, whole)
+	}
+}
+
+func checkTruncated(t *testing.T, log []wire.LogRecord, cut int, whole *Fold) {
+	t.Helper()
+	writer := foldAll(log[:cut], 0)
+	checkpoint := seal(t, len(log), writer.Checkpoint())
+	for oldest := 1; oldest <= len(log); oldest++ {
+		f := foldAll(append(append([]wire.LogRecord{}, log...), checkpoint), oldest)
+		complete := cut >= oldest
+		if f.Anchored() != complete {
+			t.Fatalf("checkpoint as of %d, log from %d: anchored is %t", cut-1, oldest, f.Anchored())
+		}
+		if complete && f.Text() != whole.Text() {
+			t.Fatalf("checkpoint as of %d, log from %d: another file is in force", cut-1, oldest)
+		}
+	}
+}
+
+func permute(n int, visit func([]int)) {
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	var step func(int)
+	step = func(k int) {
+		if k == n {
+			visit(order)
+			return
+		}
+		for i := k; i < n; i++ {
+			order[k], order[i] = order[i], order[k]
+			step(k + 1)
+			order[k], order[i] = order[i], order[k]
+		}
+	}
+	step(0)
+}
+
+func TestStarterInATruncatedLogWaits(t *testing.T) {
+	is := is.New(t)
+	f := NewFold(sealer)
+	f.Window(5)
+	f.Apply(seal(t, 5, publishRecord("late", 4, fileText(1), fileText(2))))
+	is.True(!f.Anchored()) // nothing is known of revision 4
+	peer := foldAll([]wire.LogRecord{
+		seal(t, 4, publishRecord("first", -1, "", fileText(1))),
+		seal(t, 5, publishRecord("late", 4, fileText(1), fileText(2))),
+	}, 0)
+	f.Merge(peer.DeltaSince(-2))
+	is.True(f.Anchored())
+	is.Equal(f.Revision(), 5)
+	is.Equal(f.Text(), fileText(2))
+}
+
+func TestRandomEditsApplyBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", ""}), 0, 12)
+		before := rule.Normalize(strings.Join(lines.Draw(t, "before"), "\n"))
+		after := rule.Normalize(strings.Join(lines.Draw(t, "after"), "\n"))
+		got, err := rule.Apply(before, rule.Delta(before, after))
+		if err != nil || got != after {
+			t.Fatalf("%q to %q gave %q, %v", before, after, got, err)
+		}
+	})
+}
+
+func TestRecordWithALaterBaseIsRefusedAlsoAfterHelpFromAPeer(t *testing.T) {
+	is := is.New(t)
+	log := []wire.LogRecord{
+		seal(t, 0, publishRecord("first", -1, "", fileText(1))),
+		seal(t, 1, publishRecord("ahead", 2, fileText(2), fileText(9))),
+		seal(t, 2, publishRecord("second", 0, fileText(1), fileText(2))),
+	}
+	whole := foldAll(log, 0)
+	helped := foldAll(log[:1], 0)
+	is.True(helped.Merge(whole.DeltaSince(0)))
+	is.Equal(helped.Revision(), 2)
+	for _, entry := range log {
+		helped.Apply(entry)
+	}
+	is.Equal(helped.Revision(), 2)
+	is.Equal(helped.Text(), whole.Text())
+}
+
+func TestOlderFileFromAPeerIsNotInstalled(t *testing.T) {
+	is := is.New(t)
+	log := []wire.LogRecord{
+		seal(t, 0, publishRecord("first", -1, "", fileText(1))),
+		seal(t, 1, publishRecord("second", 0, fileText(1), fileText(2))),
+	}
+	newer := foldAll(log, 0)
+	older := foldAll(log[:1], 0).State()
+	is.True(!newer.Merge(wire.RuleDelta{
+		Revision: 0,
+		Whole:    &older,
+	}))
+	is.Equal(newer.Revision(), 1)
+}
