--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,6 +21,12 @@
 	DefaultIndirect       = 2
 )
 
+// urgentProbes is the number of members that are told at once of one that left or died; maxUrgent bounds them in a tick.
+const (
+	urgentProbes = 2
+	maxUrgent    = 4
+)
+
 // reviveRounds is the number of periods between probes of a member believed dead, which heal a cut.
 const reviveRounds = 5
 
@@ -64,6 +71,7 @@
 	lastRound   time.Time
 	rounds      int
 	version     int
+	urgent      int
 	changed     map[string]struct{}
 }
 
@@ -106,12 +114,14 @@
 		row.Incarnation = 0
 		row.State = int(Alive)
 		m.add(row, now)
+		delete(m.changed, row.Name)
 	}
 }
 
 // Leave announces that this node leaves; the announcement is final for its incarnation.
 func (m *Machine) Leave() {
 	m.Self.State = int(Left)
+	m.urgent = maxUrgent
 	m.version++
 }
 
@@ -120,6 +130,7 @@
 	m.forgivePause(now)
 	probes := m.checkOutstanding(now)
 	m.expire(now)
+	probes = append(probes, m.spread(now)...)
 	if now.Sub(m.lastRound) < m.Period {
 		return probes
 	}
@@ -136,6 +147,18 @@
 	return probes
 }
 
+// spread tells a few members at once of a final change, since its news should not wait for the next period.
+func (m *Machine) spread(now time.Time) []Probe {
+	var probes []Probe
+	for range min(m.urgent, maxUrgent) {
+		if target := m.nextTarget(); target != nil {
+			probes = append(probes, m.probe(target.row, now))
+		}
+	}
+	m.urgent = 0
+	return probes
+}
+
 // revive probes one member believed dead, so that two sides of a healed cut find each other.
 func (m *Machine) revive(now time.Time) []Probe {
 	var dead []string
@@ -367,7 +390,8 @@
 	m.names = append(m.names, "")
 	copy(m.names[at+1:], m.names[at:])
 	m.names[at] = row.Name
-	m.order = append(m.order, row.Name)
+	// A random place keeps the nodes from walking the same list in step.
+	m.order = slices.Insert(m.order, m.Random.IntN(len(m.order)+1), row.Name)
 	m.changed[row.Name] = struct{}{}
 	m.version++
 }
@@ -382,10 +406,16 @@
 	if row.State != known.row.State {
 		known.since = now
 		m.version++
+		if State(row.State) >= Dead {
+			m.urgent += urgentProbes
+		}
+	}
+	// That a seeded member has answered for the first time is no news.
+	if known.row.Incarnation != 0 || State(row.State) != Alive {
+		known.sends = 0
+		m.changed[row.Name] = struct{}{}
 	}
 	known.row = row
-	known.sends = 0
-	m.changed[row.Name] = struct{}{}
 }
 
 func (m *Machine) remove(name string) {
--- /dev/null
+++ b/internal/transport/peer/codec_test.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+func sampleDigest(rows int) wire.Digest {
+	row := func(i int) wire.Member {
+		return wire.Member{
+			Name:             fmt.Sprintf("entry-%03d", i),
+			Incarnation:      1_790_000_000_000 + i*7919,
+			Address:          fmt.Sprintf("10.20.%d.%d:8081", i%7, i*37%250),
+			CallerAddress:    fmt.Sprintf("10.20.%d.%d:8080", i%7, i*37%250),
+			AvailabilityZone: []string{"lom-a", "lom-b", "ven-a"}[i%3],
+			Region:           []string{"lombardia", "lombardia", "veneto"}[i%3],
+		}
+	}
+	digest := wire.Digest{
+		From:     row(0),
+		Revision: 123456,
+		Pools: []wire.PoolRow{
+			{
+				Pool:   "engines",
+				Demand: 42,
+				Floor:  15,
+				Wish:   15,
+			},
+			{
+				Pool:   "orders",
+				Demand: 3,
+				Floor:  15,
+				Wish:   15,
+			},
+		},
+	}
+	for i := range rows {
+		digest.Members = append(digest.Members, row(i+1))
+	}
+	return digest
+}
+
+func TestFrameComesBack(t *testing.T) {
+	is := is.New(t)
+	var stream bytes.Buffer
+	is.NoErr(codec{}.WriteObject(&stream, sampleDigest(3)))
+	var got wire.Digest
+	is.NoErr(codec{}.ReadObject(bufio.NewReader(&stream), &got))
+	is.Equal(got, sampleDigest(3))
+}
+
+func TestDamagedFramesAreRefused(t *testing.T) {
+	frame, err := encodeFrame(sampleDigest(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tooLong := make([]byte, 4)
+	binary.BigEndian.PutUint32(tooLong, MaxFrameBytes+1)
+	bomb, err := encodeFrame(strings.Repeat("a", MaxFrameBytes+10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string][]byte{
+		"length too long":         tooLong,
+		"ends early":              frame[:len(frame)/2],
+		"not packed":              append([]byte{0, 0, 0, 5}, "hello"...),
+		"unpacks to far too much": bomb,
+		"empty":                   {0, 0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got wire.Digest
+			is.New(t).True(codec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &got) != nil)
+		})
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	frame, err := encodeFrame(sampleDigest(2))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame[4:])
+	f.Add([]byte("hello"))
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		var digest wire.Digest
+		if decodeFrame(packed, &digest) != nil {
+			return
+		}
+		again, err := encodeFrame(digest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var same wire.Digest
+		if err := decodeFrame(again[4:], &same); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkFrame gives the size and the time of a packed digest by its rows.
+func BenchmarkFrame(b *testing.B) {
+	for _, rows := range []int{1, 3, 6} {
+		b.Run(fmt.Sprint(rows), func(b *testing.B) {
+			digest := sampleDigest(rows)
+			size := 0
+			for b.Loop() {
+				frame, err := encodeFrame(digest)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var got wire.Digest
+				if err := decodeFrame(frame[4:], &got); err != nil {
+					b.Fatal(err)
+				}
+				size = len(frame)
+			}
+			b.ReportMetric(float64(size), "bytes/frame")
+		})
+	}
+}
