--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -107,6 +107,8 @@
 
 // once sends one attempt and reads the whole answer; maybeRan tells whether the upstream can have acted on it.
 func (s *Server) once(ctx context.Context, j *job, chosen *replica.Replica) (answer reply, maybeRan bool, err error) {
+	ctx, cancel := attemptContext(ctx, j)
+	defer cancel()
 	chosen.Begin()
 	defer chosen.End()
 	began := time.Now()
@@ -140,6 +142,15 @@
 	}, true, nil
 }
 
+// attemptContext leaves time for the other attempts when one hangs and may be repeated.
+func attemptContext(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+	left := time.Until(j.deadline())
+	if j.rule.Idempotent() {
+		left /= time.Duration(max(maxAttempts-j.failures, 1))
+	}
+	return context.WithTimeout(ctx, left)
+}
+
 func failedToRun(chosen *replica.Replica, err error) bool {
 	chosen.Failed()
 	var failure *upstream.Failure
--- a/internal/transport/members/service.go
+++ b/internal/transport/members/service.go
@@ -104,7 +104,6 @@
 
 // Run probes until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	s.lastSeen = map[string]int{}
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -216,11 +215,11 @@
 		return
 	}
 	s.version = s.Machine.Version()
+	if s.lastSeen == nil {
+		s.lastSeen = map[string]int{}
+	}
 	rows := s.Machine.Members()
 	for _, row := range rows {
-		if s.lastSeen == nil {
-			break
-		}
 		before, known := s.lastSeen[row.Name]
 		if known && before == row.State {
 			continue
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -86,6 +87,7 @@
 	// Logger takes JSON lines.
 	Logger zerolog.Logger
 
+	prepared    atomic.Bool
 	incarnation string
 	platform    *platform.Client
 	upstream    *upstream.Client
@@ -204,6 +206,7 @@
 	n.prepareLog()
 	n.prepareCaller()
 	n.prepareServer()
+	n.prepared.Store(true)
 	return nil
 }
 
--- a/internal/transport/node/status.go
+++ b/internal/transport/node/status.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"lagoongw/internal/protocol/wire"
@@ -80,7 +81,7 @@
 
 // Vars returns the node's metrics.
 func (n *Node) Vars() any {
-	if n.caller == nil {
+	if !n.prepared.Load() {
 		return nil
 	}
 	sentOut, gotOut := n.client.Bytes()
@@ -125,3 +126,17 @@
 	}
 	return vars
 }
+
+// Ready reports whether the rules and the whole window of the claims have been read.
+func (n *Node) Ready() bool {
+	if !n.prepared.Load() {
+		return false
+	}
+	_, err := n.rules.State()
+	return err == nil && n.claims.Ready()
+}
+
+// Publish publishes a rule file and waits for the verdict that the log's order gives it.
+func (n *Node) Publish(ctx context.Context, request wire.PublishRequest) (wire.RuleVerdict, error) {
+	return n.rules.Publish(ctx, request)
+}
--- a/internal/transport/tail/tail.go
+++ b/internal/transport/tail/tail.go
@@ -9,7 +9,7 @@
 
 const (
 	firstPause = 100 * time.Millisecond
-	maxPause   = 2 * time.Second
+	maxPause   = 500 * time.Millisecond
 )
 
 // Reader reads a log stream from an offset on, waiting for the first record.
--- a/test/fleet/request.go
+++ b/test/fleet/request.go
@@ -93,3 +93,13 @@
 	}
 	return scanner.Err()
 }
+
+// Stock reads the stock, which may be repeated.
+func Stock(ctx context.Context, node *Process, token string) (Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Address+"/services/orders/stock", nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	return send(r)
+}
--- /dev/null
+++ b/test/lab/lab.go
@@ -0,0 +1,277 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rule"
+	"lagoongw/internal/transport/node"
+	"lagoongw/test/fleet"
+	"lagoongw/test/standin"
+)
+
+// Lab is a platform, engines, order desks and nodes in this process.
+type Lab struct {
+	Platform *standin.Platform
+	Engines  []*standin.Engine
+	Services []*standin.Service
+	Nodes    []*Node
+
+	t           testing.TB
+	platformURL string
+	machines    []wire.Machine
+	published   int
+}
+
+// Node is one running node and the end of its run.
+type Node struct {
+	*node.Node
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// Settings say how large a lab is; Change may alter a node before it runs.
+type Settings struct {
+	Nodes    int
+	Engines  int
+	Services int
+	Change   func(*node.Node)
+	Platform func(*standin.Platform)
+	Engine   func(*standin.Engine)
+	Rules    string
+}
+
+type place struct {
+	zone   string
+	region string
+}
+
+var places = []place{
+	{zone: "lom-a", region: "lombardia"},
+	{zone: "lom-b", region: "lombardia"},
+	{zone: "ven-a", region: "veneto"},
+}
+
+// Start runs a lab until the test ends, with the rule file in force at every node.
+func Start(t testing.TB, settings Settings) *Lab {
+	t.Helper()
+	l := &Lab{
+		Platform: &standin.Platform{},
+		t:        t,
+	}
+	if settings.Platform != nil {
+		settings.Platform(l.Platform)
+	}
+	l.platformURL = l.serve(httptest.NewServer(l.Platform.Handler()))
+	for i := range settings.Engines {
+		l.addEngine(i, settings)
+	}
+	for i := range settings.Services {
+		l.addService(i)
+	}
+	for i := range settings.Nodes {
+		l.addNode(i, settings)
+	}
+	l.Platform.SetMachines(l.machines)
+	l.Wait(func() bool { return l.complete(settings) })
+	if settings.Rules == "" {
+		settings.Rules = fleet.Rules()
+	}
+	l.Publish(settings.Rules)
+	return l
+}
+
+func (l *Lab) serve(server *httptest.Server) string {
+	l.t.Cleanup(func() {
+		server.CloseClientConnections()
+		_ = server.Config.Close()
+	})
+	return server.URL
+}
+
+func (l *Lab) addEngine(i int, settings Settings) {
+	engine := &standin.Engine{
+		Name:        fmt.Sprintf("engine-%d", i+1),
+		Slots:       8,
+		TokenTime:   time.Millisecond,
+		PrefillTime: time.Millisecond,
+		Models:      []string{"planner"},
+	}
+	if settings.Engine != nil {
+		settings.Engine(engine)
+	}
+	l.Engines = append(l.Engines, engine)
+	url := l.serve(httptest.NewServer(engine.Handler()))
+	l.addMachine(engine.Name, "engine", "engines", url, i)
+}
+
+func (l *Lab) addService(i int) {
+	service := &standin.Service{Slots: 64}
+	l.Services = append(l.Services, service)
+	url := l.serve(httptest.NewServer(service.Handler()))
+	l.addMachine(fmt.Sprintf("order-desk-%d", i+1), "service", "orders", url, i)
+}
+
+func (l *Lab) addMachine(name, kind, pool, url string, i int) {
+	at := places[i%len(places)]
+	l.machines = append(l.machines, wire.Machine{
+		Name:             name,
+		Kind:             kind,
+		Pool:             pool,
+		Address:          strings.TrimPrefix(url, "http://"),
+		AvailabilityZone: at.zone,
+		Region:           at.region,
+		State:            "live",
+		Slots:            8,
+		Models:           []string{"planner"},
+	})
+}
+
+func (l *Lab) addNode(i int, settings Settings) {
+	at := places[i%len(places)]
+	address, peerAddress := freeAddress(l.t), freeAddress(l.t)
+	n := &node.Node{
+		Name:             fmt.Sprintf("entry-%d", i+1),
+		Listen:           address,
+		PeerListen:       peerAddress,
+		Address:          address,
+		PeerAddress:      peerAddress,
+		AvailabilityZone: at.zone,
+		Region:           at.region,
+		Platform:         l.platformURL,
+		Secret:           []byte(fleet.PeerSecret),
+		OperatorHash:     rule.HashToken(fleet.OperatorToken),
+		Keep:             200 * time.Millisecond,
+		KeyLifetime:      time.Hour,
+		Retention:        4 * time.Hour,
+		Partitions:       1,
+		Silence:          400 * time.Millisecond,
+		LogTimeout:       500 * time.Millisecond,
+		Logger:           zerolog.Nop(),
+	}
+	if len(l.Nodes) > 0 {
+		n.Seeds = []string{l.Nodes[0].PeerAddress}
+	}
+	if settings.Change != nil {
+		settings.Change(n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &Node{
+		Node:   n,
+		cancel: cancel,
+		ended:  make(chan struct{}),
+	}
+	l.Nodes = append(l.Nodes, running)
+	go func() {
+		defer close(running.ended)
+		if err := n.Run(ctx); err != nil {
+			l.t.Error(err)
+		}
+	}()
+	l.t.Cleanup(func() {
+		cancel()
+		<-running.ended
+	})
+}
+
+// Ended reports whether the node's run has ended, after waiting for a bounded time.
+func (n *Node) Ended(within time.Duration) bool {
+	select {
+	case <-n.ended:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+func freeAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// Wait polls a condition until it holds; it fails the test after a generous time.
+func (l *Lab) Wait(done func() bool) {
+	l.t.Helper()
+	const (
+		limit = 30 * time.Second
+		pause = 10 * time.Millisecond
+	)
+	for until := time.Now().Add(limit); !done(); time.Sleep(pause) {
+		if time.Now().After(until) {
+			l.t.Fatalf("condition does not hold after %s", limit)
+		}
+	}
+}
+
+func (l *Lab) complete(settings Settings) bool {
+	for _, n := range l.Nodes {
+		if !n.Ready() {
+			return false
+		}
+		status := n.Status()
+		upstreams := 0
+		for _, pool := range status.Pools {
+			upstreams += len(pool.Replicas)
+			if pool.Limit == 0 {
+				return false
+			}
+		}
+		if len(status.Members) < settings.Nodes || upstreams < settings.Engines+settings.Services {
+			return false
+		}
+	}
+	return true
+}
+
+// Publish publishes a rule file through the first node and waits until every node has it in force.
+func (l *Lab) Publish(text string) {
+	l.t.Helper()
+	l.published++
+	verdict, err := l.Nodes[0].Publish(l.t.Context(), wire.PublishRequest{
+		PublishID: fmt.Sprintf("lab-%d", l.published),
+		Base:      l.Nodes[0].Status().Revision,
+		Text:      text,
+	})
+	if err != nil || !verdict.Accepted {
+		l.t.Fatalf("publish: %v %s", err, verdict.Reason)
+	}
+	l.Wait(func() bool {
+		for _, n := range l.Nodes {
+			if n.Status().Revision < verdict.Revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Executions returns how often each key ran, over all order desks.
+func (l *Lab) Executions() map[string]int {
+	sum := map[string]int{}
+	for _, service := range l.Services {
+		for key, count := range service.Executions() {
+			sum[key] += count
+		}
+	}
+	return sum
+}
+
+// Process returns a node as the fleet's request functions want it.
+func (n *Node) Process() *fleet.Process {
+	return &fleet.Process{
+		Name:    n.Name,
+		Address: n.Address,
+	}
+}
--- /dev/null
+++ b/test/matrix/doc.go
@@ -0,0 +1,2 @@
+// Package matrix strikes every step of the request, claim, publish, lease and drain sequences with every fault.
+package matrix
