Tests: sockets are opened before a node runs, and ports lie below the kernel's own range

Cause: one of 84 cells timed out at start in a repeated run; eight labs at once found free ports by opening and closing a socket, and another socket could take the port in between.

Ruled out: raising the wait (30 s had passed).

--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -65,6 +65,9 @@
 	// AvailabilityZone and Region are where the node stands.
 	AvailabilityZone string
 	Region           string
+	// Callers and Peers, when set, are open sockets to use in place of Listen and PeerListen.
+	Callers net.Listener
+	Peers   net.Listener
 	// Platform is the platform's base URL.
 	Platform string
 	// Secret is shared by all nodes; OperatorHash is the SHA-256 of the operator token.
@@ -114,15 +117,9 @@
 	if err := n.prepare(); err != nil {
 		return err
 	}
-	var sockets net.ListenConfig
-	callers, err := sockets.Listen(ctx, "tcp", n.Listen)
-	if err != nil {
-		return eris.Wrapf(err, "listen for callers on %s", n.Listen)
-	}
-	peers, err := sockets.Listen(ctx, "tcp", n.PeerListen)
+	callers, peers, err := n.listen(ctx)
 	if err != nil {
-		_ = callers.Close()
-		return eris.Wrapf(err, "listen for peers on %s", n.PeerListen)
+		return err
 	}
 	handler, err := listener.NewHandler(n.Logger, append(n.caller.Routes(), n.operator().Routes()...))
 	if err != nil {
@@ -153,6 +150,25 @@
 	return nil
 }
 
+func (n *Node) listen(ctx context.Context) (callers, peers net.Listener, err error) {
+	var sockets net.ListenConfig
+	callers, peers = n.Callers, n.Peers
+	if callers == nil {
+		callers, err = sockets.Listen(ctx, "tcp", n.Listen)
+		if err != nil {
+			return nil, nil, eris.Wrapf(err, "listen for callers on %s", n.Listen)
+		}
+	}
+	if peers == nil {
+		peers, err = sockets.Listen(ctx, "tcp", n.PeerListen)
+		if err != nil {
+			_ = callers.Close()
+			return nil, nil, eris.Wrapf(err, "listen for peers on %s", n.PeerListen)
+		}
+	}
+	return callers, peers, nil
+}
+
 func (n *Node) startServices(ctx context.Context, group *sync.WaitGroup) {
 	for _, run := range []func(context.Context){
 		n.members.Run,
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -75,11 +77,22 @@
 
 var errNoPort = errors.New("no free port on the loopback address")
 
+// Ports below the range that the kernel hands out by itself, so that nothing else takes one between finding and using it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+	portTries = 100
+)
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errNoPort
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address, nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errNoPort
 }
--- a/test/lab/lab.go
+++ b/test/lab/lab.go
@@ -137,13 +137,13 @@
 
 func (l *Lab) addNode(i int, settings Settings) {
 	at := places[i%len(places)]
-	address, peerAddress := freeAddress(l.t), freeAddress(l.t)
+	callers, peers := openSocket(l.t), openSocket(l.t)
 	n := &node.Node{
 		Name:             fmt.Sprintf("entry-%d", i+1),
-		Listen:           address,
-		PeerListen:       peerAddress,
-		Address:          address,
-		PeerAddress:      peerAddress,
+		Callers:          callers,
+		Peers:            peers,
+		Address:          callers.Addr().String(),
+		PeerAddress:      peers.Addr().String(),
 		AvailabilityZone: at.zone,
 		Region:           at.region,
 		Platform:         l.platformURL,
@@ -192,13 +192,12 @@
 	}
 }
 
-func freeAddress(t testing.TB) string {
+func openSocket(t testing.TB) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return listener
 }
 
 // Wait polls a condition until it holds; it fails the test after a generous time.
