Whole processes under kills, freezes and outages; a key that a node issues and needs no log

Cause: at most once, drain and racing operators were shown in one process only; and a keyed order can't run at all while the log is out.

Change: checks that start real processes and use SIGKILL, SIGSTOP/SIGCONT, SIGTERM, platform outages, lost and late appends; POST /v1/keys gives a key that only the issuing start of that node dispatches, from its memory.

SIGTERM twice with 10 streams of 150 tokens in flight: all whole, the node answers not-run meanwhile and ends.

Weighed: claims through the log survive the death of the node that took the order, and any node can answer; an issued key survives the log's outage, but its truth dies with the node: it is told unknown from then on. Both stay; the caller chooses by the key it uses.

--- /dev/null
+++ b/internal/coordination/claim/issued_test.go
@@ -0,0 +1,113 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/outcome"
+)
+
+func issuer(incarnation string) *Issued {
+	return &Issued{
+		Node:        "entry-1",
+		Incarnation: incarnation,
+		Lifetime:    lifetime,
+	}
+}
+
+func TestIssuedKeys(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	key := issuer("a").Issue("r1", now)
+	completed := wire.ClaimRecord{Outcome: string(outcome.Completed)}
+	for _, c := range []struct {
+		name   string
+		begin  func(s *Issued) Decision
+		wanted Verdict
+	}{
+		{
+			name:   "first time",
+			begin:  func(s *Issued) Decision { return first(s.Begin("mill", key, "d", now)) },
+			wanted: Dispatch,
+		},
+		{
+			name: "again while it runs",
+			begin: func(s *Issued) Decision {
+				s.Begin("mill", key, "d", now)
+				return first(s.Begin("mill", key, "d", now))
+			},
+			wanted: Unknown,
+		},
+		{
+			name: "again after it completed",
+			begin: func(s *Issued) Decision {
+				s.Begin("mill", key, "d", now)
+				s.Finish("mill", key, completed)
+				return first(s.Begin("mill", key, "d", now))
+			},
+			wanted: Replay,
+		},
+		{
+			name: "again after nothing was sent",
+			begin: func(s *Issued) Decision {
+				s.Begin("mill", key, "d", now)
+				s.Release("mill", key)
+				return first(s.Begin("mill", key, "d", now))
+			},
+			wanted: Dispatch,
+		},
+		{
+			name: "released after it completed",
+			begin: func(s *Issued) Decision {
+				s.Begin("mill", key, "d", now)
+				s.Finish("mill", key, completed)
+				s.Release("mill", key)
+				return first(s.Begin("mill", key, "d", now))
+			},
+			wanted: Replay,
+		},
+		{
+			name: "other request",
+			begin: func(s *Issued) Decision {
+				s.Begin("mill", key, "d", now)
+				return first(s.Begin("mill", key, "e", now))
+			},
+			wanted: Mismatch,
+		},
+		{
+			name:   "at a later start of the node",
+			begin:  func(*Issued) Decision { return first(issuer("b").Begin("mill", key, "d", now)) },
+			wanted: Unknown,
+		},
+		{
+			name:   "older than keys are honoured",
+			begin:  func(s *Issued) Decision { return first(s.Begin("mill", key, "d", now.Add(lifetime))) },
+			wanted: Unknown,
+		},
+		{
+			name: "at another node",
+			begin: func(*Issued) Decision {
+				other := &Issued{
+					Node:        "entry-2",
+					Incarnation: "a",
+					Lifetime:    lifetime,
+				}
+				return first(other.Begin("mill", key, "d", now))
+			},
+			wanted: NotRun,
+		},
+		{
+			name:   "not an issued key",
+			begin:  func(s *Issued) Decision { return first(s.Begin("mill", "issued.x", "d", now)) },
+			wanted: NotRun,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(c.begin(issuer("a")).Verdict, c.wanted)
+		})
+	}
+}
+
+func first(decision Decision, _ wire.ClaimRecord) Decision { return decision }
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -254,6 +254,18 @@
 	Target string `json:"target"`
 }
 
+// KeyAnswer is a key that only the entry VM which issued it will dispatch.
+type KeyAnswer struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// KeepMs corresponds to the JSON schema field "keep-ms".
+	KeepMs int `json:"keep-ms"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+}
+
 // LeaseRecord is one record of the leases stream.
 type LeaseRecord struct {
 	// Ask corresponds to the JSON schema field "ask".
--- a/internal/transport/caller/job.go
+++ b/internal/transport/caller/job.go
@@ -33,6 +33,7 @@
 	key      string
 	pass     *admission.Pass
 	ticket   *claims.Ticket
+	issued   bool
 	attempts int
 	failures int
 	excluded []string
@@ -92,8 +93,13 @@
 	return j.deadline()
 }
 
+// scope keeps the keys of teams and services apart.
+func (j *job) scope() string {
+	return j.team.Name() + "/" + j.pool
+}
+
 func (j *job) claimKey() string {
-	return j.team.Name() + "/" + j.pool + "/" + j.key
+	return j.scope() + "/" + j.key
 }
 
 // digest tells two requests with the same key apart.
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"lagoongw/internal/coordination/admission"
+	"lagoongw/internal/coordination/claim"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/entry"
 	"lagoongw/internal/coordination/estimate"
@@ -37,6 +39,8 @@
 	Place entry.Place
 	// Incarnation makes the request IDs of this start unlike those of any other.
 	Incarnation string
+	// Address is where callers reach this node.
+	Address string
 	// Keep is how long callers may keep an entry answer.
 	Keep time.Duration
 	// KeyLifetime is how long an idempotency key is honoured.
@@ -76,6 +80,8 @@
 	// Logger takes one line for each routing decision.
 	Logger zerolog.Logger
 
+	issuedMu sync.Mutex
+	issued   claim.Issued
 	requests atomic.Int64
 	inFlight atomic.Int64
 }
@@ -85,6 +91,11 @@
 
 // Routes returns the callers' routes.
 func (s *Server) Routes() []rest.Route {
+	s.issued = claim.Issued{
+		Node:        s.Name,
+		Incarnation: s.Incarnation,
+		Lifetime:    s.KeyLifetime,
+	}
 	routes := []rest.Route{
 		{
 			Method:  http.MethodGet,
@@ -96,6 +107,11 @@
 			Path:    "/v1/chat/completions",
 			Handler: s.counted(s.chat),
 		},
+		{
+			Method:  http.MethodPost,
+			Path:    "/v1/keys",
+			Handler: s.issueKey,
+		},
 		{
 			Method:  http.MethodGet,
 			Path:    "/v1/requests/{id}",
--- a/internal/transport/caller/service.go
+++ b/internal/transport/caller/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoongw/internal/coordination/claim"
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/outcome"
 )
 
@@ -73,6 +74,9 @@
 	if j.rule.Idempotent() || j.key == "" {
 		return nil
 	}
+	if _, issued := claim.ParseIssued(j.key); issued {
+		return s.claimIssued(w, j)
+	}
 	return s.claim(ctx, w, j)
 }
 
@@ -87,22 +91,25 @@
 		return nil
 	case claim.Replay:
 		return s.replay(ctx, w, j, decision)
-	case claim.Mismatch:
-		return &ending{
-			status:  http.StatusUnprocessableEntity,
-			outcome: outcome.NotRun,
-			field:   "Idempotency-Key",
-			message: "this key was used for another request",
-		}
 	}
+	return undecided(decision)
+}
+
+// undecided is the answer to a request that may not be dispatched and has no recorded answer.
+func undecided(decision claim.Decision) *ending {
 	e := &ending{
 		status:     http.StatusServiceUnavailable,
 		outcome:    verdictOutcome[decision.Verdict],
 		message:    decision.Reason,
 		retryAfter: retryShortly,
 	}
-	if decision.Verdict == claim.Unknown {
+	switch decision.Verdict {
+	case claim.Unknown:
 		e.status = http.StatusConflict
+	case claim.Mismatch:
+		e.status = http.StatusUnprocessableEntity
+		e.field = "Idempotency-Key"
+		e.retryAfter = 0
 	}
 	return e
 }
@@ -110,15 +117,20 @@
 // replay answers a repeated request with the outcome that the log holds.
 func (s *Server) replay(ctx context.Context, w http.ResponseWriter, j *job, decision claim.Decision) *ending {
 	r, ok := s.Claims.Recorded(ctx, j.claimKey(), decision.Holder)
-	if !ok || !r.BodyKept {
+	r.BodyKept = ok && r.BodyKept
+	return s.replayRecord(w, j, decision.Holder.Outcome(), r)
+}
+
+func (s *Server) replayRecord(w http.ResponseWriter, j *job, result outcome.Outcome, r wire.ClaimRecord) *ending {
+	if !r.BodyKept {
 		return &ending{
 			status:     http.StatusConflict,
-			outcome:    decision.Holder.Outcome(),
+			outcome:    result,
 			message:    "the request ran before; its answer can't be read back now",
 			retryAfter: retryShortly,
 		}
 	}
-	s.pass(w, j, outcome.Outcome(r.Outcome), reply{
+	s.pass(w, j, result, reply{
 		status:      r.Status,
 		contentType: r.ContentType,
 		body:        []byte(r.Body),
@@ -127,6 +139,10 @@
 }
 
 func (s *Server) closeClaim(j *job, result outcome.Outcome, answer reply) {
+	if j.issued {
+		s.closeIssued(j, result, answer)
+		return
+	}
 	if j.ticket == nil {
 		return
 	}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -330,6 +330,7 @@
 			Region:           n.Region,
 		},
 		Incarnation: n.incarnation,
+		Address:     n.Address,
 		Keep:        n.Keep,
 		KeyLifetime: n.KeyLifetime,
 		Silence:     n.Silence,
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -273,16 +273,21 @@
 // Publish publishes a rule file through a node, on top of the revision in force there.
 func (f *Fleet) Publish(ctx context.Context, node *Process, id, text string) (wire.RuleVerdict, error) {
 	var state wire.RuleState
-	var verdict wire.RuleVerdict
 	err := retry(ctx, func() error {
 		return f.do(ctx, http.MethodGet, node.Address, "/v1/operator/rules", OperatorToken, nil, &state)
 	})
 	if err != nil {
-		return verdict, err
+		return wire.RuleVerdict{}, err
 	}
-	err = f.post(ctx, node.Address, "/v1/operator/rules", OperatorToken, wire.PublishRequest{
+	return f.PublishOn(ctx, node, id, state.Revision, text)
+}
+
+// PublishOn publishes a rule file on top of a given revision.
+func (f *Fleet) PublishOn(ctx context.Context, node *Process, id string, base int, text string) (wire.RuleVerdict, error) {
+	var verdict wire.RuleVerdict
+	err := f.post(ctx, node.Address, "/v1/operator/rules", OperatorToken, wire.PublishRequest{
 		PublishID: id,
-		Base:      state.Revision,
+		Base:      base,
 		Text:      text,
 	}, &verdict)
 	return verdict, err
--- /dev/null
+++ b/test/process/doc.go
@@ -0,0 +1,2 @@
+// Package process proves promises on whole processes, with kills, freezes and outages.
+package process
--- /dev/null
+++ b/test/process/drain_test.go
@@ -0,0 +1,53 @@
+package process
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/test/fleet"
+)
+
+func TestTermCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, fleet.Settings{
+		Nodes:      3,
+		Engines:    2,
+		EngineArgs: []string{"--slots", "32", "--token-time", "20ms"},
+	})
+	const (
+		streams = 10
+		tokens  = 150
+	)
+	answers := make([]fleet.Answer, streams)
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() {
+			answer, err := fleet.Chat(t.Context(), f.Nodes[1], fleet.MillToken, "a long question", tokens, true)
+			if err != nil {
+				t.Error(err)
+			}
+			answers[i] = answer
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.Nodes[1].Signal(syscall.SIGTERM)
+	f.Nodes[1].Signal(syscall.SIGTERM)
+	time.Sleep(2500 * time.Millisecond)
+	late, err := fleet.Chat(t.Context(), f.Nodes[1], fleet.MillToken, "too late", 2, false)
+	is.NoErr(err) // a draining node answers while streams are in flight
+	is.Equal(late.Outcome, "not-run")
+	group.Wait()
+	for _, answer := range answers {
+		is.True(answer.Whole)
+		is.Equal(answer.Outcome, "completed")
+		is.Equal(len(answer.Pieces), tokens)
+	}
+	is.True(f.Nodes[1].Ended(10 * time.Second))
+	other, err := fleet.Chat(t.Context(), f.Nodes[0], fleet.MillToken, "still here", 2, false)
+	is.NoErr(err)
+	is.Equal(other.Outcome, "completed")
+}
