New revisions are told on at once; contracts of callers, peers, operators and leaving upstreams

Cause: a new rule file reached the nodes that do not follow the log by the periodic digests alone.

Orders during an outage (20 of each): keyed 0 of 20 completed, all told not-run and none ran; with an issued key 1 order, asked three times, completed and ran once.

Ruled out: a second relay tree for rules; the digests carry the revision already.

--- a/internal/coordination/membership/loop_test.go
+++ b/internal/coordination/membership/loop_test.go
@@ -19,6 +19,9 @@
 	paused map[string]bool
 	cut    func(from, to string) bool
 	bytes  func(digest wire.Digest)
+	// news is the revision known to each node, which travels beside the digests; eager makes those who learn tell on at once.
+	news  map[string]int
+	eager bool
 }
 
 func nodeName(i int) string { return fmt.Sprintf("entry-%03d", i) }
@@ -53,6 +56,7 @@
 		paused: map[string]bool{},
 		cut:    func(string, string) bool { return false },
 		bytes:  func(wire.Digest) {},
+		news:   map[string]int{},
 	}
 	var rows []wire.Member
 	for i := range size {
@@ -99,11 +103,26 @@
 	if !l.reaches(from, probe.To.Name) {
 		return
 	}
+	l.tell(from, probe.To.Name)
+	l.tell(probe.To.Name, from)
 	answer := l.byName[probe.To.Name].Received(probe.Digest, l.now)
 	l.bytes(answer)
 	m.Answered(probe.Sequence, answer, l.now)
 }
 
+func (l *loop) tell(from, to string) {
+	if l.news[from] > l.news[to] {
+		l.publish(to, l.news[from])
+	}
+}
+
+func (l *loop) publish(name string, revision int) {
+	l.news[name] = revision
+	if l.eager {
+		l.byName[name].Announce()
+	}
+}
+
 // believed counts the running nodes that hold a member to be in a state.
 func (l *loop) believed(name string, state State) int {
 	count := 0
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -125,6 +125,11 @@
 	m.version++
 }
 
+// Announce makes the next tick tell a few members at once, for news that is carried beside the members.
+func (m *Machine) Announce() {
+	m.urgent += urgentProbes
+}
+
 // Tick advances time and returns the probes to send.
 func (m *Machine) Tick(now time.Time) []Probe {
 	m.forgivePause(now)
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+func TestNewRevisionReachesAllInTime(t *testing.T) {
+	for _, eager := range []bool{false, true} {
+		for _, size := range []int{9, 50, 150, 410} {
+			t.Run(fmt.Sprintf("eager %t/%d", eager, size), func(t *testing.T) {
+				l := newLoop(size)
+				l.eager = eager
+				l.run(5 * time.Second)
+				l.publish(nodeName(0), 1)
+				took := l.until(t, propagation, func() bool { return len(l.news) == size })
+				t.Logf("known to %d members after %s", size, took)
+			})
+		}
+	}
+}
+
 func TestPausedNodeThatWakesDisturbsNobody(t *testing.T) {
 	is := is.New(t)
 	l := newLoop(9)
--- a/internal/transport/members/service.go
+++ b/internal/transport/members/service.go
@@ -87,6 +87,13 @@
 	s.refresh()
 }
 
+// Announce tells a few members at once that this node has news.
+func (s *Service) Announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Machine.Announce()
+}
+
 // Leave announces that this node leaves, to a few members at once.
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/transport/node/life.go
+++ b/internal/transport/node/life.go
@@ -56,3 +56,8 @@
 		}
 	}
 }
+
+// MarkLeaving notes a sign that an upstream leaves, which the peers are told.
+func (n *Node) MarkLeaving(name, sign string) {
+	n.upstreams.MarkLeaving(name, sign)
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -287,6 +287,7 @@
 		Fold:            rollout.NewFold(sealer),
 		Relay:           n.isRelay,
 		Checkpointer:    n.isCheckpointer,
+		Installed:       n.members.Announce,
 		CheckpointEvery: n.Retention / 8,
 		Logger:          n.Logger,
 	}
--- a/internal/transport/rules/service.go
+++ b/internal/transport/rules/service.go
@@ -42,6 +42,8 @@
 	Relay func() bool
 	// Checkpointer reports whether this node writes the checkpoints.
 	Checkpointer func() bool
+	// Installed is called after a new rule file came into force.
+	Installed func()
 	// CheckpointEvery is the time between checkpoints, well below half of the log's retention.
 	CheckpointEvery time.Duration
 	// Logger takes one line for each revision and each refused publish.
@@ -51,7 +53,6 @@
 	file           atomic.Pointer[rule.File]
 	revision       atomic.Int64
 	logUp          atomic.Bool
-	installed      atomic.Int64
 	lastCheckpoint time.Time
 }
 
@@ -114,7 +115,7 @@
 
 func (s *Service) announce(source string) {
 	s.publishSnapshot()
-	s.installed.Add(1)
+	s.Installed()
 	s.Logger.Info().
 		Str("decision", "install-rules").
 		Int("revision", s.Revision()).
--- a/test/fleet/request.go
+++ b/test/fleet/request.go
@@ -103,3 +103,29 @@
 	r.Header.Set("Authorization", "Bearer "+token)
 	return send(r)
 }
+
+// Send sends any request.
+func Send(ctx context.Context, node *Process, method, path, token string, header http.Header, body string) (Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+node.Address+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	return send(r)
+}
+
+// IssueKey asks a node for a key that it alone will dispatch.
+func IssueKey(ctx context.Context, node *Process, token string) (string, error) {
+	answer, err := Send(ctx, node, http.MethodPost, "/v1/keys", token, nil, "")
+	if err != nil {
+		return "", err
+	}
+	var key wire.KeyAnswer
+	err = json.Unmarshal([]byte(answer.Body), &key)
+	return key.Key, err
+}
--- a/test/lab/lab.go
+++ b/test/lab/lab.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rule"
 	"lagoongw/internal/transport/node"
+	"lagoongw/internal/transport/peer"
 	"lagoongw/test/fleet"
 	"lagoongw/test/standin"
 )
@@ -274,3 +276,43 @@
 		Address: n.Address,
 	}
 }
+
+// SetState changes the state of a VM in the platform's list.
+func (l *Lab) SetState(name, state string) {
+	machines := append([]wire.Machine{}, l.machines...)
+	for i := range machines {
+		if machines[i].Name == name {
+			machines[i].State = state
+		}
+	}
+	l.Platform.SetMachines(machines)
+}
+
+// CallPeer sends an empty digest to a node with a given secret.
+func CallPeer(ctx context.Context, secret, address string, into *wire.Digest) error {
+	client := &peer.Client{
+		Name:   "lab",
+		Secret: []byte(secret),
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	return client.Call(ctx, address, peer.MethodDigest, wire.Digest{From: wire.Member{Name: "lab"}}, into)
+}
+
+// Get returns the status of an operator's call, 0 when there was no answer.
+func Get(ctx context.Context, address, path, token string) int {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/test/matrix/contract_test.go
@@ -0,0 +1,198 @@
+package matrix
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/test/fleet"
+	"lagoongw/test/lab"
+	"lagoongw/test/standin"
+)
+
+// Bad input gets a clear error with the field named, and is never run.
+func TestCallersContract(t *testing.T) {
+	l := lab.Start(t, lab.Settings{
+		Nodes:    2,
+		Engines:  1,
+		Services: 1,
+	})
+	long := strings.Repeat("x", 5<<20)
+	for _, c := range []struct {
+		name   string
+		method string
+		path   string
+		token  string
+		header http.Header
+		body   string
+		status int
+		field  string
+	}{
+		{
+			name:   "no token",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			body:   "{}",
+			status: 401,
+			field:  "Authorization",
+		},
+		{
+			name:   "unknown token",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  "nobody",
+			body:   "{}",
+			status: 401,
+			field:  "Authorization",
+		},
+		{
+			name:   "not JSON",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   "hello",
+			status: 400,
+			field:  "body",
+		},
+		{
+			name:   "no model",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   `{"messages":[{"role":"user","content":"x"}]}`,
+			status: 400,
+			field:  "model",
+		},
+		{
+			name:   "no messages",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   `{"model":"planner"}`,
+			status: 400,
+			field:  "messages",
+		},
+		{
+			name:   "body too long",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   long,
+			status: 413,
+			field:  "body",
+		},
+		{
+			name:   "key too long",
+			method: http.MethodPost,
+			path:   "/services/orders/orders",
+			token:  fleet.MillToken,
+			header: http.Header{"Idempotency-Key": {strings.Repeat("k", 201)}},
+			status: 400,
+			field:  "Idempotency-Key",
+		},
+		{
+			name:   "key issued too long ago",
+			method: http.MethodPost,
+			path:   "/services/orders/orders",
+			token:  fleet.MillToken,
+			header: http.Header{
+				"Idempotency-Key":        {"old"},
+				"Idempotency-Key-Issued": {"2020-01-01T00:00:00Z"},
+			},
+			status: 422,
+			field:  "Idempotency-Key-Issued",
+		},
+		{
+			name:   "no rule for this team",
+			method: http.MethodPost,
+			path:   "/services/orders/orders",
+			token:  fleet.AdviceName,
+			body:   "x",
+			status: 403,
+		},
+		{
+			name:   "unknown model",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   `{"model":"nonesuch","messages":[{"role":"user","content":"x"}]}`,
+			status: 503,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			answer, err := fleet.Send(t.Context(), l.Nodes[0].Process(), c.method, c.path, c.token, c.header, c.body)
+			is.NoErr(err)
+			is.Equal(answer.Status, c.status)
+			is.Equal(answer.Outcome, "not-run")
+			is.True(c.field == "" || strings.Contains(answer.Body, `"field":"`+c.field+`"`))
+			is.Equal(len(l.Executions()), 0)
+		})
+	}
+}
+
+func TestOtherRequestWithTheSameKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := lab.Start(t, lab.Settings{
+		Nodes:    2,
+		Services: 1,
+	})
+	first, err := fleet.Order(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "cut-1", "12 panels")
+	is.NoErr(err)
+	is.Equal(first.Outcome, "completed")
+	second, err := fleet.Order(t.Context(), l.Nodes[1].Process(), fleet.MillToken, "cut-1", "13 panels")
+	is.NoErr(err)
+	is.Equal(second.Status, 422)
+	is.Equal(second.Outcome, "not-run")
+	is.Equal(l.Executions()["cut-1"], 1)
+}
+
+// While the log is out, keyed orders are refused at once, and those with an issued key complete.
+func TestOrdersDuringALogOutage(t *testing.T) {
+	is := is.New(t)
+	l := lab.Start(t, lab.Settings{
+		Nodes:    2,
+		Services: 1,
+	})
+	issued, err := fleet.IssueKey(t.Context(), l.Nodes[0].Process(), fleet.MillToken)
+	is.NoErr(err)
+	l.Platform.Set(always(standin.FaultRefuse))
+	l.Wait(func() bool { return !l.Nodes[0].Status().LogReachable })
+	const orders = 20
+	for i := range orders {
+		key := strings.Repeat("k", i+1)
+		refused, err := fleet.Order(t.Context(), l.Nodes[0].Process(), fleet.MillToken, key, key)
+		is.NoErr(err)
+		is.Equal(refused.Outcome, "not-run")
+		is.Equal(l.Executions()[key], 0)
+	}
+	for range 3 {
+		done, err := fleet.Order(t.Context(), l.Nodes[0].Process(), fleet.MillToken, issued, "12 panels")
+		is.NoErr(err)
+		is.Equal(done.Outcome, "completed")
+	}
+	elsewhere, err := fleet.Order(t.Context(), l.Nodes[1].Process(), fleet.MillToken, issued, "12 panels")
+	is.NoErr(err)
+	is.Equal(elsewhere.Status, 421)
+	is.Equal(l.Executions()[issued], 1)
+}
+
+func TestStatusIsKnownAtEveryNode(t *testing.T) {
+	is := is.New(t)
+	l := lab.Start(t, lab.Settings{
+		Nodes:    2,
+		Services: 1,
+	})
+	order, err := fleet.Order(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "cut-1", "12 panels")
+	is.NoErr(err)
+	for _, n := range l.Nodes {
+		answer, err := fleet.Send(t.Context(), n.Process(), http.MethodGet, "/v1/requests/"+order.RequestID, fleet.MillToken, nil, "")
+		is.NoErr(err)
+		is.True(strings.Contains(answer.Body, `"outcome":"completed"`))
+	}
+	other, err := fleet.Send(t.Context(), l.Nodes[0].Process(), http.MethodGet, "/v1/requests/"+order.RequestID, fleet.AdviceName, nil, "")
+	is.NoErr(err)
+	is.Equal(other.Status, 404) // another team learns nothing
+}
--- a/test/process/rules_test.go
+++ b/test/process/rules_test.go
@@ -25,7 +25,9 @@
 		is.Equal(winners, 1)
 		status, err := f.Status(t.Context(), f.Nodes[0])
 		is.NoErr(err)
+		begin := time.Now()
 		is.NoErr(f.WaitRevision(t.Context(), status.Revision, f.Nodes...))
+		t.Logf("in force at every node %s after the race", time.Since(begin).Round(10*time.Millisecond))
 	}
 	before, err := f.Status(t.Context(), f.Nodes[0])
 	is.NoErr(err)
