--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -301,3 +301,8 @@
 		RetryAfter: after.Round(time.Second),
 	}
 }
+
+// LowerWaiting reports whether a tier lower than the given one waits beyond its reserve.
+func (q *Queue) LowerWaiting(tier int) bool {
+	return q.lowestAboveReserve() > tier
+}
