Routing: load reports are smoothed and followed with a gain below one

Cause: nodes that all follow the same old report crowd the same engine, and leave it together when the next report comes: a delayed feedback loop. With reports 5 s late it swung the whole pool.

Change: weight 0.1, gain 0.2.

Ruled out: trusting a report by its age alone; its age on arrival is not known to the node.

--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -18,6 +18,8 @@
 	DefaultSubset     = 32
 	smallPool         = 16
 	choices           = 2
+	// reportGain below 1 keeps nodes that follow the same late reports from swinging between upstreams.
+	reportGain = 0.2
 )
 
 // Request is what the router needs to know of a request.
@@ -185,12 +187,12 @@
 		return mean
 	}
 	age := now.Sub(load.Received())
-	trust := math.Exp(-age.Seconds() / r.ReportLife.Seconds())
-	return trust*float64(load.Others()) + (1-trust)*mean
+	trust := reportGain * math.Exp(-age.Seconds()/r.ReportLife.Seconds())
+	return trust*load.Others() + (1-trust)*mean
 }
 
 func meanOthers(pool []*replica.Replica) float64 {
-	sum, count := 0, 0
+	sum, count := 0.0, 0.0
 	for _, candidate := range pool {
 		if load := candidate.Load(); load != nil {
 			sum += load.Others()
@@ -200,7 +202,7 @@
 	if count == 0 {
 		return 0
 	}
-	return float64(sum) / float64(count)
+	return sum / count
 }
 
 func (r *Router) distance(candidate *replica.Replica) time.Duration {
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -19,7 +19,10 @@
 // StateLeaving is the state of a machine that the platform is taking away.
 const StateLeaving = "leaving"
 
-const smoothing = 0.2
+const (
+	smoothing    = 0.2
+	reportWeight = 0.1
+)
 
 // Replica is one upstream; its counters are safe for concurrent use.
 type Replica struct {
@@ -32,12 +35,12 @@
 	prefixes atomic.Pointer[Prefixes]
 }
 
-// Load is what an upstream last reported of itself, with this node's own part of it at that time.
+// Load is what an upstream last reported of itself, with what was learned from earlier reports.
 type Load struct {
 	running  int
 	queued   int
 	slots    int
-	own      int
+	others   float64
 	models   []string
 	received time.Time
 }
@@ -48,8 +51,9 @@
 // Received returns when the report came in.
 func (l *Load) Received() time.Time { return l.received }
 
-// Others returns the reported requests that were not this node's.
-func (l *Load) Others() int { return max(l.Total()-l.own, 0) }
+// Others returns the requests of other nodes, smoothed over several reports: a single one is already old when it comes,
+// and nodes that all follow it crowd the same upstream.
+func (l *Load) Others() float64 { return l.others }
 
 // New returns a replica for a row of the platform's list.
 func New(machine wire.Machine) *Replica {
@@ -112,11 +116,15 @@
 
 // Report takes in a load report.
 func (r *Replica) Report(report wire.LoadReport, now time.Time) {
+	others := float64(max(report.Running+report.Queued-r.InFlight(), 0))
+	if before := r.load.Load(); before != nil {
+		others = before.others + reportWeight*(others-before.others)
+	}
 	r.load.Store(&Load{
+		others:   others,
 		running:  report.Running,
 		queued:   report.Queued,
 		slots:    report.Slots,
-		own:      r.InFlight(),
 		models:   report.Models,
 		received: now,
 	})
