Admission: a lower stream makes place where the higher request goes

Cause: attainment of the highest class under load stayed at 70-80% although the queue is strict by tier. Traces showed why: the wait is at the engines, for a slot, and the stopped stream was (a) at another engine than the one chosen for the arrival and (b) often not holding a slot at all, since the one started last is likely still in the engine's own queue.

Change: a preemption names victim and winner; the winner is sent to the victim's upstream at once, beyond the limit; only a stream that has produced a token can be a victim.

Ruled out: free slots kept for high tiers, which cost about a slot in eight always.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -27,6 +27,9 @@
 	id      uint64
 	decided chan Refusal
 	preempt chan struct{}
+	// prefer and upstream are guarded by the gate's lock.
+	prefer   string
+	upstream string
 }
 
 // NewGate returns a gate before a queue.
@@ -110,13 +113,48 @@
 			pass.decided <- Refusal{}
 		}
 	}
-	for _, id := range actions.Preempt {
-		if pass := g.waiters[id]; pass != nil {
-			close(pass.preempt)
+	for _, preemption := range actions.Preempt {
+		g.hand(preemption)
+	}
+}
+
+// hand starts a request at the upstream where a lower one is stopped for it.
+func (g *Gate) hand(preemption Preemption) {
+	victim, winner := g.waiters[preemption.Victim], g.waiters[preemption.For]
+	if winner != nil {
+		g.started++
+		if victim != nil {
+			winner.prefer = victim.upstream
 		}
+		winner.decided <- Refusal{}
+	}
+	if victim != nil {
+		close(victim.preempt)
 	}
 }
 
+// Prefer returns the upstream where a place was made for the request, empty for none.
+func (p *Pass) Prefer() string {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	return p.prefer
+}
+
+// Producing notes that the request has produced its first token.
+func (p *Pass) Producing() {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.gate.queue.Producing(p.id)
+}
+
+// At notes the upstream at which the request runs.
+func (p *Pass) At(upstream string) {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.upstream = upstream
+	p.prefer = ""
+}
+
 // Tick advances time.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
--- a/internal/coordination/admission/item.go
+++ b/internal/coordination/admission/item.go
@@ -35,7 +35,13 @@
 type Actions struct {
 	Start   []uint64
 	Refuse  []Refusal
-	Preempt []uint64
+	Preempt []Preemption
+}
+
+// Preemption starts a request beyond the limit in the place of a lower one, which has to stop and to be reported by Preempted.
+type Preemption struct {
+	Victim uint64
+	For    uint64
 }
 
 type waiting struct {
@@ -46,5 +52,6 @@
 type running struct {
 	item      Item
 	started   time.Time
+	producing bool
 	preempted bool
 }
--- a/internal/coordination/admission/preempt.go
+++ b/internal/coordination/admission/preempt.go
@@ -2,28 +2,59 @@
 
 import "time"
 
-// preempt picks a lower, resumable running request to stop when an arriving one would miss what it is owed.
-func (q *Queue) preempt(item Item, now time.Time) []uint64 {
-	if _, started := q.running[item.ID]; started {
+// preempt gives an arriving request the place of a lower, resumable running one, when it would miss what it is owed.
+func (q *Queue) preempt(item Item, now time.Time) []Preemption {
+	if !q.saturated() || !q.tight(item, now) {
 		return nil
 	}
-	if !now.Add(q.Wait(item.Tier)).After(item.Due) {
+	victim := q.victim(item.Tier)
+	if victim == nil {
 		return nil
 	}
+	victim.preempted = true
+	q.startNow(item, now)
+	return []Preemption{{
+		Victim: victim.item.ID,
+		For:    item.ID,
+	}}
+}
+
+// saturated reports whether the upstreams themselves are likely to have no free slot.
+func (q *Queue) saturated() bool {
+	return float64(len(q.running)) > float64(q.limit)/Overcommit
+}
+
+// tight reports whether a request is owed its first token sooner than waiting for a slot is likely to take.
+func (q *Queue) tight(item Item, now time.Time) bool {
+	return item.Due.Sub(now) < max(q.meanService()/2, q.Wait(item.Tier))
+}
+
+// victim picks among the requests that have produced a token, since only they are sure to hold a slot.
+func (q *Queue) victim(tier int) *running {
 	var victim *running
 	for _, r := range q.running {
-		if r.item.Tier <= item.Tier || !r.item.Resumable || r.preempted {
+		if r.item.Tier <= tier || !r.item.Resumable || !r.producing || r.preempted {
 			continue
 		}
 		if victim == nil || worseThan(r, victim) {
 			victim = r
 		}
 	}
-	if victim == nil {
-		return nil
+	return victim
+}
+
+// startNow starts a request whether or not it waits, and without regard to the limit.
+func (q *Queue) startNow(item Item, now time.Time) {
+	for i, w := range q.tiers[item.Tier] {
+		if w.item.ID == item.ID {
+			q.take(item.Tier, i)
+			break
+		}
+	}
+	q.running[item.ID] = &running{
+		item:    item,
+		started: now,
 	}
-	victim.preempted = true
-	return []uint64{victim.item.ID}
 }
 
 // worseThan orders victims: the lowest tier first, then the one started last, which loses least.
@@ -37,6 +68,13 @@
 	return a.item.ID > b.item.ID
 }
 
+// Producing notes that a running request has produced its first token.
+func (q *Queue) Producing(id uint64) {
+	if r := q.running[id]; r != nil {
+		r.producing = true
+	}
+}
+
 // Preempted puts a stopped request back at the place of its due time and gives its capacity away.
 func (q *Queue) Preempted(id uint64, left time.Duration, now time.Time) Actions {
 	r := q.running[id]
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -77,7 +77,10 @@
 	})
 	actions := q.start(now)
 	actions.Refuse = append(evicted, actions.Refuse...)
-	actions.Preempt = q.preempt(item, now)
+	if preemptions := q.preempt(item, now); len(preemptions) > 0 {
+		actions.Preempt = preemptions
+		actions.Start = slices.DeleteFunc(actions.Start, func(id uint64) bool { return id == item.ID })
+	}
 	return actions
 }
 
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -30,6 +30,8 @@
 	Tier    int
 	Bytes   int
 	Exclude []string
+	// Prefer names an upstream where a place was made for the request.
+	Prefer string
 }
 
 // Choice is the chosen upstream, or a nil replica with the reason why there is none.
@@ -66,6 +68,13 @@
 	if len(pool) == 0 {
 		return Choice{Reason: "no upstream in the pool"}
 	}
+	if preferred, ok := r.Table.Load().Replica(request.Prefer); ok && r.usable(preferred, request, now, false) {
+		return Choice{
+			Replica:    preferred,
+			Candidates: 1,
+			Reason:     "a lower request makes place here",
+		}
+	}
 	choice := r.choose(pool, request, random, now, false)
 	if choice.Replica == nil {
 		choice = r.choose(pool, request, random, now, true)
--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -61,6 +61,7 @@
 		Tier:    j.tier(),
 		Bytes:   len(j.body),
 		Exclude: j.excluded,
+		Prefer:  j.pass.Prefer(),
 	}, rand.Uint64(), time.Now())
 	name := ""
 	if choice.Replica != nil {
@@ -85,6 +86,7 @@
 			retryAfter: retryShortly,
 		}
 	}
+	j.pass.At(name)
 	j.upstream = name
 	j.attempts++
 	return choice.Replica, nil
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -107,6 +107,7 @@
 				return err
 			}
 			if first && p.kind == pieceData {
+				j.pass.Producing()
 				chosen.Observe(time.Since(began))
 				first = false
 			}
--- a/test/policy/engine_test.go
+++ b/test/policy/engine_test.go
@@ -78,6 +78,7 @@
 	retries  int
 	excluded []string
 	last     string
+	prefer   string
 }
 
 func (r *request) lastEngine() string { return r.last }
@@ -135,6 +136,7 @@
 	random  *rand.Rand
 	result  *result
 	onDone  func(r *request, ok bool)
+	onFirst func(r *request)
 	retry   func(r *request)
 	apart   bool
 }
@@ -188,13 +190,15 @@
 	r.epoch++
 	epoch := r.epoch
 	first := w.now + time.Duration(float64(prefill)/r.speed)
-	if r.first == 0 {
-		w.at(first, func() {
-			if r.epoch == epoch && r.first == 0 {
-				r.first = w.now
-			}
-		})
-	}
+	w.at(first, func() {
+		if r.epoch != epoch {
+			return
+		}
+		if r.first == 0 {
+			r.first = w.now
+		}
+		w.onFirst(r)
+	})
 	w.at(w.now+time.Duration(float64(r.work)/r.speed), func() {
 		if r.epoch == epoch {
 			w.stop(r)
--- a/test/policy/fleet_test.go
+++ b/test/policy/fleet_test.go
@@ -177,14 +177,19 @@
 		l.checkInversion(node, r, refusal.Reason)
 		l.w.refuse(r)
 	}
-	for _, id := range actions.Preempt {
-		r := l.requests[id]
+	for _, preemption := range actions.Preempt {
+		r := l.requests[preemption.Victim]
+		winner := l.requests[preemption.For]
+		if r.engine != nil {
+			winner.prefer = r.engine.name
+		}
+		l.dispatch(winner)
 		l.release(r)
 		l.w.stop(r)
 		r.work += resumeCost
 		l.w.result.wasted += tokensOf(resumeCost)
 		l.w.result.preempted++
-		l.apply(node, l.queues[node].Preempted(id, r.work, l.clock()))
+		l.apply(node, l.queues[node].Preempted(preemption.Victim, r.work, l.clock()))
 	}
 	for _, id := range actions.Start {
 		l.dispatch(l.requests[id])
@@ -196,6 +201,7 @@
 		Pool:    pool,
 		Tier:    r.class.tier,
 		Exclude: r.excluded,
+		Prefer:  r.prefer,
 	}, l.w.random.Uint64(), l.clock())
 	if choice.Replica == nil {
 		r.excluded = nil
--- a/test/policy/run_test.go
+++ b/test/policy/run_test.go
@@ -124,6 +124,11 @@
 		p.done(r)
 	}
 	w.retry = p.arrive
+	w.onFirst = func(r *request) {
+		if own, is := p.(*lagoon); is {
+			own.queues[r.node].Producing(r.id)
+		}
+	}
 }
 
 func strike(w *world, s scenario) {
