--- /dev/null
+++ b/internal/coordination/routing/router_test.go
@@ -0,0 +1,210 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+func engines(count int) []wire.Machine {
+	var machines []wire.Machine
+	for i := range count {
+		machines = append(machines, wire.Machine{
+			Name:             fmt.Sprintf("engine-%03d", i),
+			Kind:             replica.KindEngine,
+			Pool:             "engines",
+			Address:          fmt.Sprintf("10.1.%d.%d:80", i/250, i%250),
+			AvailabilityZone: fmt.Sprintf("zone-%d", i%6),
+			Region:           fmt.Sprintf("region-%d", i%2),
+			Slots:            8,
+			Models:           []string{fmt.Sprintf("model-%d", i%25), "planner"},
+		})
+	}
+	return machines
+}
+
+func newRouter(count int) *Router {
+	table := replica.NewTable()
+	table.Update(engines(count))
+	return &Router{
+		Name:             "entry-1",
+		AvailabilityZone: "zone-0",
+		Region:           "region-0",
+		Table:            table,
+		Ejector:          NewEjector(),
+		ReportLife:       DefaultReportLife,
+		ColdPrefix:       DefaultColdPrefix,
+	}
+}
+
+func (r *Router) replica(t testing.TB, i int) *replica.Replica {
+	found, ok := r.Table.Load().Replica(fmt.Sprintf("engine-%03d", i))
+	if !ok {
+		t.Fatalf("no engine %d", i)
+	}
+	return found
+}
+
+func TestNearIdleUpstreamIsChosen(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(6)
+	for range 100 {
+		is.Equal(r.Choose(Request{Pool: "engines"}, rand.Uint64(), begin).Replica.Name(), "engine-000")
+	}
+}
+
+func TestFarUpstreamIsChosenWhenTheLocalWaitIsLonger(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(2)
+	for range 9 {
+		r.replica(t, 0).Begin()
+	}
+	is.Equal(r.Choose(Request{Pool: "engines"}, 0, begin).Replica.Name(), "engine-001")
+	r.Link = &Link{
+		BytesPerSecond: 1000,
+		Burst:          1000,
+	}
+	is.Equal(r.Choose(Request{
+		Pool:  "engines",
+		Bytes: 5000,
+	}, 0, begin).Replica.Name(), "engine-000") // the link has no room for it
+}
+
+func TestLeavingExcludedAndUnloadedAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(4)
+	r.replica(t, 0).MarkLeaving()
+	choice := r.Choose(Request{
+		Pool:    "engines",
+		Model:   "planner",
+		Exclude: []string{"engine-002"},
+	}, 0, begin)
+	is.True(choice.Replica.Name() == "engine-001" || choice.Replica.Name() == "engine-003")
+	is.Equal(r.Choose(Request{
+		Pool:  "engines",
+		Model: "nonesuch",
+	}, 0, begin).Replica, nil)
+	is.Equal(r.Choose(Request{Pool: "nonesuch"}, 0, begin).Reason, "no upstream in the pool")
+}
+
+func TestWarmPrefixIsPreferredUntilItIsOld(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(12)
+	warm := r.replica(t, 6) // same zone as engine 0
+	warm.CacheEvents([]wire.CacheEvent{{
+		Sequence: 1,
+		Prefix:   "p",
+		Stored:   true,
+	}}, begin)
+	choice := r.Choose(Request{
+		Pool:   "engines",
+		Prefix: "p",
+	}, 0, begin)
+	is.Equal(choice.Replica.Name(), warm.Name())
+	is.True(choice.Warm)
+	is.True(!warm.Warm("p", begin.Add(replica.PrefixLife)))
+}
+
+func TestGapInCacheEventsDropsTheView(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(1).replica(t, 0)
+	event := func(sequence int, prefix string, stored bool) wire.CacheEvent {
+		return wire.CacheEvent{
+			Sequence: sequence,
+			Prefix:   prefix,
+			Stored:   stored,
+		}
+	}
+	r.CacheEvents([]wire.CacheEvent{event(1, "a", true), event(2, "b", true)}, begin)
+	is.True(r.Warm("a", begin))
+	r.CacheEvents([]wire.CacheEvent{event(2, "b", true), event(4, "c", true)}, begin) // 3 may have dropped a
+	is.True(!r.Warm("a", begin))
+	is.True(r.Warm("c", begin))
+	r.CacheEvents([]wire.CacheEvent{event(5, "c", false)}, begin)
+	is.True(!r.Warm("c", begin))
+}
+
+func TestSlowAndFailingUpstreamsAreEjectedUpToACap(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(9)
+	for i := range 9 {
+		r.replica(t, i).Observe(100 * time.Millisecond)
+	}
+	r.replica(t, 0).Observe(10 * time.Second)
+	for i := 1; i < 6; i++ {
+		for range DefaultMaxFailures {
+			r.replica(t, i).Failed()
+		}
+	}
+	r.Ejector.Tick(r.Table.Load(), begin)
+	out := 0
+	for i := range 9 {
+		if r.Ejector.Ejected(r.replica(t, i).Name(), begin) {
+			out++
+		}
+	}
+	is.Equal(out, 3) // a third of nine, although six are bad
+	is.True(r.Ejector.Ejected("engine-000", begin))
+	is.True(!r.Ejector.Ejected("engine-000", begin.Add(DefaultEjection)))
+}
+
+func TestRequestIsServedWhenAllAreEjected(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(1)
+	r.Ejector.MaxEjected = 1
+	for range DefaultMaxFailures {
+		r.replica(t, 0).Failed()
+	}
+	r.Ejector.Tick(r.Table.Load(), begin)
+	is.True(r.Ejector.Ejected("engine-000", begin))
+	is.True(r.Choose(Request{Pool: "engines"}, 0, begin).Replica != nil)
+}
+
+func TestLowTiersLeaveTheLinkToHighOnes(t *testing.T) {
+	is := is.New(t)
+	l := &Link{
+		BytesPerSecond: 1000,
+		Burst:          1000,
+	}
+	l.Spend(600, begin)
+	is.True(l.Allows(0, 100, begin))
+	is.True(!l.Allows(6, 100, begin))
+	is.True(l.Allows(6, 100, begin.Add(time.Second)))
+	is.Equal(l.Used(), int64(600))
+}
+
+// BenchmarkChoose gives the time and the allocations of a decision by the size of the pool, on all cores at once.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{9, 60, 600} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			r := newRouter(count)
+			for i := range count {
+				r.replica(b, i).Report(wire.LoadReport{
+					Running: i % 8,
+					Slots:   8,
+				}, begin)
+			}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				random := rand.New(rand.NewPCG(1, 2))
+				for pb.Next() {
+					choice := r.Choose(Request{
+						Pool:   "engines",
+						Model:  "planner",
+						Prefix: "0123456789abcdef",
+					}, random.Uint64(), begin)
+					choice.Replica.Begin()
+					choice.Replica.End()
+				}
+			})
+		})
+	}
+}
