--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -96,3 +96,6 @@
 	}
 	return "", errNoPort
 }
+
+// PID returns the process's ID.
+func (p *Process) PID() int { return p.command.Process.Pid }
