--- a/internal/coordination/placement/planner.go
+++ b/internal/coordination/placement/planner.go
@@ -12,7 +12,7 @@
 const (
 	DefaultLoadInterval = 20 * time.Second
 	DefaultHold         = 30 * time.Second
-	DefaultImbalance    = 1.5
+	DefaultImbalance    = 1.2
 	DefaultMaxModels    = 2
 	minDemand           = 0.01
 	reportLife          = 3 * time.Minute
@@ -123,17 +123,28 @@
 
 // pressure is the demand of a model for each engine that has it loaded.
 func (p *Planner) pressure(model string, engines []Engine) float64 {
+	return p.pressureWith(model, 0, engines)
+}
+
+// pressureWith is the pressure after a change in the number of copies; comparing what both models would have afterwards
+// makes each change an improvement, so that changes come to an end.
+func (p *Planner) pressureWith(model string, change int, engines []Engine) float64 {
 	demand := p.demand[model]
+	copies := copiesOf(model, engines) + change
+	if copies <= 0 {
+		return demand * float64(len(engines)+1)
+	}
+	return demand / float64(copies)
+}
+
+func copiesOf(model string, engines []Engine) int {
 	copies := 0
 	for _, engine := range engines {
 		if slices.Contains(engine.Models, model) {
 			copies++
 		}
 	}
-	if copies == 0 {
-		return demand * float64(len(engines)+1)
-	}
-	return demand / float64(copies)
+	return copies
 }
 
 func (p *Planner) byPressure(engines []Engine) []string {
@@ -165,7 +176,8 @@
 		if models == nil {
 			continue
 		}
-		gain := p.pressure(model, engines)*p.zoneFactor(model, engine, engines) - DefaultImbalance*lost
+		gain := p.pressureWith(model, 1, engines) - DefaultImbalance*lost
+		gain *= p.zoneFactor(model, engine, engines)
 		if gain > bestGain+1e-9 {
 			best, bestGain, bestModels = i, gain, models
 		}
@@ -180,7 +192,7 @@
 	}, true
 }
 
-// replace returns the engine's models with the new one, and the pressure of the model that makes room.
+// replace returns the engine's models with the new one, and the pressure that the model which makes room would have afterwards.
 func (p *Planner) replace(engine Engine, model string, engines []Engine) ([]string, float64) {
 	models := slices.Clone(engine.Models)
 	if len(models) < p.MaxModels {
@@ -198,19 +210,13 @@
 	if least < 0 {
 		return nil, 0
 	}
-	lost := p.pressure(models[least], engines)
+	lost := p.pressureWith(models[least], -1, engines)
 	models[least] = model
 	return models, lost
 }
 
 func (p *Planner) lastCopy(model string, engines []Engine) bool {
-	copies := 0
-	for _, engine := range engines {
-		if slices.Contains(engine.Models, model) {
-			copies++
-		}
-	}
-	return copies == 1
+	return copiesOf(model, engines) == 1
 }
 
 // zoneFactor prefers a zone without the model, so that each zone gets one copy first.
--- /dev/null
+++ b/internal/state/rule/rule_test.go
@@ -0,0 +1,205 @@
+package rule
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const hashA = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+func TestFaultsNameLineAndField(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		text string
+		line int
+		want string
+	}{
+		{
+			name: "no comment",
+			text: "rule=a class=a tier=1 idempotent=yes",
+			line: 1,
+			want: "comment",
+		},
+		{
+			name: "empty comment",
+			text: "rule=a class=a tier=1 idempotent=yes #",
+			line: 1,
+			want: "comment",
+		},
+		{
+			name: "unknown kind",
+			text: "\nclass=a # x",
+			line: 2,
+			want: "class",
+		},
+		{
+			name: "unknown field",
+			text: "rule=a class=a tier=1 idempotent=yes speed=9 # x",
+			line: 1,
+			want: "speed",
+		},
+		{
+			name: "tier out of range",
+			text: "rule=a class=a tier=16 idempotent=yes # x",
+			line: 1,
+			want: "tier",
+		},
+		{
+			name: "no idempotent",
+			text: "rule=a class=a tier=1 # x",
+			line: 1,
+			want: "idempotent",
+		},
+		{
+			name: "bad duration",
+			text: "rule=a class=a tier=1 idempotent=yes first-token=760 # x",
+			line: 1,
+			want: "first-token",
+		},
+		{
+			name: "hedge of what may not be repeated",
+			text: "rule=a class=a tier=1 idempotent=no hedge=yes # x",
+			line: 1,
+			want: "hedge",
+		},
+		{
+			name: "field given twice",
+			text: "rule=a class=a class=b tier=1 idempotent=yes # x",
+			line: 1,
+			want: "class",
+		},
+		{
+			name: "same rule twice",
+			text: "rule=a class=a tier=1 idempotent=yes # x\nrule=a class=a tier=1 idempotent=yes # x",
+			line: 2,
+			want: "rule",
+		},
+		{
+			name: "class with two tiers",
+			text: "rule=a class=a tier=1 idempotent=yes # x\nrule=b class=a tier=2 idempotent=yes # x",
+			line: 2,
+			want: "class",
+		},
+		{
+			name: "short token hash",
+			text: "team=mill token-sha256=abc # x",
+			line: 1,
+			want: "token-sha256",
+		},
+		{
+			name: "token of another team",
+			text: "team=mill token-sha256=" + hashA + " # x\nteam=advice token-sha256=" + hashA + " # x",
+			line: 2,
+			want: "token-sha256",
+		},
+		{
+			name: "share above a half",
+			text: "setting=trickle-share value=0.6 # x",
+			line: 1,
+			want: "value",
+		},
+		{
+			name: "not a number",
+			text: "setting=trickle-share value=NaN # x",
+			line: 1,
+			want: "value",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse(c.text)
+			problems, ok := err.(Problems)
+			is.True(ok)
+			is.Equal(problems[0].Line, c.line)
+			is.Equal(problems[0].Field, c.want)
+		})
+	}
+}
+
+func TestAllFaultsAreNamedAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("rule=a tier=99\nteam=B\n")
+	is.True(strings.Count(err.Error(), "\n") >= 4)
+}
+
+func TestFirstMatchingRuleInFileOrderCounts(t *testing.T) {
+	is := is.New(t)
+	file, err := Parse(`team=mill token-sha256=` + hashA + ` requests-per-second=5 # line
+rule=orders team=mill,planning service=orders method=POST path-prefix=/orders class=cut-order tier=0 idempotent=no # line
+rule=everyone service=orders class=stock tier=2 first-token=1s idempotent=yes # planning
+rule=mill-chat team=mill service=chat model=planner class=changeover tier=1 first-token=760ms between-tokens=35ms idempotent=yes # line
+`)
+	is.NoErr(err)
+	class := func(q Request) string {
+		r, ok := file.Match(q)
+		if !ok {
+			return ""
+		}
+		return r.Class()
+	}
+	is.Equal(class(Request{
+		Team:    "mill",
+		Service: "orders",
+		Method:  "POST",
+		Path:    "/orders",
+	}), "cut-order")
+	is.Equal(class(Request{
+		Team:    "mill",
+		Service: "orders",
+		Method:  "GET",
+		Path:    "/stock",
+	}), "stock")
+	is.Equal(class(Request{
+		Team:    "stranger",
+		Service: "orders",
+		Method:  "POST",
+		Path:    "/orders",
+	}), "stock")
+	is.Equal(class(Request{
+		Team:    "mill",
+		Service: "chat",
+		Model:   "other",
+	}), "")
+	r, _ := file.Match(Request{
+		Team:    "mill",
+		Service: "chat",
+		Model:   "planner",
+	})
+	is.Equal(r.FirstToken(), 760*time.Millisecond)
+	is.Equal(r.BetweenTokens(), 35*time.Millisecond)
+	is.Equal(r.Deadline(), DefaultDeadline)
+}
+
+func TestTeamIsFoundByItsTokenAlone(t *testing.T) {
+	is := is.New(t)
+	file, err := Parse("team=mill token-sha256=" + HashToken("secret") + " # line\n")
+	is.NoErr(err)
+	team, ok := file.TeamByToken("secret")
+	is.True(ok)
+	is.Equal(team.Name(), "mill")
+	_, ok = file.TeamByToken(HashToken("secret")) // the hash itself is no token
+	is.True(!ok)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("rule=a class=a tier=1 idempotent=yes # x\n")
+	f.Add("team=mill token-sha256=" + hashA + " # x\n")
+	f.Add("setting=trickle-share value=0.1 # x\npool=engines fencing=checked # y")
+	f.Add("= # \x00")
+	f.Fuzz(func(t *testing.T, text string) {
+		file, err := Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Normalize(file.Text()))
+		if err != nil {
+			t.Fatalf("a valid file is not valid after Normalize: %v", err)
+		}
+		if len(again.Rules()) != len(file.Rules()) || again.Teams() != file.Teams() {
+			t.Fatal("Normalize changed the meaning")
+		}
+	})
+}
