--- a/internal/transport/node/status.go
+++ b/internal/transport/node/status.go
@@ -140,3 +140,8 @@
 func (n *Node) Publish(ctx context.Context, request wire.PublishRequest) (wire.RuleVerdict, error) {
 	return n.rules.Publish(ctx, request)
 }
+
+// Rules returns the rule file in force.
+func (n *Node) Rules() (wire.RuleState, error) {
+	return n.rules.State()
+}
--- a/test/lab/lab.go
+++ b/test/lab/lab.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -316,3 +317,16 @@
 	_ = response.Body.Close()
 	return response.StatusCode
 }
+
+// Listed returns the addresses that a node lists for callers.
+func (l *Lab) Listed(n *Node) []string {
+	answer, err := fleet.Send(l.t.Context(), n.Process(), http.MethodGet, "/v1/entry-vms", "", nil, "")
+	if err != nil {
+		return nil
+	}
+	var entry wire.EntryAnswer
+	if json.Unmarshal([]byte(answer.Body), &entry) != nil {
+		return nil
+	}
+	return entry.Addresses
+}
