--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -36,8 +36,11 @@
 }
 
 // run lets each node try a number of requests a second, and returns how many a second were let through in all.
-func (s *site) run(d time.Duration, tries []int) float64 {
-	const step = 100 * time.Millisecond
+func (s *site) run(tries []int) float64 {
+	const (
+		d    = 20 * time.Second
+		step = 100 * time.Millisecond
+	)
 	taken := 0
 	start := s.now
 	lastAsk := s.now
@@ -75,8 +78,8 @@
 func TestUnevenDemandSharesTheWholeLimit(t *testing.T) {
 	s := newSite(9, Limit{RequestsPerSecond: 100})
 	tries := []int{200, 200, 0, 0, 0, 0, 0, 0, 0}
-	s.run(20*time.Second, tries)
-	got := s.run(20*time.Second, tries)
+	s.run(tries)
+	got := s.run(tries)
 	t.Logf("%.1f of 100 requests a second", got)
 	if got > 100*1.1 || got < 80 {
 		t.Errorf("%.1f requests a second, the limit is 100", got)
@@ -86,9 +89,9 @@
 func TestOwnerAwayEachNodeHasItsPart(t *testing.T) {
 	s := newSite(9, Limit{RequestsPerSecond: 90})
 	tries := []int{200, 200, 200, 200, 200, 200, 200, 200, 200}
-	s.run(20*time.Second, tries)
+	s.run(tries)
 	s.away = true
-	got := s.run(20*time.Second, tries)
+	got := s.run(tries)
 	t.Logf("%.1f of 90 requests a second with the owner away", got)
 	if got > 90*1.2 || got < 60 {
 		t.Errorf("%.1f requests a second, the limit is 90", got)
--- a/internal/coordination/retry/doc.go
+++ b/internal/coordination/retry/doc.go
@@ -1,2 +1,2 @@
-// Package retry bounds retries and hedges as a share of successes.
+// Package retry bounds retries as a share of successes.
 package retry
--- a/internal/state/rule/parse.go
+++ b/internal/state/rule/parse.go
@@ -157,8 +157,6 @@
 		case "idempotent":
 			r.idempotent = p.yesNo(f)
 			idempotentGiven = true
-		case "hedge":
-			r.hedge = p.yesNo(f)
 		default:
 			p.fault(f.key, "unknown field of a rule")
 		}
@@ -177,9 +175,6 @@
 	if !idempotentGiven {
 		p.fault("idempotent", "expected yes or no")
 	}
-	if r.hedge && !r.idempotent {
-		p.fault("hedge", "only an idempotent class may be hedged")
-	}
 	for _, team := range r.teams {
 		if team != Any && !namePattern.MatchString(team) {
 			p.fault("team", "expected * or names in kebab case split by commas, not %q", team)
--- a/internal/state/rule/rule.go
+++ b/internal/state/rule/rule.go
@@ -28,7 +28,6 @@
 	betweenTokens time.Duration
 	deadline      time.Duration
 	idempotent    bool
-	hedge         bool
 	comment       string
 }
 
@@ -53,9 +52,6 @@
 // Idempotent reports whether a matched request may run more than once.
 func (r *Rule) Idempotent() bool { return r.idempotent }
 
-// Hedge reports whether a late first token may be raced by a second attempt.
-func (r *Rule) Hedge() bool { return r.hedge }
-
 // Comment returns who asked for the rule.
 func (r *Rule) Comment() string { return r.comment }
 
--- a/internal/state/rule/rule_test.go
+++ b/internal/state/rule/rule_test.go
@@ -1,6 +1,7 @@
 package rule
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -59,12 +60,6 @@
 			line: 1,
 			want: "first-token",
 		},
-		{
-			name: "hedge of what may not be repeated",
-			text: "rule=a class=a tier=1 idempotent=no hedge=yes # x",
-			line: 1,
-			want: "hedge",
-		},
 		{
 			name: "field given twice",
 			text: "rule=a class=a class=b tier=1 idempotent=yes # x",
@@ -111,8 +106,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			_, err := Parse(c.text)
-			problems, ok := err.(Problems)
-			is.True(ok)
+			var problems Problems
+			is.True(errors.As(err, &problems))
 			is.Equal(problems[0].Line, c.line)
 			is.Equal(problems[0].Field, c.want)
 		})
--- a/internal/transport/caller/pieces.go
+++ b/internal/transport/caller/pieces.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/outcome"
@@ -94,14 +95,16 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	id      string
+	silence time.Duration
 	started bool
 }
 
-func newStreamWriter(w http.ResponseWriter, id string) *streamWriter {
+func newStreamWriter(w http.ResponseWriter, id string, silence time.Duration) *streamWriter {
 	return &streamWriter{
 		w:       w,
 		control: http.NewResponseController(w),
 		id:      id,
+		silence: silence,
 	}
 }
 
@@ -114,6 +117,8 @@
 		o.w.Header().Set("Trailer", HeaderOutcome)
 		o.w.WriteHeader(http.StatusOK)
 	}
+	// A caller that has gone silent must not hold its place for ever.
+	_ = o.control.SetWriteDeadline(time.Now().Add(o.silence))
 	event := make([]byte, 0, len(data)+8)
 	event = append(event, dataPrefix...)
 	event = append(event, data...)
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	out := newStreamWriter(w, j.id)
+	out := newStreamWriter(w, j.id, s.Silence)
 	result, e := s.relayAttempts(ctx, j, out)
 	s.closeClaim(j, result, reply{status: http.StatusOK})
 	if e == nil {
--- a/internal/transport/upstreams/service.go
+++ b/internal/transport/upstreams/service.go
@@ -16,7 +16,7 @@
 	listEvery     = time.Second
 	reportEvery   = 500 * time.Millisecond
 	reportTimeout = 2 * time.Second
-	maxPolls      = 64
+	maxPolls      = 32
 	leavingLife   = 30 * time.Second
 )
 
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	leaving map[string]time.Time
 	polling map[string]bool
+	// nextPoll goes round the upstreams, where there are more than one round of polls can ask.
+	nextPoll int
 }
 
 // Run refreshes the list and the reports until the context ends.
@@ -94,13 +96,13 @@
 
 func (s *Service) refreshReports(ctx context.Context) {
 	snapshot := s.Table.Load()
-	started := 0
+	var all []*replica.Replica
 	for _, pool := range snapshot.Pools() {
-		for _, r := range snapshot.Pool(pool) {
-			if started == maxPolls || !s.beginPoll(r.Name()) {
-				continue
-			}
-			started++
+		all = append(all, snapshot.Pool(pool)...)
+	}
+	for range min(len(all), maxPolls) {
+		s.nextPoll++
+		if r := all[s.nextPoll%len(all)]; s.beginPoll(r.Name()) {
 			go s.poll(ctx, r)
 		}
 	}
--- a/test/standin/engine_control.go
+++ b/test/standin/engine_control.go
@@ -8,6 +8,13 @@
 	"lagoongw/internal/protocol/wire"
 )
 
+// SetTokenTime changes the time between tokens.
+func (e *Engine) SetTokenTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.TokenTime = d
+}
+
 // load answers with a report as old as the lag.
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
