--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -169,3 +169,27 @@
 		})
 	}
 }
+
+// The users lose an availability zone every other month, for minutes; the others must know it well within that.
+func TestLostZoneIsNoticedByAll(t *testing.T) {
+	l := newLoop(410)
+	l.run(5 * time.Second)
+	inZone := func(i int) bool { return i%6 == 0 }
+	for i := range 410 {
+		l.paused[nodeName(i)] = inZone(i)
+	}
+	took := l.until(t, time.Minute, func() bool {
+		for _, m := range l.nodes {
+			if l.paused[m.Self.Name] {
+				continue
+			}
+			for _, row := range m.Members() {
+				if l.paused[row.Name] && State(row.State) == Alive {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	t.Logf("69 lost members unlisted at all 341 others after %s", took)
+}
