Claims through index holders: at most a few nodes of a zone read each claims stream

Cause: every node read every claim; at 410 nodes and 150 orders/s that is 54 KB/s to each node.

Change: a node that does not hold a key's partition claims through one of its zone that does, by rendezvous; verdicts stay a function of the log, so holders that disagree about who holds can only delay. A node without an answer in time never dispatches, and has its attempt made void. With three or fewer nodes in a zone all hold: the same code as before.

Ruled out: asking a second holder with the same attempt after a lost answer; the first may have appended it, and two verdicts on one attempt would need a rule of their own.

--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -278,6 +278,26 @@
 	return Actions{Append: c.nextBatch()}
 }
 
+// Note appends a void or an outcome on behalf of another node, which dispatches or gave up the attempt itself.
+func (c *Claimer) Note(r wire.ClaimRecord) Actions {
+	delete(c.own, r.Attempt)
+	var actions Actions
+	switch r.Type {
+	case wire.ClaimRecordTypeVoid:
+		if c.waiting[r.Attempt] != nil {
+			delete(c.waiting, r.Attempt)
+			actions = decide(r.Attempt, NotRun, Holder{}, "given up by the node that asked")
+		}
+		c.queueVoid(r.Attempt, r.Key)
+	case wire.ClaimRecordTypeOutcome:
+		c.pending = append(c.pending, r)
+	default:
+		return Actions{}
+	}
+	actions.Append = c.nextBatch()
+	return actions
+}
+
 func (c *Claimer) queueVoid(id, key string) {
 	void := wire.ClaimRecord{
 		Type:    wire.ClaimRecordTypeVoid,
--- a/internal/coordination/claim/index.go
+++ b/internal/coordination/claim/index.go
@@ -37,6 +37,15 @@
 	outcomeOffset int
 }
 
+// NewHolder returns a holder as another node described it.
+func NewHolder(attempt string, result outcome.Outcome, outcomeOffset int) Holder {
+	return Holder{
+		attempt:       attempt,
+		result:        result,
+		outcomeOffset: outcomeOffset,
+	}
+}
+
 // Attempt returns the attempt that holds the key.
 func (h Holder) Attempt() string { return h.attempt }
 
@@ -82,6 +91,12 @@
 	x.ready = next
 }
 
+// Close forgets what was read; the index is not ready until a new window has been read.
+func (x *Index) Close() {
+	x.Window(0, 0)
+	x.started = false
+}
+
 // Ready reports whether the whole window has been read.
 func (x *Index) Ready() bool {
 	return x.started && x.next >= x.ready
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -105,6 +105,24 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
+// ClaimDecision is an index holder's answer to a ClaimRequest.
+type ClaimDecision struct {
+	// Holder corresponds to the JSON schema field "holder".
+	Holder string `json:"holder,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome string `json:"outcome,omitempty,omitzero"`
+
+	// OutcomeOffset corresponds to the JSON schema field "outcome-offset".
+	OutcomeOffset int `json:"outcome-offset,omitempty,omitzero"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason"`
+
+	// Verdict corresponds to the JSON schema field "verdict".
+	Verdict string `json:"verdict"`
+}
+
 // ClaimRecord is one record of a claims stream.
 type ClaimRecord struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -141,6 +159,21 @@
 const ClaimRecordTypeOutcome ClaimRecordType = "outcome"
 const ClaimRecordTypeVoid ClaimRecordType = "void"
 
+// ClaimRequest asks an index holder to claim a key on behalf of a node.
+type ClaimRequest struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt string `json:"attempt"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest string `json:"digest"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// WithinMs corresponds to the JSON schema field "within-ms".
+	WithinMs int `json:"within-ms"`
+}
+
 // DemandReport tells the holder of a pool's lease what a node's callers ask for.
 type DemandReport struct {
 	// Demands corresponds to the JSON schema field "demands".
--- /dev/null
+++ b/internal/transport/claims/partition.go
@@ -0,0 +1,139 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lagoongw/internal/coordination/claim"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/platform"
+	"lagoongw/internal/transport/tail"
+)
+
+const holdCheck = 200 * time.Millisecond
+
+func (p *partition) ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claimer.Index.Ready()
+}
+
+// followWhileHeld reads the stream while this node holds the partition, and for as long as it has something open there.
+func (p *partition) followWhileHeld(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !p.service.Holds(p.number) {
+			pause(ctx, holdCheck)
+			continue
+		}
+		held, stop := context.WithCancel(ctx)
+		var group sync.WaitGroup
+		group.Go(func() { p.follow(held) })
+		for ctx.Err() == nil && (p.service.Holds(p.number) || p.open()) {
+			pause(ctx, holdCheck)
+		}
+		stop()
+		group.Wait()
+		p.mu.Lock()
+		p.claimer.Index.Close()
+		p.mu.Unlock()
+	}
+}
+
+// open reports whether requests wait for a verdict, or records for being written.
+func (p *partition) open() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claimer.Waiting()+p.claimer.Unwritten() > 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// submit waits for the verdict on a key that this node claims itself.
+func (p *partition) submit(attempt, key, digest string, deadline time.Time) claim.Decision {
+	waiter := make(chan claim.Decision, 1)
+	p.apply(func() claim.Actions {
+		p.waiters[attempt] = waiter
+		return p.claimer.Submit(attempt, key, digest, deadline)
+	})
+	return <-waiter
+}
+
+func (p *partition) follow(ctx context.Context) {
+	follower := &tail.Tail{
+		Log:    p.service.Log,
+		Stream: p.stream,
+		Wait:   readWait,
+		Begin: func(oldest, next int) {
+			p.apply(func() claim.Actions { return p.claimer.Gap(oldest, next) })
+		},
+		Record: func(entry wire.LogRecord) {
+			p.apply(func() claim.Actions { return p.claimer.Record(entry, time.Now()) })
+		},
+		Health: func(up bool, _ error) {
+			p.apply(func() claim.Actions { return p.claimer.LogDown(!up) })
+		},
+	}
+	follower.Run(ctx)
+}
+
+func (p *partition) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.apply(func() claim.Actions { return p.claimer.Tick(time.Now()) })
+		}
+	}
+}
+
+// apply runs one event through the machine and carries out its actions.
+func (p *partition) apply(event func() claim.Actions) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	actions := event()
+	for _, decision := range actions.Decisions {
+		if waiter := p.waiters[decision.Attempt]; waiter != nil {
+			delete(p.waiters, decision.Attempt)
+			waiter <- decision
+		}
+	}
+	if actions.Append != nil {
+		batch := *actions.Append
+		go p.append(batch)
+	}
+}
+
+func (p *partition) append(batch claim.Append) {
+	records := make([]string, 0, len(batch.Records))
+	for _, r := range batch.Records {
+		data, err := p.service.Sealer.Seal(p.stream, r)
+		if err != nil {
+			p.service.Logger.Error().Err(err).Str("step", "seal claim").Msg("claim dropped")
+			continue
+		}
+		records = append(records, data)
+	}
+	p.service.appends.Add(1)
+	_, err := p.service.Log.Append(context.Background(), p.stream, records)
+	result := claim.Appended
+	switch {
+	case errors.Is(err, platform.ErrNotAppended):
+		result = claim.NotAppended
+	case err != nil:
+		result = claim.MaybeAppended
+	}
+	if err != nil {
+		p.service.Logger.Warn().Err(err).Str("step", "append claims").Str("peer", "platform").Msg("log append failed")
+	}
+	p.apply(func() claim.Actions { return p.claimer.AppendDone(batch.Batch, result) })
+}
--- a/internal/transport/claims/service.go
+++ b/internal/transport/claims/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 	"lagoongw/internal/coordination/claim"
 	"lagoongw/internal/protocol/record"
 	"lagoongw/internal/protocol/wire"
-	"lagoongw/internal/transport/platform"
 	"lagoongw/internal/transport/tail"
 )
 
@@ -40,6 +38,13 @@
 	Partitions int
 	// Lifetime is how long a key is honoured.
 	Lifetime time.Duration
+	// Holds reports whether this node reads a partition itself.
+	Holds func(partition int) bool
+	// Holders returns the peer addresses of the other nodes that read a partition, the preferred one first.
+	Holders func(partition int) []string
+	// Ask claims a key at another node; Tell hands it a void or an outcome to append.
+	Ask  func(ctx context.Context, address string, request wire.ClaimRequest) (wire.ClaimDecision, error)
+	Tell func(ctx context.Context, address string, r wire.ClaimRecord) error
 	// VerdictTimeout bounds the wait for a verdict.
 	VerdictTimeout time.Duration
 	// Logger takes one line for each verdict.
@@ -48,10 +53,13 @@
 	parts    []*partition
 	attempts atomic.Int64
 	appends  atomic.Int64
+	untold   atomic.Int64
+	turns    atomic.Int64
 }
 
 type partition struct {
 	service *Service
+	number  int
 	stream  string
 	mu      sync.Mutex
 	claimer *claim.Claimer
@@ -68,6 +76,7 @@
 		}
 		s.parts = append(s.parts, &partition{
 			service: s,
+			number:  i,
 			stream:  claim.Stream(i),
 			claimer: claim.NewClaimer(index),
 			waiters: map[string]chan claim.Decision{},
@@ -75,23 +84,20 @@
 	}
 }
 
-// Run follows the claims streams until the context ends.
+// Run follows the claims streams that this node holds until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, p := range s.parts {
-		group.Go(func() { p.follow(ctx) })
+		group.Go(func() { p.followWhileHeld(ctx) })
 		group.Go(func() { p.tick(ctx) })
 	}
 	group.Wait()
 }
 
-// Ready reports whether the whole window of every partition has been read.
+// Ready reports whether the whole window of every partition that this node reads itself has been read.
 func (s *Service) Ready() bool {
 	for _, p := range s.parts {
-		p.mu.Lock()
-		ready := p.claimer.Index.Ready()
-		p.mu.Unlock()
-		if !ready {
+		if s.Holds(p.number) && !p.ready() {
 			return false
 		}
 	}
@@ -111,7 +117,7 @@
 
 // Unwritten returns the number of records that are not known to be in the log.
 func (s *Service) Unwritten() int {
-	unwritten := 0
+	unwritten := int(s.untold.Load())
 	for _, p := range s.parts {
 		p.mu.Lock()
 		unwritten += p.claimer.Unwritten()
@@ -127,6 +133,8 @@
 type Ticket struct {
 	Attempt string
 	part    *partition
+	key     string
+	remote  bool
 }
 
 // Claim waits for the verdict on a key; when the context ends first the attempt is given up and must not run.
@@ -135,17 +143,19 @@
 	ticket := Ticket{
 		Attempt: fmt.Sprintf("%s-%d", s.Incarnation, s.attempts.Add(1)),
 		part:    part,
+		key:     key,
+		remote:  !s.Holds(part.number),
 	}
-	waiter := make(chan claim.Decision, 1)
 	deadline := time.Now().Add(s.VerdictTimeout)
 	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
 		deadline = earlier
 	}
-	part.apply(func() claim.Actions {
-		part.waiters[ticket.Attempt] = waiter
-		return part.claimer.Submit(ticket.Attempt, key, digest, deadline)
-	})
-	decision := <-waiter
+	var decision claim.Decision
+	if ticket.remote {
+		decision = s.askHolder(ticket, digest, deadline)
+	} else {
+		decision = part.submit(ticket.Attempt, key, digest, deadline)
+	}
 	s.Logger.Info().
 		Str("decision", "claim").
 		Str("attempt", ticket.Attempt).
@@ -158,6 +168,13 @@
 
 // Finish records the outcome of a dispatched attempt.
 func (s *Service) Finish(ticket Ticket, result wire.ClaimRecord) {
+	if ticket.remote {
+		result.Type = wire.ClaimRecordTypeOutcome
+		result.Key = ticket.key
+		result.Attempt = ticket.Attempt
+		s.note(ticket.part, result)
+		return
+	}
 	ticket.part.apply(func() claim.Actions {
 		return ticket.part.claimer.Finish(ticket.Attempt, result)
 	})
@@ -165,6 +182,10 @@
 
 // Release gives up a dispatch verdict of which no byte was sent.
 func (s *Service) Release(ticket Ticket) {
+	if ticket.remote {
+		s.note(ticket.part, voidOf(ticket.Attempt, ticket.key))
+		return
+	}
 	ticket.part.apply(func() claim.Actions {
 		return ticket.part.claimer.Release(ticket.Attempt)
 	})
@@ -180,76 +201,3 @@
 	err = s.Sealer.Open(stream, answer.Records[0].Data, &r)
 	return r, err == nil && r.Attempt == holder.Attempt()
 }
-
-func (p *partition) follow(ctx context.Context) {
-	follower := &tail.Tail{
-		Log:    p.service.Log,
-		Stream: p.stream,
-		Wait:   readWait,
-		Begin: func(oldest, next int) {
-			p.apply(func() claim.Actions { return p.claimer.Gap(oldest, next) })
-		},
-		Record: func(entry wire.LogRecord) {
-			p.apply(func() claim.Actions { return p.claimer.Record(entry, time.Now()) })
-		},
-		Health: func(up bool, _ error) {
-			p.apply(func() claim.Actions { return p.claimer.LogDown(!up) })
-		},
-	}
-	follower.Run(ctx)
-}
-
-func (p *partition) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.apply(func() claim.Actions { return p.claimer.Tick(time.Now()) })
-		}
-	}
-}
-
-// apply runs one event through the machine and carries out its actions.
-func (p *partition) apply(event func() claim.Actions) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	actions := event()
-	for _, decision := range actions.Decisions {
-		if waiter := p.waiters[decision.Attempt]; waiter != nil {
-			delete(p.waiters, decision.Attempt)
-			waiter <- decision
-		}
-	}
-	if actions.Append != nil {
-		batch := *actions.Append
-		go p.append(batch)
-	}
-}
-
-func (p *partition) append(batch claim.Append) {
-	records := make([]string, 0, len(batch.Records))
-	for _, r := range batch.Records {
-		data, err := p.service.Sealer.Seal(p.stream, r)
-		if err != nil {
-			p.service.Logger.Error().Err(err).Str("step", "seal claim").Msg("claim dropped")
-			continue
-		}
-		records = append(records, data)
-	}
-	p.service.appends.Add(1)
-	_, err := p.service.Log.Append(context.Background(), p.stream, records)
-	result := claim.Appended
-	switch {
-	case errors.Is(err, platform.ErrNotAppended):
-		result = claim.NotAppended
-	case err != nil:
-		result = claim.MaybeAppended
-	}
-	if err != nil {
-		p.service.Logger.Warn().Err(err).Str("step", "append claims").Str("peer", "platform").Msg("log append failed")
-	}
-	p.apply(func() claim.Actions { return p.claimer.AppendDone(batch.Batch, result) })
-}
--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -64,6 +64,7 @@
 		KeyLifetime:      settings.KeyLifetime,
 		Retention:        settings.Retention,
 		Partitions:       settings.Partitions,
+		ClaimHolders:     settings.ClaimHolders,
 		Silence:          settings.Silence,
 		LogTimeout:       settings.LogTimeout,
 		LinkBytes:        settings.LinkBytes,
--- a/internal/transport/command/settings.go
+++ b/internal/transport/command/settings.go
@@ -35,6 +35,7 @@
 	KeyLifetime      time.Duration `long:"key-lifetime" env:"LAGOONGW_KEY_LIFETIME" default:"1h" description:"how long an idempotency key is honoured"`
 	Retention        time.Duration `long:"log-retention" env:"LAGOONGW_LOG_RETENTION" default:"4h" description:"how long the platform's log keeps records"`
 	Partitions       int           `long:"claim-partitions" env:"LAGOONGW_CLAIM_PARTITIONS" default:"1" description:"number of claims streams, the same at all entry VMs"`
+	ClaimHolders     int           `long:"claim-holders" env:"LAGOONGW_CLAIM_HOLDERS" default:"3" description:"number of entry VMs of a zone that read each claims stream"`
 	Silence          time.Duration `long:"stream-silence" env:"LAGOONGW_STREAM_SILENCE" default:"10s" description:"longest silence of a stream before it is resumed elsewhere"`
 	LogTimeout       time.Duration `long:"log-timeout" env:"LAGOONGW_LOG_TIMEOUT" default:"2s" description:"longest wait for one call to the platform"`
 	LinkBytes        float64       `long:"link-bytes-per-second" env:"LAGOONGW_LINK_BYTES_PER_SECOND" default:"0" description:"this VM's share of the link between regions, 0 for no limit"`
@@ -70,6 +71,7 @@
 	f.check(s.KeyLifetime >= time.Minute, "key-lifetime", "at least 1m")
 	f.check(s.Retention >= 2*s.KeyLifetime, "log-retention", "at least twice --key-lifetime")
 	f.check(s.Partitions >= 1 && s.Partitions <= maxPartitions, "claim-partitions", "1 to 256")
+	f.check(s.ClaimHolders >= 1, "claim-holders", "1 or more")
 	f.check(s.Silence >= 100*time.Millisecond, "stream-silence", "at least 100ms")
 	f.check(s.LogTimeout >= 50*time.Millisecond && s.LogTimeout <= time.Minute, "log-timeout", "50ms to 1m")
 	f.check(s.LinkBytes >= 0, "link-bytes-per-second", "zero or more")
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -82,6 +82,8 @@
 	Retention   time.Duration
 	// Partitions is the number of claims streams.
 	Partitions int
+	// ClaimHolders is how many nodes of a zone read each claims stream; the others claim through them.
+	ClaimHolders int
 	// Silence is the longest that a stream may be silent; LogTimeout bounds a call to the platform.
 	Silence    time.Duration
 	LogTimeout time.Duration
@@ -297,6 +299,10 @@
 		Incarnation:    n.Name + "-" + n.incarnation,
 		Partitions:     n.Partitions,
 		Lifetime:       n.KeyLifetime,
+		Holds:          n.holdsClaims,
+		Holders:        n.claimHolders,
+		Ask:            n.askClaim,
+		Tell:           n.tellClaim,
 		VerdictTimeout: n.LogTimeout + time.Second,
 		Logger:         n.Logger,
 	}
@@ -366,6 +372,8 @@
 			peer.MethodSlices:   n.handleSlices,
 			peer.MethodDemand:   n.handleDemand,
 			peer.MethodStatus:   n.handleStatus,
+			peer.MethodClaim:    n.handleClaim,
+			peer.MethodNote:     n.handleNote,
 		},
 	}
 }
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -10,6 +10,8 @@
 	MethodSlices    = "slices"
 	MethodDemand    = "demand"
 	MethodStatus    = "request-status"
+	MethodClaim     = "claim"
+	MethodNote      = "claim-note"
 )
 
 const (
