Claims: once reads and appends both fail, what waits is refused at once

Cause: at the beginning of a log outage orders waited for their verdict timeout, 3.1 s, though the module had already given up on the log.

Change: when reads fail and the last append went unanswered, everything that waits is refused, and made void when the log is back. The explorer has the event.

Ruled out: refusing on a failed read alone, which a single lost answer would cause.

--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -133,7 +133,7 @@
 func (c *Claimer) LogDown(down bool) Actions {
 	c.logDown = down
 	if down {
-		return Actions{}
+		return Actions{Decisions: c.giveUpWhenOut()}
 	}
 	c.blocked = false
 	return Actions{Append: c.nextBatch()}
@@ -158,6 +158,7 @@
 	}
 	c.blocked = result != Appended
 	c.failing = c.blocked
+	actions.Decisions = append(actions.Decisions, c.giveUpWhenOut()...)
 	if !c.blocked {
 		actions.Append = c.nextBatch()
 	}
@@ -256,6 +257,18 @@
 	return actions
 }
 
+// giveUpWhenOut refuses everything that waits once neither appends nor reads go through, rather than let it wait.
+func (c *Claimer) giveUpWhenOut() []Decision {
+	if !c.logDown || !c.failing {
+		return nil
+	}
+	var decisions []Decision
+	for _, waiting := range c.sortedWaiting() {
+		decisions = append(decisions, c.giveUp(waiting, "log unreachable"))
+	}
+	return decisions
+}
+
 // giveUp never dispatches the attempt, and appends a void so that the key can be claimed again.
 func (c *Claimer) giveUp(waiting *attempt, reason string) Decision {
 	delete(c.waiting, waiting.id)
--- a/internal/coordination/claim/explore_test.go
+++ b/internal/coordination/claim/explore_test.go
@@ -51,6 +51,9 @@
 		if n.read < len(w.log) {
 			add(fmt.Sprint("read ", i), func(w *world) { w.readOne(i) })
 		}
+		if !n.claimer.logDown && n.claimer.failing && expired < b.expires {
+			add(fmt.Sprint("log out ", i), func(w *world) { w.logOut(i) })
+		}
 		if !n.expired && expired < b.expires && n.submitted > 0 {
 			add(fmt.Sprint("expire ", i), func(w *world) { w.expire(i) })
 		}
--- a/internal/coordination/claim/world_test.go
+++ b/internal/coordination/claim/world_test.go
@@ -117,7 +117,7 @@
 	a.done = true
 	a.lost = true
 	w.apply(a.node, w.nodes[a.node].claimer.AppendDone(a.batch, MaybeAppended))
-	w.apply(a.node, w.nodes[a.node].claimer.LogDown(false))
+	w.apply(a.node, w.nodes[a.node].claimer.Tick(w.timeOf(w.nodes[a.node])))
 }
 
 func (w *world) readOne(node int) {
@@ -140,6 +140,13 @@
 	w.apply(node, n.claimer.Tick(w.timeOf(n)))
 }
 
+// logOut tells a node that reads fail too, and then that they work again.
+func (w *world) logOut(node int) {
+	n := w.nodes[node]
+	w.apply(node, n.claimer.LogDown(true))
+	w.apply(node, n.claimer.LogDown(false))
+}
+
 // dispatched returns the attempts that may run and have neither run nor been released.
 func (w *world) dispatched(node int) []string {
 	var ids []string
