--- a/internal/transport/claims/service.go
+++ b/internal/transport/claims/service.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	tickEvery = 100 * time.Millisecond
+	tickEvery = 200 * time.Millisecond
 	readWait  = 2 * time.Second
 )
 
--- a/internal/transport/listener/handler.go
+++ b/internal/transport/listener/handler.go
@@ -21,6 +21,10 @@
 		return nil, err
 	}
 	logx.SetWriter(bridge{logger: logger})
+	if logger.GetLevel() > zerolog.DebugLevel {
+		// Lines that nobody will see are not even made.
+		logx.SetLevel(logx.ErrorLevel)
+	}
 	server.AddRoutes(routes)
 	handler, err := rest.NewServerless(server)
 	if err != nil {
--- a/internal/transport/members/service.go
+++ b/internal/transport/members/service.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	tickEvery  = 100 * time.Millisecond
+	tickEvery  = 200 * time.Millisecond
 	maxMembers = 4096
 )
 
--- a/internal/transport/node/life.go
+++ b/internal/transport/node/life.go
@@ -7,7 +7,7 @@
 	"lagoongw/internal/coordination/drain"
 )
 
-const lifeTick = 50 * time.Millisecond
+const lifeTick = 200 * time.Millisecond
 
 // Drain begins to take the node out of service; the first call counts.
 func (n *Node) Drain() {
--- a/internal/transport/node/pools.go
+++ b/internal/transport/node/pools.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	poolTick = 100 * time.Millisecond
+	poolTick = 200 * time.Millisecond
 	rowLife  = 15 * time.Second
 )
 
--- a/internal/transport/peer/codec.go
+++ b/internal/transport/peer/codec.go
@@ -29,6 +29,10 @@
 	return w
 }}
 
+var unpackers = sync.Pool{New: func() any {
+	return flate.NewReaderDict(bytes.NewReader(nil), []byte(dictionary))
+}}
+
 // codec is a jsonrpc2 object codec: a length of four bytes, then the object as JSON packed with flate.
 type codec struct{}
 
@@ -84,7 +88,11 @@
 }
 
 func decodeFrame(packed []byte, into any) error {
-	reader := flate.NewReaderDict(bytes.NewReader(packed), []byte(dictionary))
+	reader := unpackers.Get().(io.ReadCloser)
+	defer unpackers.Put(reader)
+	if err := reader.(flate.Resetter).Reset(bytes.NewReader(packed), []byte(dictionary)); err != nil {
+		return ErrFrame
+	}
 	body, err := io.ReadAll(io.LimitReader(reader, MaxFrameBytes+1))
 	if err != nil || len(body) > MaxFrameBytes {
 		return ErrFrame
--- a/internal/transport/upstreams/service.go
+++ b/internal/transport/upstreams/service.go
@@ -14,7 +14,7 @@
 
 const (
 	listEvery     = time.Second
-	reportEvery   = 500 * time.Millisecond
+	reportEvery   = time.Second
 	reportTimeout = 2 * time.Second
 	maxPolls      = 32
 	leavingLife   = 30 * time.Second
