--- a/internal/coordination/admission/item.go
+++ b/internal/coordination/admission/item.go
@@ -51,9 +51,11 @@
 	Tier   int
 }
 
+// waiting is a request that waits to start, or to go on when it was stopped; what has begun is not given up.
 type waiting struct {
 	item    Item
 	arrived time.Time
+	stopped bool
 }
 
 type running struct {
--- a/internal/coordination/admission/preempt.go
+++ b/internal/coordination/admission/preempt.go
@@ -89,6 +89,7 @@
 	q.insert(waiting{
 		item:    item,
 		arrived: r.started,
+		stopped: true,
 	})
 	return q.start(now)
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -17,7 +17,7 @@
 
 // Queue admits the requests of one node to one pool; it is not safe for concurrent use.
 type Queue struct {
-	// MaxWaiting bounds the waiting requests, without the reserve of each tier.
+	// MaxWaiting bounds the waiting requests that have not begun.
 	MaxWaiting int
 	// TrickleShare is the share of starts given to the longest-waiting lower tier.
 	TrickleShare float64
@@ -30,6 +30,7 @@
 	tiers   [Tiers][]waiting
 	work    [Tiers]time.Duration
 	count   int
+	stopped int
 	running map[uint64]*running
 	trickle float64
 	// lastTurn is the number of the trickle's last turn of each tier.
@@ -112,7 +113,7 @@
 
 // makeRoom sheds the newest request of the lowest tier when the queue is full, which may be the arriving one.
 func (q *Queue) makeRoom(item Item, now time.Time) []Refusal {
-	if q.count < q.MaxWaiting || q.hasRoom() {
+	if q.count-q.stopped < q.MaxWaiting || q.hasRoom() {
 		return nil
 	}
 	lowest := q.lowestAboveReserve()
@@ -133,17 +134,28 @@
 
 func (q *Queue) lowestAboveReserve() int {
 	for tier := LowestTier; tier >= 0; tier-- {
-		if len(q.tiers[tier]) > q.Reserve {
+		if q.sheddable(tier) > q.Reserve {
 			return tier
 		}
 	}
 	return -1
 }
 
+// sheddable counts the waiting requests of a tier that have not begun.
+func (q *Queue) sheddable(tier int) int {
+	count := 0
+	for _, w := range q.tiers[tier] {
+		if !w.stopped {
+			count++
+		}
+	}
+	return count
+}
+
 func (q *Queue) newest(tier int) int {
-	newest := 0
+	newest := -1
 	for i, w := range q.tiers[tier] {
-		if w.arrived.After(q.tiers[tier][newest].arrived) {
+		if !w.stopped && (newest < 0 || w.arrived.After(q.tiers[tier][newest].arrived)) {
 			newest = i
 		}
 	}
@@ -157,6 +169,9 @@
 	q.tiers[tier] = slices.Insert(list, at, w)
 	q.work[tier] += w.item.Service
 	q.count++
+	if w.stopped {
+		q.stopped++
+	}
 }
 
 func (q *Queue) take(tier, at int) waiting {
@@ -164,6 +179,9 @@
 	q.tiers[tier] = slices.Delete(q.tiers[tier], at, at+1)
 	q.work[tier] -= w.item.Service
 	q.count--
+	if w.stopped {
+		q.stopped--
+	}
 	return w
 }
 
@@ -266,7 +284,7 @@
 	var actions Actions
 	for tier := range q.tiers {
 		for i := len(q.tiers[tier]) - 1; i >= 0; i-- {
-			if now.Before(q.tiers[tier][i].item.Deadline) {
+			if q.tiers[tier][i].stopped || now.Before(q.tiers[tier][i].item.Deadline) {
 				continue
 			}
 			w := q.take(tier, i)
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -176,6 +176,35 @@
 	}
 }
 
+// A stream that has begun is owed its end, however late: neither its deadline nor a full queue cuts it.
+func TestStoppedStreamIsNeitherExpiredNorShed(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	q.TrickleShare = 0
+	q.MaxWaiting = 1
+	q.Reserve = 0
+	q.SetLimit(1, begin)
+	stream := item(1, 5)
+	stream.Resumable = true
+	stream.Deadline = begin.Add(2 * time.Second)
+	q.Arrive(stream, begin)
+	q.Producing(1)
+	hurried := item(2, 0)
+	hurried.Due = begin
+	is.Equal(len(q.Arrive(hurried, begin).Preempt), 1)
+	is.Equal(len(q.Preempted(1, time.Second, begin).Refuse), 0)
+	later := begin.Add(time.Minute)
+	is.Equal(len(q.Tick(later).Refuse), 0)
+	other := item(3, 1)
+	other.Due = later.Add(time.Hour)
+	other.Deadline = later.Add(2 * time.Hour)
+	for _, refusal := range q.Arrive(other, later).Refuse {
+		is.True(refusal.ID != 1)
+	}
+	is.Equal(started(q.Done(2, later)), []uint64{3})
+	is.Equal(started(q.Done(3, later)), []uint64{1})
+}
+
 // In a long overload every tier is served, each at least as often as the share allows.
 func TestNoTierStarves(t *testing.T) {
 	is := is.New(t)
@@ -218,7 +247,8 @@
 		state := map[uint64]string{}
 		tiers := map[uint64]int{}
 		now := begin
-		apply := func(actions Actions) {
+		var apply func(actions Actions)
+		apply = func(actions Actions) {
 			for _, refusal := range actions.Refuse {
 				if state[refusal.ID] != "waiting" {
 					t.Fatalf("refused a request that is %q", state[refusal.ID])
@@ -240,9 +270,7 @@
 				}
 				state[p.For] = "running"
 				state[p.Victim] = "waiting"
-				for _, start := range q.Preempted(p.Victim, time.Second, now).Start {
-					state[start.ID] = "running"
-				}
+				apply(q.Preempted(p.Victim, time.Second, now))
 			}
 		}
 		for id := uint64(1); id <= uint64(rapid.IntRange(10, 150).Draw(t, "requests")); id++ {
--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -67,6 +67,8 @@
 		ClaimHolders:     settings.ClaimHolders,
 		Silence:          settings.Silence,
 		LogTimeout:       settings.LogTimeout,
+		LeaseLength:      node.DefaultLeaseLength,
+		DemandEvery:      node.DefaultDemandEvery,
 		LinkBytes:        settings.LinkBytes,
 		Logger:           logger,
 	}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -49,8 +49,11 @@
 	peerIdle           = 30 * time.Second
 	leaveTimeout       = time.Second
 	flushTimeout       = 5 * time.Second
-	leaseLength        = 12 * time.Second
-	leaseMargin        = 2 * time.Second
+	// DefaultLeaseLength is the length of the lease of the engine pool; a sixth of it is kept back for drift and pauses.
+	DefaultLeaseLength = 12 * time.Second
+	// DefaultDemandEvery is the time between the reports of demand to the lease's holder.
+	DefaultDemandEvery = 20 * time.Second
+	marginPart         = 6
 )
 
 // Node is one entry VM's process; its exported fields are set before Run.
@@ -87,6 +90,9 @@
 	// Silence is the longest that a stream may be silent; LogTimeout bounds a call to the platform.
 	Silence    time.Duration
 	LogTimeout time.Duration
+	// LeaseLength is the length of the engine pool's lease; DemandEvery is the time between reports of demand.
+	LeaseLength time.Duration
+	DemandEvery time.Duration
 	// LinkBytes is this node's share of the link between regions in bytes a second, zero for no limit.
 	LinkBytes float64
 	// Logger takes JSON lines.
@@ -273,12 +279,13 @@
 		ColdPrefix: routing.DefaultColdPrefix,
 	}
 	n.upstreams = &upstreams.Service{
-		Table:   table,
-		Ejector: ejector,
-		List:    n.platform.Machines,
-		Report:  n.upstream.Report,
-		Entries: n.seedEntries,
-		Logger:  n.Logger,
+		AvailabilityZone: n.AvailabilityZone,
+		Table:            table,
+		Ejector:          ejector,
+		List:             n.platform.Machines,
+		Report:           n.upstream.Report,
+		Entries:          n.seedEntries,
+		Logger:           n.Logger,
 	}
 }
 
@@ -313,9 +320,9 @@
 			Fold:        lease.NewFold(sealer),
 			Pool:        caller.EnginePool,
 			Incarnation: n.Name + "/" + n.incarnation,
-			Length:      leaseLength,
-			Margin:      leaseMargin,
-			OrderTime:   leaseLength,
+			Length:      n.LeaseLength,
+			Margin:      n.LeaseLength / marginPart,
+			OrderTime:   n.LeaseLength,
 		},
 		Planner:   placement.NewPlanner(),
 		Candidate: n.isLeaseCandidate,
--- a/internal/transport/node/owners.go
+++ b/internal/transport/node/owners.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	demandEvery    = 20 * time.Second
 	ownerTimeout   = time.Second
 	maxSlicesAsked = 4096
 )
@@ -117,7 +116,7 @@
 
 // runDemand tells the holder of the engine pool's lease what this node's callers ask for.
 func (n *Node) runDemand(ctx context.Context) {
-	ticker := time.NewTicker(demandEvery)
+	ticker := time.NewTicker(n.DemandEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/transport/upstreams/service.go
+++ b/internal/transport/upstreams/service.go
@@ -16,12 +16,16 @@
 	listEvery     = time.Second
 	reportEvery   = time.Second
 	reportTimeout = 2 * time.Second
-	maxPolls      = 32
-	leavingLife   = 30 * time.Second
+	// maxPolls is the number of upstreams that are all asked each second; of more, only farPolls a second are, near ones alone.
+	maxPolls    = 32
+	farPolls    = 2
+	leavingLife = 30 * time.Second
 )
 
 // Service keeps the table; its exported fields are set before Run.
 type Service struct {
+	// AvailabilityZone is where this node stands.
+	AvailabilityZone string
 	// Table is the table to keep.
 	Table *replica.Table
 	// Ejector judges the upstreams after each round of reports.
@@ -96,19 +100,29 @@
 
 func (s *Service) refreshReports(ctx context.Context) {
 	snapshot := s.Table.Load()
-	var all []*replica.Replica
-	for _, pool := range snapshot.Pools() {
-		all = append(all, snapshot.Pool(pool)...)
-	}
-	for range min(len(all), maxPolls) {
+	list, polls := s.toPoll(snapshot)
+	for range polls {
 		s.nextPoll++
-		if r := all[s.nextPoll%len(all)]; s.beginPoll(r.Name()) {
+		if r := list[s.nextPoll%len(list)]; s.beginPoll(r.Name()) {
 			go s.poll(ctx, r)
 		}
 	}
 	s.Ejector.Tick(snapshot, time.Now())
 }
 
+// toPoll returns the upstreams that take turns to be asked, and how many of them are asked now.
+func (s *Service) toPoll(snapshot *replica.Snapshot) (list []*replica.Replica, polls int) {
+	var near []*replica.Replica
+	for _, pool := range snapshot.Pools() {
+		list = append(list, snapshot.Pool(pool)...)
+		near = append(near, snapshot.Group(pool).Zone(s.AvailabilityZone)...)
+	}
+	if len(list) <= maxPolls {
+		return list, len(list)
+	}
+	return near, min(farPolls, len(near))
+}
+
 func (s *Service) beginPoll(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/lab/lab.go
+++ b/test/lab/lab.go
@@ -157,6 +157,8 @@
 		Retention:        4 * time.Hour,
 		Partitions:       2,
 		ClaimHolders:     3,
+		LeaseLength:      1200 * time.Millisecond,
+		DemandEvery:      300 * time.Millisecond,
 		Silence:          400 * time.Millisecond,
 		LogTimeout:       500 * time.Millisecond,
 		Logger:           zerolog.Nop(),
@@ -331,3 +333,19 @@
 	}
 	return entry.Addresses
 }
+
+// AddressOf returns the address of an upstream.
+func (l *Lab) AddressOf(name string) string {
+	for _, machine := range l.machines {
+		if machine.Name == name {
+			return machine.Address
+		}
+	}
+	return ""
+}
+
+// Pause lets a little time pass.
+func (l *Lab) Pause() {
+	const d = 100 * time.Millisecond
+	time.Sleep(d)
+}
