Reading: long files split by idea, repeated loops and test mains made one

Cause: read as a newcomer would: node.go, machine.go, claimer.go and queue.go held several ideas each; the same ticker loop stood seven times, the same test main four times, the same program frame three times.

Change: prepare.go, probe.go, learn.go, verdict.go, trickle.go and wait.go beside their packages' main files; package schedule with Every and Pause, tested with fake time; test/seed and fleet.Program. No behaviour changes; the tests keep their assertions.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -226,40 +226,6 @@
 	return LowestTier
 }
 
-// earn adds the share of one start at a tier to what the lower waiting tiers are owed.
-func (q *Queue) earn(tier int) {
-	const most = 3
-	if q.trickleTier(tier) >= 0 {
-		q.trickle = min(q.trickle+q.TrickleShare, most)
-	}
-}
-
-// turnDue reports whether a lower tier is owed a start, which it gets also beyond the limit: it delays, it displaces nobody.
-func (q *Queue) turnDue() bool {
-	return q.limit > 0 && q.trickle >= 1 && q.count > 0
-}
-
-// trickleTier returns the lower waiting tier whose turn is the longest ago, so that a busy one can't starve the others.
-func (q *Queue) trickleTier(top int) int {
-	next := -1
-	for tier := top + 1; tier < Tiers; tier++ {
-		if len(q.tiers[tier]) > 0 && (next < 0 || q.lastTurn[tier] < q.lastTurn[next]) {
-			next = tier
-		}
-	}
-	return next
-}
-
-func (q *Queue) longestWaiting(tier int) int {
-	longest := 0
-	for i, w := range q.tiers[tier] {
-		if w.arrived.Before(q.tiers[tier][longest].arrived) {
-			longest = i
-		}
-	}
-	return longest
-}
-
 // Done frees the place of a request that ran.
 func (q *Queue) Done(id uint64, now time.Time) Actions {
 	delete(q.running, id)
@@ -302,57 +268,6 @@
 	return q.start(now)
 }
 
-// Wait estimates how long a request of a tier arriving now would wait to start.
-func (q *Queue) Wait(tier int) time.Duration {
-	if q.hasRoom() {
-		return 0
-	}
-	strict := q.strictWait(tier)
-	if q.TrickleShare <= 0 || q.topTier() >= tier {
-		return strict
-	}
-	return min(strict, q.trickleWait(tier))
-}
-
-// strictWait counts the work ahead against the slots that higher arrivals are expected to leave free.
-func (q *Queue) strictWait(tier int) time.Duration {
-	const leastFree = 0.01
-	ahead := q.remaining()
-	for t := 0; t <= tier; t++ {
-		ahead += q.work[t]
-	}
-	free := max(float64(q.limit)-q.offered.above(tier), leastFree*float64(max(q.limit, 1)))
-	return time.Duration(float64(ahead) / free)
-}
-
-func (q *Queue) trickleWait(tier int) time.Duration {
-	waiting := time.Duration(0)
-	for t := q.topTier() + 1; t < Tiers; t++ {
-		if len(q.tiers[t]) > 0 && t != tier {
-			waiting++
-		}
-	}
-	turns := (waiting + 1) * time.Duration(len(q.tiers[tier])+1)
-	perStart := q.meanService() / time.Duration(max(q.limit, 1))
-	return time.Duration(float64(turns*perStart) / q.TrickleShare)
-}
-
-func (q *Queue) meanService() time.Duration {
-	if len(q.running) == 0 {
-		return 0
-	}
-	var sum time.Duration
-	for _, r := range q.running {
-		sum += r.item.Service
-	}
-	return sum / time.Duration(len(q.running))
-}
-
-// remaining takes half of what runs as still to do, as for items at a random point of their service.
-func (q *Queue) remaining() time.Duration {
-	return q.meanService() * time.Duration(len(q.running)) / 2
-}
-
 func (q *Queue) refusal(item Item, reason string, _ time.Time) Refusal {
 	after := min(max(q.Wait(item.Tier), minRetryAfter), maxRetryAfter)
 	return Refusal{
--- a/internal/transport/claims/partition.go
+++ b/internal/transport/claims/partition.go
@@ -9,6 +9,7 @@
 	"lagoongw/internal/coordination/claim"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/platform"
+	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/tail"
 )
 
@@ -24,14 +25,14 @@
 func (p *partition) followWhileHeld(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !p.service.Holds(p.number) {
-			pause(ctx, holdCheck)
+			schedule.Pause(ctx, holdCheck)
 			continue
 		}
 		held, stop := context.WithCancel(ctx)
 		var group sync.WaitGroup
 		group.Go(func() { p.follow(held) })
 		for ctx.Err() == nil && (p.service.Holds(p.number) || p.open()) {
-			pause(ctx, holdCheck)
+			schedule.Pause(ctx, holdCheck)
 		}
 		stop()
 		group.Wait()
@@ -48,13 +49,6 @@
 	return p.claimer.Waiting()+p.claimer.Unwritten() > 0
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // submit waits for the verdict on a key that this node claims itself.
 func (p *partition) submit(attempt, key, digest string, deadline time.Time) claim.Decision {
 	waiter := make(chan claim.Decision, 1)
@@ -84,16 +78,9 @@
 }
 
 func (p *partition) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.apply(func() claim.Actions { return p.claimer.Tick(time.Now()) })
-		}
-	}
+	schedule.Every(ctx, tickEvery, func(now time.Time) {
+		p.apply(func() claim.Actions { return p.claimer.Tick(now) })
+	})
 }
 
 // apply runs one event through the machine and carries out its actions.
--- a/internal/transport/leases/service.go
+++ b/internal/transport/leases/service.go
@@ -12,6 +12,7 @@
 	"lagoongw/internal/coordination/placement"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/tail"
 )
 
@@ -115,19 +116,12 @@
 }
 
 func (s *Service) act(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	schedule.Every(ctx, tickEvery, func(time.Time) {
 		if s.logUp.Load() && s.Candidate() {
 			s.seek(ctx)
 		}
 		s.place(ctx)
-	}
+	})
 }
 
 func (s *Service) seek(ctx context.Context) {
--- a/internal/transport/members/service.go
+++ b/internal/transport/members/service.go
@@ -13,6 +13,7 @@
 	"lagoongw/internal/coordination/membership"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/peer"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -111,23 +112,16 @@
 
 // Run probes until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.mu.Lock()
-			probes := s.Machine.Tick(now)
-			s.refresh()
-			s.mu.Unlock()
-			for _, probe := range probes {
-				go s.send(ctx, probe)
-			}
-			s.Client.CloseIdle(now)
+	schedule.Every(ctx, tickEvery, func(now time.Time) {
+		s.mu.Lock()
+		probes := s.Machine.Tick(now)
+		s.refresh()
+		s.mu.Unlock()
+		for _, probe := range probes {
+			go s.send(ctx, probe)
 		}
-	}
+		s.Client.CloseIdle(now)
+	})
 }
 
 func (s *Service) send(ctx context.Context, probe membership.Probe) {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -14,27 +11,15 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"lagoongw/internal/coordination/admission"
 	"lagoongw/internal/coordination/drain"
-	"lagoongw/internal/coordination/entry"
-	"lagoongw/internal/coordination/estimate"
-	"lagoongw/internal/coordination/lease"
-	"lagoongw/internal/coordination/membership"
 	"lagoongw/internal/coordination/placement"
 	"lagoongw/internal/coordination/quota"
-	"lagoongw/internal/coordination/retry"
-	"lagoongw/internal/coordination/rollout"
 	"lagoongw/internal/coordination/routing"
-	"lagoongw/internal/protocol/record"
-	"lagoongw/internal/protocol/wire"
-	"lagoongw/internal/state/outcome"
-	"lagoongw/internal/state/replica"
 	"lagoongw/internal/transport/caller"
 	"lagoongw/internal/transport/claims"
 	"lagoongw/internal/transport/leases"
 	"lagoongw/internal/transport/listener"
 	"lagoongw/internal/transport/members"
-	"lagoongw/internal/transport/operator"
 	"lagoongw/internal/transport/peer"
 	"lagoongw/internal/transport/platform"
 	"lagoongw/internal/transport/rules"
@@ -202,204 +187,3 @@
 		n.Logger.Error().Int("records", left).Msg("claim records not written before the end; their keys will answer unknown")
 	}
 }
-
-func (n *Node) prepare() error {
-	var random [6]byte
-	if _, err := rand.Read(random[:]); err != nil {
-		return eris.Wrap(err, "make incarnation")
-	}
-	n.incarnation = hex.EncodeToString(random[:])
-	n.drain.Linger = n.Keep + time.Second
-	n.platform = &platform.Client{
-		BaseURL:     n.Platform,
-		CallTimeout: n.LogTimeout,
-	}
-	n.platform.Open()
-	n.upstream = &upstream.Client{}
-	n.upstream.Open()
-	n.client = &peer.Client{
-		Name:   n.Name,
-		Secret: n.Secret,
-	}
-	n.pools.init()
-	n.owners.init()
-	n.limiter = quota.NewLimiter()
-	n.meter = placement.NewMeter(time.Now())
-	n.prepareMembers()
-	n.prepareUpstreams()
-	n.prepareLog()
-	n.prepareCaller()
-	n.prepareServer()
-	n.prepared.Store(true)
-	return nil
-}
-
-func (n *Node) prepareMembers() {
-	n.members = &members.Service{
-		Machine: &membership.Machine{
-			Self: wire.Member{
-				Name:             n.Name,
-				Incarnation:      int(time.Now().UnixMilli()),
-				Address:          n.PeerAddress,
-				CallerAddress:    n.Address,
-				AvailabilityZone: n.AvailabilityZone,
-				Region:           n.Region,
-			},
-			Period:         membership.DefaultPeriod,
-			ProbeTimeout:   membership.DefaultProbeTimeout,
-			SuspectTimeout: membership.DefaultSuspectTimeout,
-			ForgetAfter:    membership.DefaultForgetAfter,
-			Fanout:         membership.DefaultFanout,
-			MaxRows:        membership.DefaultMaxRows,
-			Contacts:       n.Seeds,
-			Random:         mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
-		},
-		Client: n.client,
-		Fill:   n.fillDigest,
-		Heard:  n.heard,
-		Logger: n.Logger,
-	}
-	n.members.Machine.Start(time.Now())
-}
-
-func (n *Node) prepareUpstreams() {
-	table := replica.NewTable()
-	ejector := routing.NewEjector()
-	n.router = &routing.Router{
-		Name:             n.Name,
-		AvailabilityZone: n.AvailabilityZone,
-		Region:           n.Region,
-		Table:            table,
-		Ejector:          ejector,
-		Link: &routing.Link{
-			BytesPerSecond: n.LinkBytes,
-			Burst:          n.LinkBytes,
-		},
-		ReportLife: routing.DefaultReportLife,
-		ColdPrefix: routing.DefaultColdPrefix,
-	}
-	n.upstreams = &upstreams.Service{
-		AvailabilityZone: n.AvailabilityZone,
-		Table:            table,
-		Ejector:          ejector,
-		List:             n.platform.Machines,
-		Report:           n.upstream.Report,
-		Entries:          n.seedEntries,
-		Logger:           n.Logger,
-	}
-}
-
-func (n *Node) prepareLog() {
-	sealer := record.Sealer{Secret: n.Secret}
-	n.rules = &rules.Service{
-		Log:             n.platform,
-		Fold:            rollout.NewFold(sealer),
-		Relay:           n.isRelay,
-		Checkpointer:    n.isCheckpointer,
-		Installed:       n.members.Announce,
-		CheckpointEvery: n.Retention / 8,
-		Logger:          n.Logger,
-	}
-	n.claims = &claims.Service{
-		Log:            n.platform,
-		Sealer:         sealer,
-		Incarnation:    n.Name + "-" + n.incarnation,
-		Partitions:     n.Partitions,
-		Lifetime:       n.KeyLifetime,
-		Holds:          n.holdsClaims,
-		Holders:        n.claimHolders,
-		Ask:            n.askClaim,
-		Tell:           n.tellClaim,
-		VerdictTimeout: n.LogTimeout + time.Second,
-		Logger:         n.Logger,
-	}
-	n.claims.Prepare()
-	n.leases = &leases.Service{
-		Log: n.platform,
-		Holder: &lease.Holder{
-			Fold:        lease.NewFold(sealer),
-			Pool:        caller.EnginePool,
-			Incarnation: n.Name + "/" + n.incarnation,
-			Length:      n.LeaseLength,
-			Margin:      n.LeaseLength / marginPart,
-			OrderTime:   n.LeaseLength,
-		},
-		Planner:   placement.NewPlanner(),
-		Candidate: n.isLeaseCandidate,
-		Checked: func() bool {
-			file := n.rules.File()
-			return file != nil && file.FencingChecked(caller.EnginePool)
-		},
-		Engines: func() []*replica.Replica { return n.router.Table.Load().Pool(caller.EnginePool) },
-		Order:   n.upstream.Order,
-		Logger:  n.Logger,
-	}
-}
-
-func (n *Node) prepareCaller() {
-	n.caller = &caller.Server{
-		Name: n.Name,
-		Place: entry.Place{
-			AvailabilityZone: n.AvailabilityZone,
-			Region:           n.Region,
-		},
-		Incarnation: n.incarnation,
-		Address:     n.Address,
-		Keep:        n.Keep,
-		KeyLifetime: n.KeyLifetime,
-		Silence:     n.Silence,
-		Rules:       n.rules.File,
-		Members:     n.members.Members,
-		Phase:       n.Phase,
-		Gate:        n.pools.gate,
-		MarkLeaving: n.upstreams.MarkLeaving,
-		Router:      n.router,
-		Claims:      n.claims,
-		Limiter:     n.limiter,
-		Upstream:    n.upstream,
-		Outcomes:    outcome.NewStore(rememberedRequests),
-		Estimates:   estimate.NewClasses(),
-		Budgets:     n.pools.budget,
-		AskPeer:     n.askPeer,
-		Metrics:     caller.NewMetrics(),
-		Demand:      n.meter.Count,
-		Logger:      n.Logger,
-	}
-}
-
-func (n *Node) prepareServer() {
-	n.server = &peer.Server{
-		Secret:      n.Secret,
-		IdleTimeout: peerIdle,
-		Log:         n.Logger,
-		Handlers: map[string]peer.Handler{
-			peer.MethodDigest:   n.members.HandleDigest,
-			peer.MethodIndirect: n.members.HandleIndirect,
-			peer.MethodRules:    n.handleRules,
-			peer.MethodSlices:   n.handleSlices,
-			peer.MethodDemand:   n.handleDemand,
-			peer.MethodStatus:   n.handleStatus,
-			peer.MethodClaim:    n.handleClaim,
-			peer.MethodNote:     n.handleNote,
-		},
-	}
-}
-
-func (n *Node) operator() *operator.Server {
-	return &operator.Server{
-		TokenHash: n.OperatorHash,
-		Rules:     n.rules,
-		Status:    n.Status,
-		Drain:     n.Drain,
-		Logger:    n.Logger,
-	}
-}
-
-// newGate returns the gate of a pool that was not seen before.
-func newGate(pool string) *admission.Gate {
-	return admission.NewGate(pool, admission.NewQueue())
-}
-
-func newBudget(string) *retry.Budget {
-	return &retry.Budget{}
-}
--- a/internal/transport/node/owners.go
+++ b/internal/transport/node/owners.go
@@ -13,6 +13,7 @@
 	"lagoongw/internal/coordination/rendezvous"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/peer"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -32,19 +33,12 @@
 
 // runOwners asks the teams' owners for slices, a batch for each owner.
 func (n *Node) runOwners(ctx context.Context) {
-	ticker := time.NewTicker(quota.AskEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.askOwners(ctx, now)
-			n.owners.mu.Lock()
-			n.owners.owner.Forget(now)
-			n.owners.mu.Unlock()
-		}
-	}
+	schedule.Every(ctx, quota.AskEvery, func(now time.Time) {
+		n.askOwners(ctx, now)
+		n.owners.mu.Lock()
+		n.owners.owner.Forget(now)
+		n.owners.mu.Unlock()
+	})
 }
 
 func (n *Node) askOwners(ctx context.Context, now time.Time) {
@@ -116,16 +110,7 @@
 
 // runDemand tells the holder of the engine pool's lease what this node's callers ask for.
 func (n *Node) runDemand(ctx context.Context) {
-	ticker := time.NewTicker(n.DemandEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.reportDemand(ctx, now)
-		}
-	}
+	schedule.Every(ctx, n.DemandEvery, func(now time.Time) { n.reportDemand(ctx, now) })
 }
 
 func (n *Node) reportDemand(ctx context.Context, now time.Time) {
--- a/internal/transport/node/pools.go
+++ b/internal/transport/node/pools.go
@@ -9,6 +9,7 @@
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -120,16 +121,7 @@
 
 // runPools keeps each gate's limit at this node's share of its pool.
 func (n *Node) runPools(ctx context.Context) {
-	ticker := time.NewTicker(poolTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.tickPools(now)
-		}
-	}
+	schedule.Every(ctx, poolTick, n.tickPools)
 }
 
 func (n *Node) tickPools(now time.Time) {
--- a/internal/transport/rules/service.go
+++ b/internal/transport/rules/service.go
@@ -14,6 +14,7 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rule"
 	"lagoongw/internal/transport/platform"
+	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/tail"
 )
 
@@ -228,16 +229,7 @@
 }
 
 func (s *Service) checkpoints(ctx context.Context) {
-	ticker := time.NewTicker(s.CheckpointEvery / 4)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.checkpoint(ctx)
-		}
-	}
+	schedule.Every(ctx, s.CheckpointEvery/4, func(time.Time) { s.checkpoint(ctx) })
 }
 
 func (s *Service) checkpoint(ctx context.Context) {
--- /dev/null
+++ b/internal/transport/schedule/doc.go
@@ -0,0 +1,2 @@
+// Package schedule repeats work at a period until a context ends.
+package schedule
--- a/internal/transport/tail/tail.go
+++ b/internal/transport/tail/tail.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -49,10 +50,10 @@
 		t.Health(err == nil, err)
 		if err == nil {
 			pause = firstPause
-			sleep(ctx, t.idle())
+			schedule.Pause(ctx, t.idle())
 			continue
 		}
-		sleep(ctx, pause)
+		schedule.Pause(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
@@ -87,15 +88,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/transport/upstreams/service.go
+++ b/internal/transport/upstreams/service.go
@@ -10,6 +10,7 @@
 	"lagoongw/internal/coordination/routing"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -48,25 +49,13 @@
 
 // Run refreshes the list and the reports until the context ends.
 func (s *Service) Run(ctx context.Context) {
+	s.refreshList(ctx)
 	var group sync.WaitGroup
-	group.Go(func() { every(ctx, listEvery, s.refreshList) })
-	group.Go(func() { every(ctx, reportEvery, s.refreshReports) })
+	group.Go(func() { schedule.Every(ctx, listEvery, func(time.Time) { s.refreshList(ctx) }) })
+	group.Go(func() { schedule.Every(ctx, reportEvery, func(time.Time) { s.refreshReports(ctx) }) })
 	group.Wait()
 }
 
-func every(ctx context.Context, period time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (s *Service) refreshList(ctx context.Context) {
 	machines, err := s.List(ctx)
 	if err != nil {
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -5,21 +5,14 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"lagoongw/test/fleet"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
+	fleet.Program("demo", run)
 }
 
 func run(ctx context.Context) error {
@@ -130,12 +123,6 @@
 	if err != nil {
 		return err
 	}
-	twice := 0
-	for _, count := range executions {
-		if count > 1 {
-			twice++
-		}
-	}
-	fmt.Printf("\norder desks executed %d different orders; %d of them more than once\n", len(executions), twice)
+	fmt.Printf("\norder desks executed %d different orders; %d of them more than once\n", len(executions), fleet.MoreThanOnce(executions))
 	return nil
 }
--- a/test/latency/main.go
+++ b/test/latency/main.go
@@ -8,12 +8,10 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -32,12 +30,7 @@
 	if _, err := flags.Parse(&s); err != nil {
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, s); err != nil {
-		fmt.Fprintln(os.Stderr, "latency:", err)
-		os.Exit(1)
-	}
+	fleet.Program("latency", func(ctx context.Context) error { return run(ctx, s) })
 }
 
 func run(ctx context.Context, s settings) error {
--- a/test/outage/main.go
+++ b/test/outage/main.go
@@ -5,9 +5,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -26,12 +24,7 @@
 	if _, err := flags.Parse(&s); err != nil {
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, s); err != nil {
-		fmt.Fprintln(os.Stderr, "outage:", err)
-		os.Exit(1)
-	}
+	fleet.Program("outage", func(ctx context.Context) error { return run(ctx, s) })
 }
 
 // counts is what callers were told, and how long they waited for the word.
@@ -123,12 +116,6 @@
 	if err != nil {
 		return err
 	}
-	twice := 0
-	for _, count := range executions {
-		if count > 1 {
-			twice++
-		}
-	}
-	fmt.Printf("order desks: %d orders ran, %d of them more than once\n", len(executions), twice)
+	fmt.Printf("order desks: %d orders ran, %d of them more than once\n", len(executions), fleet.MoreThanOnce(executions))
 	return nil
 }
