Plain chat answers: tokens charged, ID in the body checked, long ones not taken for hung

Cause: (a) only streams were charged to a team's token limit; (b) a plain answer was matched by a header alone, which an engine may not send; (c) a plain answer that took more than a third of its deadline was cut and asked for again, three times, and told unknown: found by the test for (a), with 2,000 tokens and a deadline of 5 s; (d) the service time learned of a class had the wait in the queue in it, so that waiting made the node refuse more.

Change: usage of the answer is charged; its id must be the request's; an attempt at an engine may take four times what its class usually takes; service time counts from admission.

Before/after: the 2,000-token answer unknown / completed; a second request of a team with 10 tokens/s right after it: run / refused with 429.

Also: lagoongw status shows the measures of each class; a test that pieces reach the caller while the stream is open.

Ruled out: asking engines for a stream and assembling the plain answer; fields that this program does not know would be lost.

--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -174,6 +174,39 @@
 	WithinMs int `json:"within-ms"`
 }
 
+// ClassStatus is what a node has measured of one class.
+type ClassStatus struct {
+	// Attained corresponds to the JSON schema field "attained".
+	Attained int `json:"attained"`
+
+	// Class corresponds to the JSON schema field "class".
+	Class string `json:"class"`
+
+	// Completed corresponds to the JSON schema field "completed".
+	Completed int `json:"completed"`
+
+	// Failed corresponds to the JSON schema field "failed".
+	Failed int `json:"failed"`
+
+	// NotRun corresponds to the JSON schema field "not-run".
+	NotRun int `json:"not-run"`
+
+	// Owed corresponds to the JSON schema field "owed".
+	Owed int `json:"owed"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens"`
+
+	// Unknown corresponds to the JSON schema field "unknown".
+	Unknown int `json:"unknown"`
+
+	// WastedTokens corresponds to the JSON schema field "wasted-tokens".
+	WastedTokens int `json:"wasted-tokens"`
+}
+
 // DemandReport tells the holder of a pool's lease what a node's callers ask for.
 type DemandReport struct {
 	// Demands corresponds to the JSON schema field "demands".
@@ -440,6 +473,9 @@
 	// AvailabilityZone corresponds to the JSON schema field "availability-zone".
 	AvailabilityZone string `json:"availability-zone"`
 
+	// Classes corresponds to the JSON schema field "classes".
+	Classes []ClassStatus `json:"classes,omitempty,omitzero"`
+
 	// LogReachable corresponds to the JSON schema field "log-reachable".
 	LogReachable bool `json:"log-reachable"`
 
--- a/internal/transport/caller/admit.go
+++ b/internal/transport/caller/admit.go
@@ -157,6 +157,7 @@
 		Resumable: j.stream && j.rule.Idempotent(),
 	})
 	j.pass = pass
+	j.admitted = time.Now()
 	if refused == nil {
 		return nil
 	}
--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"lagoongw/internal/coordination/routing"
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/outcome"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/transport/upstream"
@@ -109,7 +111,7 @@
 
 // once sends one attempt and reads the whole answer; maybeRan tells whether the upstream can have acted on it.
 func (s *Server) once(ctx context.Context, j *job, chosen *replica.Replica) (answer reply, maybeRan bool, err error) {
-	ctx, cancel := attemptContext(ctx, j)
+	ctx, cancel := s.attemptContext(ctx, j)
 	defer cancel()
 	chosen.Begin()
 	defer chosen.End()
@@ -131,26 +133,59 @@
 		return reply{}, true, err
 	}
 	s.spendLink(chosen, len(body))
-	if id := response.Header.Get(upstream.HeaderRequestID); id != "" && id != j.id {
+	answer = reply{
+		status:      response.StatusCode,
+		contentType: response.Header.Get("Content-Type"),
+		body:        body,
+	}
+	if j.pool == EnginePool {
+		answer.chat = decodeChat(body)
+	}
+	if !answer.belongsTo(j.id, response.Header.Get(upstream.HeaderRequestID)) {
 		s.crossed(j, chosen)
 		return reply{}, true, errCrossed
 	}
 	chosen.Succeeded()
 	chosen.Observe(time.Since(began))
-	return reply{
-		status:      response.StatusCode,
-		contentType: response.Header.Get("Content-Type"),
-		body:        body,
-	}, true, nil
+	return answer, true, nil
+}
+
+// decodeChat reads what routing needs of a whole chat answer; another answer gives nothing.
+func decodeChat(body []byte) wire.ChatAnswer {
+	var chat wire.ChatAnswer
+	if json.Unmarshal(body, &chat) != nil {
+		return wire.ChatAnswer{}
+	}
+	return chat
+}
+
+// belongsTo reports whether neither the header nor the body names another request.
+func (r reply) belongsTo(id, header string) bool {
+	return (header == "" || header == id) && (r.chat.ID == "" || r.chat.ID == id)
+}
+
+// tokens returns the tokens that an engine says it generated.
+func (r reply) tokens() int {
+	if r.chat.Usage == nil {
+		return 0
+	}
+	return max(r.chat.Usage.CompletionTokens, 0)
 }
 
 // attemptContext leaves time for the other attempts when one hangs and may be repeated.
-func attemptContext(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+//
+// A whole chat answer that is merely long must not be taken for hung, as all of it would be generated again.
+func (s *Server) attemptContext(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+	const muchLonger = 4
 	left := time.Until(j.deadline())
-	if j.rule.Idempotent() {
-		left /= time.Duration(max(maxAttempts-j.failures, 1))
+	if !j.rule.Idempotent() {
+		return context.WithTimeout(ctx, left)
+	}
+	part := left / time.Duration(max(maxAttempts-j.failures, 1))
+	if j.pool == EnginePool {
+		part = max(part, muchLonger*s.Estimates.Service(j.class()))
 	}
-	return context.WithTimeout(ctx, left)
+	return context.WithTimeout(ctx, min(part, left))
 }
 
 func failedToRun(chosen *replica.Replica, err error) bool {
--- a/internal/transport/caller/job.go
+++ b/internal/transport/caller/job.go
@@ -20,6 +20,7 @@
 type job struct {
 	id       string
 	started  time.Time
+	admitted time.Time
 	team     *rule.Team
 	rule     *rule.Rule
 	pool     string
@@ -145,6 +146,7 @@
 	status      int
 	contentType string
 	body        []byte
+	chat        wire.ChatAnswer
 }
 
 var verdictOutcome = map[claim.Verdict]outcome.Outcome{
--- a/internal/transport/caller/service.go
+++ b/internal/transport/caller/service.go
@@ -56,8 +56,13 @@
 		s.end(w, j, *e)
 		return
 	}
-	s.Estimates.Observe(j.class(), time.Since(j.started), 0)
-	s.Metrics.Update(j.class(), func(c *ClassCounts) { c.firstToken(j.rule.FirstToken(), time.Since(j.started)) })
+	tokens := answer.tokens()
+	s.Estimates.Observe(j.class(), time.Since(j.admitted), tokens)
+	s.Limiter.Charge(j.team.Name(), tokens, time.Now())
+	s.Metrics.Update(j.class(), func(c *ClassCounts) {
+		c.Tokens += int64(tokens)
+		c.firstToken(j.rule.FirstToken(), time.Since(j.started))
+	})
 	s.pass(w, j, result, answer)
 }
 
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -194,7 +194,7 @@
 
 // remaining is the service time still expected of a stream, by the tokens that its class usually has.
 func (s *Server) remaining(j *job) time.Duration {
-	elapsed := time.Since(j.started)
+	elapsed := time.Since(j.admitted)
 	if j.offset == 0 {
 		return s.Estimates.Service(j.class())
 	}
@@ -204,7 +204,7 @@
 
 func (s *Server) finishStream(out *streamWriter, j *job) {
 	s.Budgets(j.pool).Success(s.Rules().RetryShare())
-	s.Estimates.Observe(j.class(), time.Since(j.started), j.offset)
+	s.Estimates.Observe(j.class(), time.Since(j.admitted), j.offset)
 	s.Limiter.Charge(j.team.Name(), j.offset, time.Now())
 	s.settle(j, j.status(outcome.Completed, ""))
 	out.finish(outcome.Completed, "")
--- a/internal/transport/command/cmd_status.go
+++ b/internal/transport/command/cmd_status.go
@@ -43,6 +43,11 @@
 	for _, pool := range status.Pools {
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", pool.Pool, pool.Limit, pool.InFlight, pool.Queued, pool.Floor)
 	}
+	_, _ = fmt.Fprintln(w, "\nCLASS\tREQUESTS\tCOMPLETED\tNOT RUN\tFAILED\tUNKNOWN\tATTAINED\tTOKENS\tWASTED")
+	for _, c := range status.Classes {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d of %d\t%d\t%d\n", c.Class, c.Requests, c.Completed,
+			c.NotRun, c.Failed, c.Unknown, c.Attained, c.Owed, c.Tokens, c.WastedTokens)
+	}
 	_, _ = fmt.Fprintln(w, "\nUPSTREAM\tADDRESS\tZONE\tIN FLIGHT\tREPORTED\tLEAVING\tEJECTED")
 	for _, pool := range status.Pools {
 		for _, r := range pool.Replicas {
--- a/internal/transport/command/settings_test.go
+++ b/internal/transport/command/settings_test.go
@@ -92,6 +92,15 @@
 		State:            "serving",
 		Revision:         7,
 		LogReachable:     true,
+		Classes: []wire.ClassStatus{{
+			Class:     "changeover",
+			Requests:  20,
+			Completed: 18,
+			NotRun:    2,
+			Owed:      18,
+			Attained:  17,
+			Tokens:    900,
+		}},
 		Members: []wire.Member{{
 			Name:             "entry-2",
 			State:            1,
--- a/internal/transport/node/status.go
+++ b/internal/transport/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"lagoongw/internal/protocol/wire"
@@ -29,9 +30,30 @@
 		}
 		status.Pools = append(status.Pools, row)
 	}
+	status.Classes = classRows(n.caller.Metrics.Snapshot())
 	return status
 }
 
+func classRows(classes map[string]caller.ClassCounts) []wire.ClassStatus {
+	rows := make([]wire.ClassStatus, 0, len(classes))
+	for class, c := range classes {
+		rows = append(rows, wire.ClassStatus{
+			Class:        class,
+			Requests:     int(c.Requests),
+			Completed:    int(c.Completed),
+			NotRun:       int(c.NotRun),
+			Failed:       int(c.Failed),
+			Unknown:      int(c.Unknown),
+			Owed:         int(c.Owed),
+			Attained:     int(c.Attained),
+			Tokens:       int(c.Tokens),
+			WastedTokens: int(c.WastedTokens),
+		})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Class < rows[j].Class })
+	return rows
+}
+
 func (n *Node) replicaStatus(r *replica.Replica, now time.Time) wire.ReplicaStatus {
 	reported := 0
 	if load := r.Load(); load != nil {
--- a/test/fleet/request.go
+++ b/test/fleet/request.go
@@ -39,14 +39,22 @@
 
 // Chat asks for a completion of a number of tokens, streamed or not.
 func Chat(ctx context.Context, node *Process, token, prompt string, tokens int, stream bool) (Answer, error) {
+	r, err := chatRequest(ctx, node, token, prompt, tokens, stream)
+	if err != nil {
+		return Answer{}, err
+	}
+	return send(r)
+}
+
+func chatRequest(ctx context.Context, node *Process, token, prompt string, tokens int, stream bool) (*http.Request, error) {
 	body := fmt.Sprintf(`{"model":"planner","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		return Answer{}, err
+		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+token)
 	r.Header.Set("Content-Type", "application/json")
-	return send(r)
+	return r, nil
 }
 
 func send(r *http.Request) (Answer, error) {
@@ -129,3 +137,25 @@
 	err = json.Unmarshal([]byte(answer.Body), &key)
 	return key.Key, err
 }
+
+// FirstPieces asks for a long stream, and counts pieces until there are enough; then it leaves.
+func FirstPieces(ctx context.Context, node *Process, token, prompt string, enough int) (int, error) {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	r, err := chatRequest(ctx, node, token, prompt, 1000, true)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	pieces := 0
+	for scanner := bufio.NewScanner(response.Body); pieces < enough && scanner.Scan(); {
+		if strings.HasPrefix(scanner.Text(), "data: ") {
+			pieces++
+		}
+	}
+	return pieces, nil
+}
--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/transport/node"
 	"lagoongw/test/fleet"
 	"lagoongw/test/lab"
 	"lagoongw/test/standin"
@@ -196,3 +198,37 @@
 	is.NoErr(err)
 	is.Equal(other.Status, 404) // another team learns nothing
 }
+
+// Pieces reach the caller while the stream is still open.
+func TestStreamsAreFlushedPieceByPiece(t *testing.T) {
+	is := is.New(t)
+	l := lab.Start(t, lab.Settings{
+		Nodes:   1,
+		Engines: 1,
+		Rules:   rules(),
+		Change:  func(n *node.Node) { n.Silence = time.Minute },
+	})
+	l.Engines[0].Set(once(standin.FaultSilent)) // it stops after three pieces, and stays open
+	pieces, err := fleet.FirstPieces(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "which coil?", 3)
+	is.NoErr(err)
+	is.Equal(pieces, 3)
+	is.Equal(l.Nodes[0].Status().Pools[0].InFlight, 1)
+}
+
+// A plain answer's tokens count against the team's limit, as a stream's do.
+func TestTokensOfPlainAnswersAreCharged(t *testing.T) {
+	is := is.New(t)
+	limited := strings.Replace(rules(), "team=mill ", "team=mill tokens-per-second=10 ", 1)
+	l := lab.Start(t, lab.Settings{
+		Nodes:   1,
+		Engines: 1,
+		Rules:   limited,
+	})
+	first, err := fleet.Chat(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "long", 2000, false)
+	is.NoErr(err)
+	is.Equal(first.Outcome, "completed")
+	second, err := fleet.Chat(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "again", 2, false)
+	is.NoErr(err)
+	is.Equal(second.Status, 429)
+	is.Equal(second.Outcome, "not-run")
+}
