--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -92,17 +92,17 @@
 
 func (q *Queue) refuse(item Item, now time.Time) (Refusal, bool) {
 	if !now.Before(item.Deadline) {
-		return q.refusal(item, "deadline passed", now), true
+		return q.refusal(item, "deadline passed"), true
 	}
 	if q.hasRoom() || len(q.tiers[item.Tier]) < q.Reserve {
 		return Refusal{}, false
 	}
 	if item.Tier > q.Floor.Effective(now) {
-		return q.refusal(item, "tier below the admission floor", now), true
+		return q.refusal(item, "tier below the admission floor"), true
 	}
 	left := item.Deadline.Sub(now)
 	if q.Wait(item.Tier) > left-min(item.Service, left/2) {
-		return q.refusal(item, "cannot start before its deadline", now), true
+		return q.refusal(item, "cannot start before its deadline"), true
 	}
 	return Refusal{}, false
 }
@@ -125,11 +125,11 @@
 		return nil
 	}
 	if lowest == item.Tier {
-		return []Refusal{q.refusal(item, "queue full", now)}
+		return []Refusal{q.refusal(item, "queue full")}
 	}
 	newest := q.newest(lowest)
 	shed := q.take(lowest, newest)
-	return []Refusal{q.refusal(shed.item, "shed for a higher tier", now)}
+	return []Refusal{q.refusal(shed.item, "shed for a higher tier")}
 }
 
 func (q *Queue) lowestAboveReserve() int {
@@ -254,7 +254,7 @@
 				continue
 			}
 			w := q.take(tier, i)
-			actions.Refuse = append(actions.Refuse, q.refusal(w.item, "deadline passed while waiting", now))
+			actions.Refuse = append(actions.Refuse, q.refusal(w.item, "deadline passed while waiting"))
 		}
 	}
 	return actions
@@ -268,7 +268,7 @@
 	return q.start(now)
 }
 
-func (q *Queue) refusal(item Item, reason string, _ time.Time) Refusal {
+func (q *Queue) refusal(item Item, reason string) Refusal {
 	after := min(max(q.Wait(item.Tier), minRetryAfter), maxRetryAfter)
 	return Refusal{
 		ID:         item.ID,
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -31,6 +31,10 @@
 	paused bool
 	inbox  []wire.LogRecord
 	asked  []wire.LeaseRecord
+	// wakes and releases are when a pause ends and when what was held back takes effect.
+	wakes    time.Duration
+	releases time.Duration
+	held     []wire.LeaseRecord
 }
 
 func newNode(name string, rate float64) *node {
--- a/internal/coordination/membership/learn.go
+++ b/internal/coordination/membership/learn.go
@@ -11,9 +11,6 @@
 
 func (m *Machine) merge(digest wire.Digest, now time.Time) {
 	m.learn(digest.From, now)
-	if sender := m.members[digest.From.Name]; sender != nil {
-		sender.lastHeard = now
-	}
 	for _, row := range digest.Members {
 		m.learn(row, now)
 	}
--- a/internal/coordination/membership/state.go
+++ b/internal/coordination/membership/state.go
@@ -32,12 +32,11 @@
 	return "invalid"
 }
 
-// member is one known node; lastHeard is when it last spoke to this node directly.
+// member is one known node.
 type member struct {
-	row       wire.Member
-	since     time.Time
-	lastHeard time.Time
-	sends     int
+	row   wire.Member
+	since time.Time
+	sends int
 }
 
 func (m *member) state() State { return State(m.row.State) }
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -44,8 +44,6 @@
 
 // Router chooses upstreams; it is safe for concurrent use once its fields are set.
 type Router struct {
-	// Name is this node's name, which decides its subset of a large pool.
-	Name string
 	// AvailabilityZone and Region are where this node stands.
 	AvailabilityZone string
 	Region           string
--- a/internal/coordination/routing/router_test.go
+++ b/internal/coordination/routing/router_test.go
@@ -35,7 +35,6 @@
 	table := replica.NewTable()
 	table.Update(engines(count))
 	return &Router{
-		Name:             "entry-1",
 		AvailabilityZone: "zone-0",
 		Region:           "region-0",
 		Table:            table,
--- a/internal/transport/node/prepare.go
+++ b/internal/transport/node/prepare.go
@@ -97,7 +97,6 @@
 	table := replica.NewTable()
 	ejector := routing.NewEjector()
 	n.router = &routing.Router{
-		Name:             n.Name,
 		AvailabilityZone: n.AvailabilityZone,
 		Region:           n.Region,
 		Table:            table,
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -100,11 +100,6 @@
 	return answer.Machines, err
 }
 
-// Weight fetches the weights of a model once from the rate-limited weight store, as an engine's load would.
-func (c *Client) Weight(ctx context.Context, model string) error {
-	return c.get(ctx, "/weights/"+url.PathEscape(model), c.CallTimeout, nil)
-}
-
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -120,9 +115,6 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("get %s: platform answered %d", path, response.StatusCode)
 	}
-	if into == nil {
-		return nil
-	}
 	return eris.Wrapf(decode(response.Body, into), "get %s from platform", path)
 }
 
--- a/internal/transport/platform/client_test.go
+++ b/internal/transport/platform/client_test.go
@@ -172,10 +172,3 @@
 	_, err = client.Read(t.Context(), stream, 0, 0)
 	is.NoErr(err)
 }
-
-func TestWeightStoreIsLimited(t *testing.T) {
-	is := is.New(t)
-	client := open(t, &standin.Platform{WeightEvery: time.Hour})
-	is.NoErr(client.Weight(t.Context(), "planner"))
-	is.True(client.Weight(t.Context(), "quoter") != nil)
-}
--- a/internal/transport/platform/doc.go
+++ b/internal/transport/platform/doc.go
@@ -1,2 +1,2 @@
-// Package platform is the client of the platform's append-only log, list of VMs and weight store.
+// Package platform is the client of the platform's append-only log and list of VMs.
 package platform
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -31,12 +31,11 @@
 )
 
 const (
-	serviceName   = "upstream"
-	dialTimeout   = 500 * time.Millisecond
-	idleTimeout   = 30 * time.Second
-	maxReport     = 1 << 20
-	maxIdlePerVM  = 256
-	controlMethod = http.MethodPost
+	serviceName  = "upstream"
+	dialTimeout  = 500 * time.Millisecond
+	idleTimeout  = 30 * time.Second
+	maxReport    = 1 << 20
+	maxIdlePerVM = 256
 )
 
 // Call is one attempt of a request at one upstream.
@@ -170,7 +169,7 @@
 	if err != nil {
 		return false, err
 	}
-	request, err := http.NewRequestWithContext(ctx, controlMethod, "http://"+address+"/order", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/order", bytes.NewReader(body))
 	if err != nil {
 		return false, err
 	}
--- a/test/policy/fleet_test.go
+++ b/test/policy/fleet_test.go
@@ -137,7 +137,6 @@
 		queue.SetLimit(admission.Share(slots*len(w.engines), nodes, 0, 0), l.clock())
 		l.queues = append(l.queues, queue)
 		l.routers = append(l.routers, &routing.Router{
-			Name:             fmt.Sprintf("entry-%d", i),
 			AvailabilityZone: region,
 			Region:           region,
 			Table:            table,
