Reading: one hash for rendezvous, one JSON answer, one check of names; unused parts gone

The hash by which upstreams are ranked stood twice, in replica and in rendezvous, and affinity depends on both being equal with nothing to check it; a JSON answer was written in two packages; the patterns of names and token hashes stood in the rule parser and in the settings; six functions and a field were reached by nothing.

Change: rendezvous is a package of the state layer, and replica calls its Hash; listener.WriteJSON; rule.IsName and rule.IsTokenHash. Gone: lease.Fold.Next, Rule.Name and Comment, Histogram.Count and Quantile, Fleet.SetMachineState. Behaviour and assertions are as they were.

Ruled out: clearing the write deadline of a connection after a stream; net/http resets it at the end of each request, and a test written for it passed without the change, so neither went in.

--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -2,8 +2,8 @@
 
 import (
 	"lagoongw/internal/coordination/membership"
-	"lagoongw/internal/coordination/rendezvous"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 )
 
 // MaxAddresses bounds an answer.
--- a/internal/coordination/estimate/histogram.go
+++ b/internal/coordination/estimate/histogram.go
@@ -36,9 +36,6 @@
 	h.sum /= 2
 }
 
-// Count returns the weight of what was observed.
-func (h *Histogram) Count() float64 { return h.total }
-
 // Mean returns the mean of the observed values, or otherwise when there are none.
 func (h *Histogram) Mean(otherwise float64) float64 {
 	if h.total == 0 {
@@ -47,22 +44,6 @@
 	return h.sum / h.total
 }
 
-// Quantile returns an upper bound of the q-quantile, or otherwise when nothing was observed.
-func (h *Histogram) Quantile(q, otherwise float64) float64 {
-	if h.total == 0 {
-		return otherwise
-	}
-	rank := q * h.total
-	seen := 0.0
-	for i, count := range h.counts {
-		seen += count
-		if seen >= rank && count > 0 {
-			return upperOf(i)
-		}
-	}
-	return upperOf(buckets - 1)
-}
-
 // MeanAbove returns the expected final value of an item that has already reached a value.
 func (h *Histogram) MeanAbove(reached, otherwise float64) float64 {
 	first := bucketOf(reached)
--- a/internal/coordination/lease/fold.go
+++ b/internal/coordination/lease/fold.go
@@ -52,9 +52,6 @@
 	return grant, ok
 }
 
-// Next returns the offset that is read next.
-func (f *Fold) Next() int { return f.next }
-
 // Restart forgets what was read; reading begins again at the oldest retained offset.
 func (f *Fold) Restart(oldest int) {
 	f.grants = map[string]Grant{}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"lagoongw/internal/coordination/rendezvous"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/state/replica"
 )
 
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -1,13 +1,13 @@
 package replica
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 )
 
 // Kinds of machines in the platform's list.
@@ -61,18 +61,11 @@
 func New(machine wire.Machine) *Replica {
 	return &Replica{
 		machine: machine,
-		hash:    hashName(machine.Name),
+		hash:    rendezvous.Hash(machine.Name),
 	}
 }
 
-// hashName is the 64-bit FNV-1a hash, as rendezvous computes it.
-func hashName(name string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(name))
-	return hash.Sum64()
-}
-
-// Hash returns the hash of the machine's name.
+// Hash returns the hash of the machine's name, for rendezvous.
 func (r *Replica) Hash() uint64 { return r.hash }
 
 // Name returns the machine's name.
--- a/internal/state/rule/parse.go
+++ b/internal/state/rule/parse.go
@@ -13,6 +13,12 @@
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
+// IsName reports whether a text is a name in kebab case of at most 64 characters.
+func IsName(text string) bool { return namePattern.MatchString(text) }
+
+// IsTokenHash reports whether a text has the form in which tokens stand in a rule file.
+func IsTokenHash(text string) bool { return hashPattern.MatchString(text) }
+
 // Problems is every fault found in a rule file.
 type Problems []Problem
 
@@ -72,7 +78,7 @@
 		return
 	}
 	first := p.current.fields[0]
-	if !namePattern.MatchString(first.value) {
+	if !IsName(first.value) {
 		p.fault(first.key, "expected a name in kebab case of at most 64 characters, not %q", first.value)
 	}
 	if before, twice := p.seen[first.key+"="+first.value]; twice {
@@ -99,7 +105,7 @@
 		switch f.key {
 		case "token-sha256":
 			team.tokenHash = f.value
-			if !hashPattern.MatchString(f.value) {
+			if !IsTokenHash(f.value) {
 				p.fault(f.key, "expected 64 hexadecimal digits in lower case")
 			}
 		case "requests-per-second":
@@ -129,7 +135,6 @@
 		model:    Any,
 		tier:     -1,
 		deadline: DefaultDeadline,
-		comment:  p.current.comment,
 	}
 	idempotentGiven := false
 	for _, f := range p.current.fields[1:] {
@@ -166,7 +171,7 @@
 }
 
 func (p *parser) require(r *Rule, idempotentGiven bool) {
-	if !namePattern.MatchString(r.class) {
+	if !IsName(r.class) {
 		p.fault("class", "expected a name in kebab case")
 	}
 	if r.tier < 0 {
@@ -176,7 +181,7 @@
 		p.fault("idempotent", "expected yes or no")
 	}
 	for _, team := range r.teams {
-		if team != Any && !namePattern.MatchString(team) {
+		if team != Any && !IsName(team) {
 			p.fault("team", "expected * or names in kebab case split by commas, not %q", team)
 		}
 	}
--- a/internal/state/rule/rule.go
+++ b/internal/state/rule/rule.go
@@ -28,12 +28,8 @@
 	betweenTokens time.Duration
 	deadline      time.Duration
 	idempotent    bool
-	comment       string
 }
 
-// Name returns the rule's name.
-func (r *Rule) Name() string { return r.name }
-
 // Class returns the name of the class of the matched requests.
 func (r *Rule) Class() string { return r.class }
 
@@ -52,9 +48,6 @@
 // Idempotent reports whether a matched request may run more than once.
 func (r *Rule) Idempotent() bool { return r.idempotent }
 
-// Comment returns who asked for the rule.
-func (r *Rule) Comment() string { return r.comment }
-
 // Request is what a rule is matched against.
 type Request struct {
 	Team    string
--- a/internal/transport/caller/answer.go
+++ b/internal/transport/caller/answer.go
@@ -1,11 +1,12 @@
 package caller
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"lagoongw/internal/transport/listener"
+
 	"lagoongw/internal/coordination/entry"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/outcome"
@@ -37,7 +38,7 @@
 	if e.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((e.retryAfter+time.Second-1)/time.Second)))
 	}
-	writeJSON(w, e.status, wire.ErrorAnswer{
+	listener.WriteJSON(w, e.status, wire.ErrorAnswer{
 		Error: wire.ErrorDetail{
 			Message: e.message,
 			Type:    string(e.outcome),
@@ -80,12 +81,6 @@
 	_, _ = w.Write(answer.body)
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 func badRequest(field, message string) *ending {
 	return &ending{
 		status:  http.StatusBadRequest,
--- a/internal/transport/caller/entry.go
+++ b/internal/transport/caller/entry.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 
+	"lagoongw/internal/transport/listener"
+
 	"lagoongw/internal/coordination/entry"
 	"lagoongw/internal/protocol/wire"
 )
@@ -21,7 +23,7 @@
 		AvailabilityZone: zone,
 		Region:           entry.RegionOf(members, zone, s.Place.Region),
 	}
-	writeJSON(w, http.StatusOK, wire.EntryAnswer{
+	listener.WriteJSON(w, http.StatusOK, wire.EntryAnswer{
 		Addresses: entry.Order(members, team, place),
 		KeepMs:    int(s.Keep.Milliseconds()),
 	})
@@ -37,14 +39,14 @@
 	id := r.PathValue("id")
 	status, known := s.lookUp(r.Context(), id)
 	if !known || status.Team != j.team.Name() {
-		writeJSON(w, http.StatusNotFound, wire.RequestStatus{
+		listener.WriteJSON(w, http.StatusNotFound, wire.RequestStatus{
 			ID:      id,
 			Outcome: "unknown",
 			Reason:  "not remembered at this entry VM, nor at the one that took the request",
 		})
 		return
 	}
-	writeJSON(w, http.StatusOK, status)
+	listener.WriteJSON(w, http.StatusOK, status)
 }
 
 // lookUp asks this node, or else the member whose name the request ID begins with.
--- a/internal/transport/caller/issued.go
+++ b/internal/transport/caller/issued.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"lagoongw/internal/transport/listener"
+
 	"lagoongw/internal/coordination/claim"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/outcome"
@@ -20,7 +22,7 @@
 	}
 	var random [8]byte
 	_, _ = rand.Read(random[:])
-	writeJSON(w, http.StatusOK, wire.KeyAnswer{
+	listener.WriteJSON(w, http.StatusOK, wire.KeyAnswer{
 		Key:     s.issued.Issue(hex.EncodeToString(random[:]), time.Now()),
 		Address: s.Address,
 		KeepMs:  int(s.KeyLifetime.Milliseconds()),
--- a/internal/transport/command/settings.go
+++ b/internal/transport/command/settings.go
@@ -3,9 +3,10 @@
 import (
 	"net"
 	"net/url"
-	"regexp"
 	"strings"
 	"time"
+
+	"lagoongw/internal/state/rule"
 )
 
 const (
@@ -13,11 +14,6 @@
 	maxPartitions  = 256
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
-	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
-)
-
 // serveSettings are the settings of an entry VM's process.
 type serveSettings struct {
 	Name             string        `long:"name" env:"LAGOONGW_NAME" description:"name of this entry VM, unlike any other's"`
@@ -54,16 +50,16 @@
 // check names every fault at once; it never repeats the value of a secret.
 func (s *serveSettings) check() error {
 	var f faults
-	f.check(namePattern.MatchString(s.Name), "name", "a name in kebab case of at most 64 characters")
+	f.check(rule.IsName(s.Name), "name", "a name in kebab case of at most 64 characters")
 	f.check(isAddress(s.Listen), "listen", "an address such as 0.0.0.0:8080")
 	f.check(isAddress(s.PeerListen), "peer-listen", "an address such as 0.0.0.0:8081")
 	f.check(isNumericAddress(s.Address), "address", "an IP number and port such as 10.0.0.5:8080")
 	f.check(isNumericAddress(s.PeerAddress), "peer-address", "an IP number and port such as 10.0.0.5:8081")
-	f.check(namePattern.MatchString(s.AvailabilityZone), "availability-zone", "a name in kebab case")
-	f.check(namePattern.MatchString(s.Region), "region", "a name in kebab case")
+	f.check(rule.IsName(s.AvailabilityZone), "availability-zone", "a name in kebab case")
+	f.check(rule.IsName(s.Region), "region", "a name in kebab case")
 	f.check(isBaseURL(s.Platform), "platform", "a URL such as http://10.0.0.1:8500")
 	f.check(len(s.Secret) >= minSecretBytes, "secret", "at least 16 bytes")
-	f.check(hashPattern.MatchString(s.OperatorHash), "operator-token-sha256", "64 hexadecimal digits in lower case")
+	f.check(rule.IsTokenHash(s.OperatorHash), "operator-token-sha256", "64 hexadecimal digits in lower case")
 	for _, seed := range s.Seeds {
 		f.check(isAddress(seed), "peer", "an address such as 10.0.0.6:8081, not "+seed)
 	}
--- /dev/null
+++ b/internal/transport/listener/json.go
@@ -0,0 +1,13 @@
+package listener
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// WriteJSON answers with a status and a value as JSON.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/transport/node/holders.go
+++ b/internal/transport/node/holders.go
@@ -8,8 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"lagoongw/internal/coordination/rendezvous"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/transport/peer"
 )
 
--- a/internal/transport/node/owners.go
+++ b/internal/transport/node/owners.go
@@ -10,8 +10,8 @@
 	"github.com/rotisserie/eris"
 
 	"lagoongw/internal/coordination/quota"
-	"lagoongw/internal/coordination/rendezvous"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/transport/peer"
 	"lagoongw/internal/transport/schedule"
 )
--- a/internal/transport/node/roles.go
+++ b/internal/transport/node/roles.go
@@ -1,8 +1,8 @@
 package node
 
 import (
-	"lagoongw/internal/coordination/rendezvous"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/state/replica"
 )
 
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -15,6 +15,7 @@
 
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rule"
+	"lagoongw/internal/transport/listener"
 	"lagoongw/internal/transport/platform"
 	"lagoongw/internal/transport/rules"
 )
@@ -67,7 +68,7 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	answer(w, http.StatusOK, s.Status())
+	listener.WriteJSON(w, http.StatusOK, s.Status())
 }
 
 func (s *Server) show(w http.ResponseWriter, _ *http.Request) {
@@ -76,7 +77,7 @@
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	answer(w, http.StatusOK, state)
+	listener.WriteJSON(w, http.StatusOK, state)
 }
 
 func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
@@ -102,25 +103,19 @@
 	case err != nil:
 		refuse(w, http.StatusGatewayTimeout, "it is unknown whether the file was published; run the command again: "+err.Error())
 	case !verdict.Accepted:
-		answer(w, http.StatusConflict, verdict)
+		listener.WriteJSON(w, http.StatusConflict, verdict)
 	default:
-		answer(w, http.StatusOK, verdict)
+		listener.WriteJSON(w, http.StatusOK, verdict)
 	}
 }
 
 func (s *Server) drain(w http.ResponseWriter, _ *http.Request) {
 	s.Drain()
-	answer(w, http.StatusAccepted, s.Status())
-}
-
-func answer(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
+	listener.WriteJSON(w, http.StatusAccepted, s.Status())
 }
 
 func refuse(w http.ResponseWriter, status int, message string) {
-	answer(w, status, wire.ErrorDetail{
+	listener.WriteJSON(w, status, wire.ErrorDetail{
 		Message: message,
 		Type:    http.StatusText(status),
 	})
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -225,16 +225,6 @@
 	})
 }
 
-// SetMachineState changes the state of a VM in the platform's list.
-func (f *Fleet) SetMachineState(ctx context.Context, name, state string) error {
-	for i := range f.machines {
-		if f.machines[i].Name == name {
-			f.machines[i].State = state
-		}
-	}
-	return f.PublishMachines(ctx)
-}
-
 // waitReady waits until every node knows every other one and all upstreams.
 func (f *Fleet) waitReady(ctx context.Context) error {
 	for _, node := range f.Nodes {
