test/matrix: count requests in flight while the stream is open

Ruled out: a node that forgets a stream; the count was right whenever it was read with the stream open. Change: ReadFirstChunks calls a function before it disconnects, and the test counts there. The count and the number of chunks that are asserted are the same.

--- a/test/fleet/request.go
+++ b/test/fleet/request.go
@@ -151,8 +151,11 @@
 	return key.Key, err
 }
 
-// ReadFirstChunks requests a stream of 1000 tokens, disconnects after limit chunks and returns the number read.
-func ReadFirstChunks(ctx context.Context, node *Process, token, prompt string, limit int) (int, error) {
+// ReadFirstChunks requests a stream of 1000 tokens and returns the number of chunks read, at most limit. Before it
+// disconnects, it calls whileOpen with the stream still open.
+func ReadFirstChunks(
+	ctx context.Context, node *Process, token, prompt string, limit int, whileOpen func(),
+) (int, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := chatRequest(ctx, node, token, prompt, 1000, true)
@@ -170,5 +173,6 @@
 			chunks++
 		}
 	}
+	whileOpen()
 	return chunks, nil
 }
--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -214,10 +214,12 @@
 		ConfigureNode: func(n *node.Node) { n.StreamIdleTimeout = time.Minute },
 	})
 	l.Engines[0].Set(once(standin.FaultStallStream)) // the stream stops after three chunks and stays open
-	chunks, err := fleet.ReadFirstChunks(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "which coil?", 3)
+	inFlight := 0
+	chunks, err := fleet.ReadFirstChunks(t.Context(), l.Nodes[0].Process(), fleet.MillToken, "which coil?", 3,
+		func() { inFlight = l.Nodes[0].Status().Pools[0].InFlight })
 	is.NoErr(err)
 	is.Equal(chunks, 3)
-	is.Equal(l.Nodes[0].Status().Pools[0].InFlight, 1)
+	is.Equal(inFlight, 1)
 }
 
 // The tokens of a response that is not streamed must count against the team's limit, as those of a stream do.
