Keep upstreams that register again after an outage of the store at every node

An upstream that registers again cancels the removal at the reader, but its entry is the same as before, so that the reader took the record for a heartbeat and did not push it; at the peers the removal took effect. Besides, the hold ended between two reads, so that an entry that was back after 1.9 s was not seen in time even by the reader. Ruled out: refusals by the upstreams (none), the other region's nodes (they had another reader or learnt of no removal), a hold that is too short (a longer one alone delays the same loss). Change: roster.Put reports a cancelled removal as a change, so that it is pushed; a held removal takes effect only once the topic was read after it was due; one that is held through a second outage is held again after it. Tests that failed first: TestUpstreamThatRegistersAgainAfterAnOutageStaysAtEveryNode (on a fake clock, three nodes), two of the roster.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -54,6 +54,9 @@
 // Backoff returns the pause after the last failed read.
 func (s *ReadSchedule) Backoff() time.Duration { return s.backoff }
 
+// CurrentAt returns when the copy was last current, the zero time if it never was.
+func (s *ReadSchedule) CurrentAt() time.Time { return s.currentAt }
+
 // Age returns the time since the copy was last current, or one hour if it never was.
 func (s *ReadSchedule) Age(now time.Time) time.Duration {
 	if s.currentAt.IsZero() {
--- a/internal/coordination/roster/list.go
+++ b/internal/coordination/roster/list.go
@@ -23,15 +23,17 @@
 	unavailable  bool
 }
 
-// Put adds or replaces an upstream, cancels a held removal of it and reports whether the list changed.
+// Put adds or replaces an upstream and cancels a held removal of it. It reports whether either changed anything: peers
+// hold the same removal, and must learn that it is cancelled.
 func (l *List) Put(upstream wire.Machine) bool {
 	if l.upstreams == nil {
 		l.upstreams = map[string]wire.Machine{}
 	}
+	_, held := l.heldRemovals[upstream.Name]
 	delete(l.heldRemovals, upstream.Name)
 	before, known := l.upstreams[upstream.Name]
 	if known && sameEntry(before, upstream) {
-		return false
+		return held
 	}
 	l.upstreams[upstream.Name] = upstream
 	return true
@@ -76,19 +78,25 @@
 // RegistryUnavailable records that the registry cannot be read; held removals wait until it is available again.
 func (l *List) RegistryUnavailable() { l.unavailable = true }
 
-// RegistryAvailable records that the registry was read; after an outage, removals are held from then on for Hold.
+// RegistryAvailable records that the registry was read. After an outage, removals are held from then on for Hold, also
+// those that were held already: their upstreams could not register again during the outage.
 func (l *List) RegistryAvailable(now time.Time) {
-	if l.unavailable {
-		l.unavailable = false
-		l.holdUntil = now.Add(l.Hold)
+	if !l.unavailable {
+		return
+	}
+	l.unavailable = false
+	l.holdUntil = now.Add(l.Hold)
+	for name := range l.heldRemovals {
+		l.heldRemovals[name] = l.holdUntil
 	}
 }
 
-// Tick applies the held removals that are due and reports whether the list changed.
-func (l *List) Tick(now time.Time) bool {
+// Tick carries out the held removals that are due and reports whether the list changed. readAt is when the registry was
+// last read: an upstream that registered again before its removal was due must have had the chance to be seen.
+func (l *List) Tick(readAt time.Time) bool {
 	changed := false
 	for name, due := range l.heldRemovals {
-		if l.unavailable || now.Before(due) {
+		if l.unavailable || readAt.Before(due) {
 			continue
 		}
 		delete(l.heldRemovals, name)
--- a/internal/coordination/roster/list_test.go
+++ b/internal/coordination/roster/list_test.go
@@ -84,6 +84,29 @@
 	is.True(l.Tick(now.Add(DefaultHold)))
 }
 
+func TestRegisteringAgainCancelsAHeldRemovalAndIsReported(t *testing.T) {
+	is := is.New(t)
+	l := newList(upstream("a", "", 1))
+	l.RegistryUnavailable()
+	is.True(!l.Remove("a", now))
+	is.True(l.Put(upstream("a", "", 1)))  // peers hold the removal too and must be told
+	is.True(!l.Put(upstream("a", "", 1))) // a heartbeat
+	is.True(!l.Tick(now.Add(time.Minute)))
+	is.Equal(len(l.Upstreams()), 1)
+}
+
+func TestRemovalHeldThroughASecondOutageIsHeldAfterIt(t *testing.T) {
+	is := is.New(t)
+	l := newList(upstream("a", "", 1))
+	l.RegistryUnavailable()
+	l.Remove("a", now)
+	l.RegistryUnavailable()
+	later := now.Add(time.Minute)
+	l.RegistryAvailable(later)
+	is.True(!l.Tick(later.Add(time.Second))) // the upstream may still register again
+	is.True(l.Tick(later.Add(DefaultHold)))
+}
+
 func TestHeldRemovalIsDeferredBySecondOutage(t *testing.T) {
 	is := is.New(t)
 	l := newList(upstream("a", "", 1))
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -210,6 +210,13 @@
 	return f.readSchedule.Age(now)
 }
 
+// currentAt returns when the topic was last read, by this node or by the peer that sent it an update.
+func (f *follower) currentAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readSchedule.CurrentAt()
+}
+
 func (f *follower) due(rank int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -172,7 +172,7 @@
 			}
 			s.saveCopies(ctx, rank, now.Sub(started))
 		}
-		s.applyHeldRemovals(now)
+		s.applyHeldRemovals()
 		schedule.Pause(ctx, pollInterval)
 	}
 }
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -130,6 +130,25 @@
 	})
 }
 
+// TestUpstreamThatRegistersAgainAfterAnOutageStaysAtEveryNode lets an entry expire while the store is unavailable. The
+// reader tells its peers of the removal, which all of them hold; it must also tell them that the entry is back, although
+// that changes nothing in its own list.
+func TestUpstreamThatRegistersAgainAfterAnOutageStaysAtEveryNode(t *testing.T) {
+	runSite(t, func(s *site, _, upstreams *fakeTopic) {
+		is := is.New(t)
+		upstreams.set(func() { upstreams.unavailable = true })
+		time.Sleep(6 * time.Second)
+		upstreams.put("u1", "")
+		upstreams.set(func() { upstreams.unavailable = false })
+		time.Sleep(1900 * time.Millisecond)
+		upstreams.put("u1", "ready")
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(s.leaving(), []bool{false, false, false})
+		}
+	})
+}
+
 // TestRestartOfAllNodesWithoutTheRoutesTopic checks that a node can start from the copy of the routes when all nodes
 // restart while the store serves every topic but the routes.
 func TestRestartOfAllNodesWithoutTheRoutesTopic(t *testing.T) {
--- a/internal/transport/catalog/upstreams.go
+++ b/internal/transport/catalog/upstreams.go
@@ -61,10 +61,11 @@
 }
 
 // applyHeldRemovals carries out the removals that were held after an outage of the store and are due.
-func (s *Service) applyHeldRemovals(now time.Time) {
+func (s *Service) applyHeldRemovals() {
+	readAt := s.upstreams.currentAt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.roster.Tick(now) {
+	if s.roster.Tick(readAt) {
 		s.publish()
 	}
 }
