Order what is read from the store by era: a restore takes nothing back

Cause: topics ordered records by offset alone, and the next offset never fell. When the store comes back from an older copy, offsets go back and are given out again: a node was deaf until they had caught up, and pushes between nodes that had and had not read the store since mixed records of two meanings. A whole read of a newer era replaces a known record only if its content ranks higher (routes by version, upstreams by boot and then leaving above ready, removed above all); what is written after that read counts by offset again. Updates of an ended era replace only restored records, by the same rank. Routes go by version at any time. Upstreams that the copy lacks are held as after an outage. The nodes' own copies are saved again as a whole. A node that starts on a restored store is ready once its seeds have answered or failed to. The digest between members compares versions of the routes instead of offsets. Ruled out: comparing versions alone (offsets also tell which records a node lacks), dropping updates of the ended era (a node that cannot reach the store may alone know that an upstream left).

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -6,17 +6,27 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// Topic is one node's copy of a topic: the newest record of each key; it is not safe for concurrent use.
+// Topic is one node's copy of a topic: the newest record of each key; it is not safe for concurrent use. Updates may
+// arrive late, repeatedly and in any order. A record with an empty value is a tombstone: its key was deleted.
 //
-// A record replaces another only if its offset is higher, so that updates may arrive late, repeatedly and in any
-// order. A record with an empty value is a tombstone: its key was deleted.
+// The store may be restored from an older copy, which begins a new era: offsets go back and are given out again, so
+// that they order records within one era only. After a restore the topic keeps what it knew of the era before until it
+// is written again: a restored record replaces a known one only if its content ranks higher.
 type Topic struct {
 	// Name is the topic's name.
 	Name string
+	// Rank ranks the records of a key by their content. It must not be nil.
+	Rank func(record wire.FeedRecord) Rank
+	// RankFirst makes the rank decide between any two records of a key, not only between restored ones.
+	RankFirst bool
 
 	records map[string]wire.FeedRecord
+	era     int
 	next    int
-	loaded  bool
+	// freshFrom is the offset from which all records were certainly written in the current era. Records before it may
+	// have been restored from a copy that is older than what the nodes know.
+	freshFrom int
+	loaded    bool
 }
 
 // Loaded reports whether the whole topic was read or received.
@@ -25,18 +35,44 @@
 // Next returns the offset of the next record to read.
 func (t *Topic) Next() int { return t.next }
 
+// Era returns the newest era of the store that the topic was read in, by this node or by a peer.
+func (t *Topic) Era() int { return t.era }
+
+// FreshFrom returns the offset from which all records were certainly written in the current era.
+func (t *Topic) FreshFrom() int { return t.freshFrom }
+
+// Records returns the records of the topic without the tombstones, sorted by key.
+func (t *Topic) Records() []wire.FeedRecord {
+	var records []wire.FeedRecord
+	for _, record := range t.records {
+		if record.Value != "" {
+			records = append(records, record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	return records
+}
+
 // Apply merges an update and returns the records that changed; gap reports that records before the update are missing,
 // so that the whole topic has to be fetched.
 func (t *Topic) Apply(update wire.FeedUpdate) (changed []wire.FeedRecord, gap bool) {
 	if t.records == nil {
 		t.records = map[string]wire.FeedRecord{}
 	}
+	switch {
+	case update.Era > t.era && !update.Whole:
+		return nil, true
+	case update.Era > t.era:
+		t.beginEra(update)
+	case update.Era < t.era:
+		return t.mergeEarlierEra(update), false
+	}
+	t.freshFrom = min(t.freshFrom, update.FreshFrom)
 	for _, record := range update.Records {
-		if current, known := t.records[record.Key]; known && record.Offset <= current.Offset {
-			continue
+		if t.replaces(record) {
+			t.records[record.Key] = record
+			changed = append(changed, record)
 		}
-		t.records[record.Key] = record
-		changed = append(changed, record)
 	}
 	if update.Whole {
 		changed = append(changed, t.removeMissing(update)...)
@@ -49,8 +85,53 @@
 	return changed, false
 }
 
+// beginEra moves the known records to the start of the era of a whole-topic update. What the update holds of it may
+// replace them by rank, and every record written in the era by its offset.
+func (t *Topic) beginEra(update wire.FeedUpdate) {
+	t.era = update.Era
+	t.next = 0
+	t.freshFrom = update.FreshFrom
+	for key, record := range t.records {
+		record.Offset = restoredOffset
+		t.records[key] = record
+	}
+}
+
+// restoredOffset is the offset of a record that is kept from an earlier era. It is lower than every offset of the store.
+const restoredOffset = -1
+
+// mergeEarlierEra merges an update of an era that has ended, from a peer that has not read the store since. Its records
+// replace only restored ones, by rank. It says nothing about keys that it lacks, and adds no key that the restored topic
+// lacks unless the rank decides: nothing would remove it again.
+func (t *Topic) mergeEarlierEra(update wire.FeedUpdate) (changed []wire.FeedRecord) {
+	for _, record := range update.Records {
+		record.Offset = restoredOffset
+		if _, known := t.records[record.Key]; !known && !t.RankFirst || !t.replaces(record) {
+			continue
+		}
+		t.records[record.Key] = record
+		changed = append(changed, record)
+	}
+	return changed
+}
+
+// replaces reports whether a record replaces the known record of its key.
+func (t *Topic) replaces(record wire.FeedRecord) bool {
+	current, known := t.records[record.Key]
+	if !known {
+		return true
+	}
+	restored := record.Offset < t.freshFrom && current.Offset < t.freshFrom
+	if t.RankFirst || restored {
+		if order := t.Rank(record).compare(t.Rank(current)); order != 0 {
+			return order > 0
+		}
+	}
+	return record.Offset > current.Offset
+}
+
 // removeMissing replaces the records that a whole-topic update lacks by tombstones, except those newer than the
-// update.
+// update, and those that rank above a tombstone where the rank decides.
 func (t *Topic) removeMissing(update wire.FeedUpdate) (removed []wire.FeedRecord) {
 	present := map[string]bool{}
 	for _, record := range update.Records {
@@ -64,6 +145,9 @@
 			Key:    key,
 			Offset: current.Offset,
 		}
+		if t.RankFirst && t.Rank(tombstone).compare(t.Rank(current)) < 0 {
+			continue
+		}
 		t.records[key] = tombstone
 		removed = append(removed, tombstone)
 	}
@@ -73,16 +157,12 @@
 
 // Snapshot returns the whole topic as an update for a peer; the topic must be loaded.
 func (t *Topic) Snapshot() wire.FeedUpdate {
-	update := wire.FeedUpdate{
-		Topic: t.Name,
-		Next:  t.next,
-		Whole: true,
-	}
-	for _, record := range t.records {
-		if record.Value != "" {
-			update.Records = append(update.Records, record)
-		}
+	return wire.FeedUpdate{
+		Topic:     t.Name,
+		Era:       t.era,
+		FreshFrom: t.freshFrom,
+		Next:      t.next,
+		Whole:     true,
+		Records:   t.Records(),
 	}
-	sort.Slice(update.Records, func(i, j int) bool { return update.Records[i].Key < update.Records[j].Key })
-	return update
 }
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -313,6 +313,14 @@
 // FeedUpdate carries the records of a topic that changed in a range of offsets, or
 // all of them.
 type FeedUpdate struct {
+	// Era counts the restores of the store from an older copy; offsets are comparable
+	// within one era.
+	Era int `json:"era,omitempty,omitzero"`
+
+	// FreshFrom is the offset from which all records were certainly written in this
+	// era.
+	FreshFrom int `json:"fresh-from,omitempty,omitzero"`
+
 	// From corresponds to the JSON schema field "from".
 	From int `json:"from"`
 
@@ -404,12 +412,25 @@
 const LeaseRecordTypeRelease LeaseRecordType = "release"
 const LeaseRecordTypeRenew LeaseRecordType = "renew"
 
+// LeavingUpstream is a boot of an upstream that said in an answer that it is
+// leaving.
+type LeavingUpstream struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot int `json:"boot,omitempty,omitzero"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
 // LoadDigest is the load of one node, or the sum of several, on all upstreams, and
 // the engines that they need of each pool.
 type LoadDigest struct {
 	// From is the node or the availability zone that the digest covers.
 	From string `json:"from"`
 
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving []LeavingUpstream `json:"leaving,omitempty,omitzero"`
+
 	// Nodes is the number of nodes in the sum.
 	Nodes int `json:"nodes,omitempty,omitzero"`
 
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -23,7 +23,7 @@
 	// applyRecords applies new records and returns those that changed something.
 	applyRecords func(records []wire.FeedRecord) (changed []wire.FeedRecord)
 	// onStoreReachable is called after each successful read of the store and each update of a peer, onStoreUnreachable
-	// after each failed read.
+	// after each failed read and when the store was restored from an older copy.
 	onStoreReachable   func()
 	onStoreUnreachable func()
 	// push sends an update to the peers.
@@ -59,26 +59,37 @@
 	return nil
 }
 
-// fetch reads the records after the last known offset, or the whole topic if it isn't loaded or records were deleted.
+// fetch reads the records after the last known offset, or the whole topic if it isn't loaded, if records were deleted,
+// or if the store was restored from an older copy, in which the known offsets mean other records.
 func (f *follower) fetch(ctx context.Context, wait time.Duration) (wire.FeedUpdate, error) {
 	f.mu.Lock()
-	loaded, from := f.topic.Loaded(), f.topic.Next()
-	f.mu.Unlock()
+	loaded, era := f.topic.Loaded(), f.topic.Era()
 	update := wire.FeedUpdate{
-		Topic: f.topic.Name,
-		From:  from,
+		Topic:     f.topic.Name,
+		Era:       era,
+		FreshFrom: f.topic.FreshFrom(),
+		From:      f.topic.Next(),
 	}
-	var err error
+	f.mu.Unlock()
 	if loaded {
-		update.Records, update.Next, err = f.source.Read(ctx, from, wait)
-		if !errors.Is(err, ErrRecordsDeleted) {
+		batch, err := f.source.Read(ctx, update.From, wait)
+		switch {
+		case err == nil && batch.Era == era:
+			update.Records, update.Next = batch.Records, batch.Next
+			return update, nil
+		case err != nil && !errors.Is(err, ErrRecordsDeleted):
 			return update, err
 		}
-		f.logger.Warn().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", from).
-			Msg("records were deleted; reading the newest ones")
+		f.logger.Warn().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.From).Int("era", era).
+			Msg("records were deleted or the store was restored; reading the newest records")
 	}
+	batch, err := f.source.Newest(ctx)
 	update.Whole = true
-	update.Records, update.Next, err = f.source.Newest(ctx)
+	update.Records, update.Next, update.Era = batch.Records, batch.Next, batch.Era
+	if batch.Era != era {
+		// Any record that the store has by now may come from the copy that it was restored from.
+		update.FreshFrom = batch.Next
+	}
 	return update, err
 }
 
@@ -93,6 +104,7 @@
 		return f.topic.Snapshot()
 	}
 	pushed := update
+	pushed.FreshFrom = f.topic.FreshFrom()
 	pushed.Records = nil
 	for _, record := range update.Records {
 		if f.changes[record.Offset] {
@@ -105,16 +117,27 @@
 // merge applies the new records of an update that is current as of now. It reports whether records between the topic's
 // next offset and the update are missing. The caller must hold the lock.
 func (f *follower) merge(update wire.FeedUpdate, now time.Time) (gap bool) {
+	eraBefore, loadedBefore := f.topic.Era(), f.topic.Loaded()
 	newer, gap := f.topic.Apply(update)
-	if f.unsaved == nil {
+	restored := loadedBefore && f.topic.Era() != eraBefore
+	if restored {
+		f.handleRestore()
+	}
+	if f.unsaved == nil || restored {
 		f.unsaved = map[string]wire.FeedRecord{}
 		f.changes = map[int]bool{}
 	}
+	if restored {
+		// What was saved after the copy was made is gone.
+		for _, record := range f.topic.Records() {
+			f.unsaved[record.Key] = record
+		}
+	}
 	for _, record := range f.applyRecords(newer) {
 		f.unsaved[record.Key] = record
 		f.changes[record.Offset] = true
 	}
-	if !gap {
+	if !gap && update.Era == f.topic.Era() {
 		f.readSchedule.MarkCurrent(now)
 	}
 	for offset := range f.changes {
@@ -125,6 +148,16 @@
 	return gap
 }
 
+// handleRestore treats the restore as an outage that has just ended: what the others wrote since the copy was made is
+// written again within the same time. The caller must hold the lock.
+func (f *follower) handleRestore() {
+	f.logger.Warn().Str("decision", "feed").Str("topic", f.topic.Name).Int("era", f.topic.Era()).
+		Int("offset", f.topic.Next()).
+		Msg("store was restored from an older copy; newer records are kept until they are written again")
+	f.onStoreUnreachable()
+	f.onStoreReachable()
+}
+
 // save appends the unsaved records to the copy.
 func (f *follower) save(ctx context.Context) {
 	f.mu.Lock()
@@ -144,7 +177,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, record := range records {
-		if f.unsaved[record.Key].Offset == record.Offset {
+		if f.unsaved[record.Key] == record {
 			delete(f.unsaved, record.Key)
 		}
 	}
@@ -160,8 +193,8 @@
 	if !needed {
 		return
 	}
-	records, _, err := f.copy.Newest(ctx)
-	if err != nil || len(records) == 0 {
+	batch, err := f.copy.Newest(ctx)
+	if err != nil || len(batch.Records) == 0 {
 		f.logger.Warn().Err(err).Str("step", "read copy of "+f.topic.Name).Str("peer", "store").Msg("no copy to load")
 		return
 	}
@@ -171,8 +204,8 @@
 		return
 	}
 	f.fromCopy = true
-	f.applyRecords(records)
-	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).
+	f.applyRecords(batch.Records)
+	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(batch.Records)).
 		Msg("topic loaded from the copy")
 }
 
@@ -198,10 +231,10 @@
 	return f.topic.Loaded()
 }
 
-func (f *follower) next() int {
+func (f *follower) era() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.topic.Next()
+	return f.topic.Era()
 }
 
 func (f *follower) age(now time.Time) time.Duration {
--- a/internal/transport/catalog/routes.go
+++ b/internal/transport/catalog/routes.go
@@ -1,6 +1,22 @@
 package catalog
 
-import "lagoongw/internal/protocol/wire"
+import (
+	"lagoongw/internal/coordination/feed"
+	"lagoongw/internal/protocol/wire"
+)
+
+// rankRoutes ranks a record of the routes by its version, which only increases; the offsets go back when the store is
+// restored. Any other record has the lowest rank.
+func (s *Service) rankRoutes(record wire.FeedRecord) feed.Rank {
+	if record.Key != s.RoutesKey || record.Value == "" {
+		return feed.LowestRank
+	}
+	version, err := s.DecodeRoutesVersion([]byte(record.Value))
+	if err != nil {
+		return feed.LowestRank
+	}
+	return feed.Rank{Version: version}
+}
 
 // applyRoutes installs the routes found among the records; every record counts as a change.
 func (s *Service) applyRoutes(records []wire.FeedRecord) (changed []wire.FeedRecord) {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -66,6 +66,8 @@
 	RoutesKey string
 	// DecodeRoutes decodes the routes; faults describes the parts that were skipped.
 	DecodeRoutes func(data []byte) (table *route.Table, faults []string, err error)
+	// DecodeRoutesVersion decodes the version of the routes alone.
+	DecodeRoutesVersion func(data []byte) (int, error)
 	// DecodeUpstream decodes the entry of an upstream.
 	DecodeUpstream func(name string, data []byte) (wire.Machine, error)
 	// Peers communicates with the other nodes.
@@ -87,6 +89,8 @@
 	decodeErrors map[string]string
 	// upstreamsLoaded is set once Table was updated for the first time.
 	upstreamsLoaded atomic.Bool
+	// seedsAsked is set once the peers in the settings have answered or failed to.
+	seedsAsked atomic.Bool
 }
 
 // Prepare initializes the service so that it can handle updates of peers; it must be called before Run.
@@ -94,9 +98,12 @@
 	s.roster.Hold = roster.DefaultHold
 	s.decodeErrors = map[string]string{}
 	s.routes = s.newFollower(TopicRoutes, s.applyRoutes)
+	s.routes.topic.Rank = s.rankRoutes
+	s.routes.topic.RankFirst = true
 	s.routes.source = s.Routes
 	s.routes.copy = s.RoutesCopy
 	s.upstreams = s.newFollower(TopicUpstreams, s.applyUpstreams)
+	s.upstreams.topic.Rank = s.rankUpstream
 	s.upstreams.source = s.Upstreams
 	s.upstreams.copy = s.UpstreamsCopy
 	s.upstreams.onStoreReachable = s.storeReachable
@@ -118,11 +125,21 @@
 // CurrentRoutes returns the routes in force, or nil if there are none yet.
 func (s *Service) CurrentRoutes() *route.Table { return s.currentRoutes.Load() }
 
-// Ready reports whether the routes and the upstreams are known.
-func (s *Service) Ready() bool { return s.upstreamsLoaded.Load() && s.currentRoutes.Load() != nil }
+// Ready reports whether the routes and the upstreams are known. Where the store was restored from an older copy, the
+// peers must have been asked as well.
+func (s *Service) Ready() bool {
+	return s.upstreamsLoaded.Load() && s.currentRoutes.Load() != nil &&
+		(s.seedsAsked.Load() || s.routes.era() == 0 && s.upstreams.era() == 0)
+}
 
-// RoutesOffset returns the offset up to which this node has the routes, which the other nodes compare with theirs.
-func (s *Service) RoutesOffset() int { return s.routes.next() }
+// RoutesVersion returns the version of the routes in force, 0 if there are none yet; the other nodes compare it with
+// theirs.
+func (s *Service) RoutesVersion() int {
+	if table := s.CurrentRoutes(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
 
 // UpstreamsAge returns the time since the list of upstreams was last known to be up to date.
 func (s *Service) UpstreamsAge() time.Duration { return s.upstreams.age(time.Now()) }
@@ -137,16 +154,23 @@
 	group.Wait()
 }
 
-// loadFromSeeds loads the topics from a peer, unless the store answers sooner.
+// loadFromSeeds loads the topics from a peer, unless the store answers sooner. A store that was restored from an older
+// copy may lack what the peers know, so that their copies are merged in any case.
 func (s *Service) loadFromSeeds(ctx context.Context) {
+	defer s.seedsAsked.Store(true)
+	var group sync.WaitGroup
 	for _, f := range []*follower{s.routes, s.upstreams} {
-		update, err := s.Peers.FetchFromSeeds(ctx, f.topic.Name)
-		if err == nil && !f.loaded() {
+		group.Go(func() {
+			update, err := s.Peers.FetchFromSeeds(ctx, f.topic.Name)
+			if err != nil || f.loaded() && f.era() == 0 {
+				return
+			}
 			f.handleUpdate(update)
 			s.Logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.Next).
-				Msg("topic loaded from a peer")
-		}
+				Int("era", update.Era).Msg("topic loaded from a peer")
+		})
 	}
+	group.Wait()
 }
 
 // loadCopies loads the copies of the topics that the store did not return within copyReadDelay of the start.
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -160,17 +160,18 @@
 		first := s.services[0]
 		emptySite := newSite() // no other node is left
 		restarted := &Service{
-			Routes:            routes,
-			RoutesCopy:        first.RoutesCopy,
-			Upstreams:         first.Upstreams,
-			UpstreamsCopy:     first.UpstreamsCopy,
-			RoutesKey:         "config",
-			DecodeRoutes:      decodeVersion,
-			DecodeUpstream:    decodeState,
-			Peers:             sitePeers{site: emptySite},
-			Table:             replica.NewTable(),
-			OnUpstreamsChange: func() {},
-			Logger:            zerolog.Nop(),
+			Routes:              routes,
+			RoutesCopy:          first.RoutesCopy,
+			Upstreams:           first.Upstreams,
+			UpstreamsCopy:       first.UpstreamsCopy,
+			RoutesKey:           "config",
+			DecodeRoutes:        decodeVersion,
+			DecodeRoutesVersion: decodeVersionOnly,
+			DecodeUpstream:      decodeState,
+			Peers:               sitePeers{site: emptySite},
+			Table:               replica.NewTable(),
+			OnUpstreamsChange:   func() {},
+			Logger:              zerolog.Nop(),
 		}
 		restarted.Prepare()
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -1,9 +1,11 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +31,8 @@
 	// hangReads makes every waiting read time out, as on a connection that has gone silent.
 	hangReads bool
 	calls     int
+	// era counts the restores.
+	era int
 }
 
 func newTopic() *fakeTopic { return &fakeTopic{changed: make(chan struct{})} }
@@ -45,6 +49,16 @@
 	s.changed = make(chan struct{})
 }
 
+// restore replaces the records by the first ones and begins a new era.
+func (s *fakeTopic) restore(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:records:records]
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeTopic) Save(_ context.Context, records []wire.FeedRecord) error {
 	for _, record := range records {
 		s.put(record.Key, record.Value)
@@ -64,12 +78,12 @@
 	change()
 }
 
-func (s *fakeTopic) Newest(context.Context) ([]wire.FeedRecord, int, error) {
+func (s *fakeTopic) Newest(context.Context) (Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
-		return nil, 0, errStoreUnavailable
+		return Batch{}, errStoreUnavailable
 	}
 	newest := map[string]wire.FeedRecord{}
 	for _, record := range s.records {
@@ -82,10 +96,14 @@
 		}
 	}
 	s.deleted = false
-	return records, len(s.records), nil
+	return Batch{
+		Records: records,
+		Next:    len(s.records),
+		Era:     s.era,
+	}, nil
 }
 
-func (s *fakeTopic) Read(ctx context.Context, from int, wait time.Duration) ([]wire.FeedRecord, int, error) {
+func (s *fakeTopic) Read(ctx context.Context, from int, wait time.Duration) (Batch, error) {
 	const timeout = 700 * time.Millisecond
 	s.mu.Lock()
 	s.calls++
@@ -95,11 +113,11 @@
 	switch {
 	case hang:
 		pause(ctx, wait+timeout)
-		return nil, from, context.DeadlineExceeded
+		return Batch{}, context.DeadlineExceeded
 	case unavailable:
-		return nil, from, errStoreUnavailable
+		return Batch{}, errStoreUnavailable
 	case deleted:
-		return nil, from, ErrRecordsDeleted
+		return Batch{}, ErrRecordsDeleted
 	}
 	if empty && wait > 0 {
 		select {
@@ -110,7 +128,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]wire.FeedRecord{}, s.records[from:]...), len(s.records), nil
+	if from > len(s.records) {
+		return Batch{}, ErrRecordsDeleted
+	}
+	return Batch{
+		Records: append([]wire.FeedRecord{}, s.records[from:]...),
+		Next:    len(s.records),
+		Era:     s.era,
+	}, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -205,13 +230,14 @@
 		s := newSite()
 		for i := range 3 {
 			service := &Service{
-				Routes:         routes,
-				RoutesCopy:     routesCopy,
-				Upstreams:      upstreams,
-				UpstreamsCopy:  upstreamsCopy,
-				RoutesKey:      "config",
-				DecodeRoutes:   decodeVersion,
-				DecodeUpstream: decodeState,
+				Routes:              routes,
+				RoutesCopy:          routesCopy,
+				Upstreams:           upstreams,
+				UpstreamsCopy:       upstreamsCopy,
+				RoutesKey:           "config",
+				DecodeRoutes:        decodeVersion,
+				DecodeRoutesVersion: decodeVersionOnly,
+				DecodeUpstream:      decodeState,
 				Peers: sitePeers{
 					site: s,
 					self: i,
@@ -244,18 +270,27 @@
 	return route.NewTable(route.TableSpec{Version: version}), nil, err
 }
 
-func decodeState(name string, data []byte) (wire.Machine, error) {
+func decodeVersionOnly(data []byte) (int, error) { return strconv.Atoi(string(data)) }
+
+// decodeState decodes an entry of the form STATE or STATE@BOOT.
+func decodeState(upstream string, data []byte) (wire.Machine, error) {
 	state := map[string]string{"ready": "", "draining": replica.StateLeaving}
-	known, ok := state[string(data)]
+	name, bootText, _ := strings.Cut(string(data), "@")
+	known, ok := state[name]
 	if !ok {
 		return wire.Machine{}, errors.New("unknown state")
 	}
+	boot, err := strconv.Atoi(cmp.Or(bootText, "0"))
+	if err != nil {
+		return wire.Machine{}, err
+	}
 	return wire.Machine{
-		Name:    name,
+		Name:    upstream,
 		Kind:    replica.KindService,
 		Pool:    "p",
 		Address: "10.0.0.1:1",
 		State:   known,
+		Boot:    boot,
 	}, nil
 }
 
--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -9,23 +9,32 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// ErrRecordsDeleted is returned by Source.Read when the store no longer has the records from an offset on; the topic
-// has to be read with Source.Newest.
+// ErrRecordsDeleted is returned by Source.Read when the store does not have the records from an offset on: it deleted
+// them, or was restored from a copy that ends before the offset. The topic has to be read with Source.Newest.
 var ErrRecordsDeleted = eris.New("records were deleted")
 
+// Batch is the result of one read of a topic.
+type Batch struct {
+	Records []wire.FeedRecord
+	// Next is the offset after the last record that the store has.
+	Next int
+	// Era counts the restores of the store from an older copy, 0 if the store does not say.
+	Era int
+}
+
 // Source reads one topic of the store.
 type Source interface {
-	// Newest returns the newest record of each key, and the offset after the last record.
-	Newest(ctx context.Context) (records []wire.FeedRecord, next int, err error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Batch, error)
 	// Read returns the records from an offset on; if there are none, it waits for one for at most the given time.
-	Read(ctx context.Context, from int, wait time.Duration) (records []wire.FeedRecord, next int, err error)
+	Read(ctx context.Context, from int, wait time.Duration) (Batch, error)
 }
 
 // Copy is a second topic of the store that holds a copy of the first: the store may lose one topic while it serves the
 // other.
 type Copy interface {
 	// Newest returns the newest record of each key.
-	Newest(ctx context.Context) (records []wire.FeedRecord, next int, err error)
+	Newest(ctx context.Context) (Batch, error)
 	// Save appends records to the copy.
 	Save(ctx context.Context, records []wire.FeedRecord) error
 }
--- a/internal/transport/catalog/upstreams.go
+++ b/internal/transport/catalog/upstreams.go
@@ -3,10 +3,36 @@
 import (
 	"time"
 
+	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 )
 
+// Precedences of the entries of one boot of an upstream: it never accepts requests again once it is leaving.
+const (
+	precedenceReady = iota
+	precedenceLeaving
+)
+
+// rankUpstream ranks an entry by its boot, then by whether the upstream is leaving. A removed upstream ranks above all:
+// it stays out until it writes again.
+func (s *Service) rankUpstream(record wire.FeedRecord) feed.Rank {
+	row, err := s.DecodeUpstream(record.Key, []byte(record.Value))
+	switch {
+	case record.Value == "" || err != nil:
+		return feed.HighestRank
+	case row.State == replica.StateLeaving:
+		return feed.Rank{
+			Version:    row.Boot,
+			Precedence: precedenceLeaving,
+		}
+	}
+	return feed.Rank{
+		Version:    row.Boot,
+		Precedence: precedenceReady,
+	}
+}
+
 // storeUnreachable tells the roster, whose registry is the store, to hold removals.
 func (s *Service) storeUnreachable() {
 	s.mu.Lock()
--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -163,12 +163,13 @@
 		return platform.OpenStore(settings.StoreAddress, topic, storeTimeout)
 	}
 	return &catalog.Service{
-		Routes:         open(platform.TopicOperator),
-		RoutesCopy:     open(platform.TopicOperatorCopy),
-		Upstreams:      open(platform.TopicUpstreams),
-		UpstreamsCopy:  open(platform.TopicUpstreamsCopy),
-		RoutesKey:      platform.ManifestKey,
-		DecodeRoutes:   platform.ParseManifest,
-		DecodeUpstream: settings.ParseEntry,
+		Routes:              open(platform.TopicOperator),
+		RoutesCopy:          open(platform.TopicOperatorCopy),
+		Upstreams:           open(platform.TopicUpstreams),
+		UpstreamsCopy:       open(platform.TopicUpstreamsCopy),
+		RoutesKey:           platform.ManifestKey,
+		DecodeRoutes:        platform.ParseManifest,
+		DecodeRoutesVersion: platform.ParseManifestVersion,
+		DecodeUpstream:      settings.ParseEntry,
 	}
 }
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -129,10 +129,10 @@
 	return update, nil
 }
 
-// fetchNewerRoutes fetches the routes from the sender of a membership digest if it has more records of them than this
-// node; the digest's Revision is its RoutesOffset.
+// fetchNewerRoutes fetches the routes from the sender of a membership digest if its version of them is newer than this
+// node's; the digest's Revision is the version.
 func (p *Process) fetchNewerRoutes(digest wire.Digest) {
-	if digest.Revision > p.Catalog.RoutesOffset() {
+	if digest.Revision > p.Catalog.RoutesVersion() {
 		go p.Catalog.Refetch(context.Background(), digest.From.Address, catalog.TopicRoutes)
 	}
 }
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -193,7 +193,7 @@
 			Region:           p.Region,
 		}, p.Tunables.Seeds),
 		Client:     p.client,
-		FillDigest: func(digest *wire.Digest) { digest.Revision = p.Catalog.RoutesOffset() },
+		FillDigest: func(digest *wire.Digest) { digest.Revision = p.Catalog.RoutesVersion() },
 		OnDigest:   p.fetchNewerRoutes,
 		Logger:     p.Logger,
 	}
