Heed upstreams that say that they are leaving or ask to be left alone

Cause: two new headers of the upstreams' answers were unknown to the product. Server-Leaving comes before the entry in the store says so, and Retry-After on a 503 asks for silence that a backoff of at most 2 s did not keep; a pool in backoff was sent requests all the same. The dispatcher marks the boot as leaving and tells its peers with the load digests, through relays too; it pauses an upstream for the time asked for, at most 30 s, even if the pool has no other. If the whole pool is paused the caller is refused at once with the first time at which an upstream may be used. Answers of another request are not heeded, and a 421 counts for the upstream that it names. The digest that a relay's sum includes is now the one that was sent to it, not the last one made. An upstream's error that was to be replaced by a better answer is delivered if none comes, instead of a 502. With it in the same files, faults found in reading, each with a test that failed first: an answer of 5xx above 1 MiB counted as a success; headers named by Connection were passed on; the manifest's limit of header bytes was not enforced.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -61,6 +61,8 @@
 	// short too.
 	Interactive bool
 	Reason      string
+	// RetryAt is when the first upstream may be sent requests again if all of the pool asked to be sent none, else zero.
+	RetryAt time.Time
 }
 
 // Dispatcher chooses upstreams. It is safe for concurrent use once its exported fields are set.
@@ -86,8 +88,6 @@
 	// peers holds the digests received from other nodes, by node name, and the sums received from relays, by siteKey or
 	// by zonePrefix and the zone.
 	peers map[string]peerDigest
-	// advertised is the digest that this node last advertised.
-	advertised Digest
 	// peerLoads is the sum of the peers' loads by upstream.
 	peerLoads map[string]*Load
 }
@@ -158,10 +158,21 @@
 		c.backedOff = true
 		c.compareAll()
 	}
+	if c.best.Replica == nil {
+		if c.best.RetryAt = c.endOfPauses(); !c.best.RetryAt.IsZero() {
+			c.best.Reason = "all upstreams of the pool asked to be sent nothing for a while"
+		}
+	}
 	c.best.Candidates = c.candidates
 	return c.best
 }
 
+// Lookup returns the upstream with the given name, nil if there is none.
+func (d *Dispatcher) Lookup(name string) *replica.Replica {
+	r, _ := d.Table.Load().Replica(name)
+	return r
+}
+
 // distance returns the cost of sending a request from this node to an upstream.
 func (d *Dispatcher) distance(r *replica.Replica) time.Duration {
 	switch {
--- a/internal/coordination/dispatch/health.go
+++ b/internal/coordination/dispatch/health.go
@@ -39,6 +39,8 @@
 	// largest ratio that is counted.
 	slownessWeight = 0.35
 	maxSlowness    = 8.0
+	// maxPauseOnRequest is the longest time for which an upstream is left alone because it asked for it.
+	maxPauseOnRequest = 30 * time.Second
 )
 
 // health tracks the failures, refusals and slowness of one upstream. Older observations count less.
@@ -51,8 +53,15 @@
 	failureShareAt      time.Time
 	slownessRatio       float64
 	slownessAt          time.Time
+	// pausedUntil is the end of the time in which the upstream asked to be sent nothing.
+	pausedUntil time.Time
+	// saidLeaving reports that the upstream said in an answer, to this node or a peer, that it is leaving.
+	saidLeaving bool
 }
 
+// paused reports whether the upstream asked to be sent nothing at this time.
+func (h *health) paused(now time.Time) bool { return now.Before(h.pausedUntil) }
+
 // backedOff reports whether the upstream is in backoff by this node's own observations.
 func (h *health) backedOff(now time.Time) bool {
 	return !h.backoffUntil.IsZero() && now.Before(h.backoffUntil)
@@ -156,6 +165,25 @@
 	d.updateHealth(r, func(h *health) { h.recordRefusal(now) })
 }
 
+// Pause records that an upstream asked to be sent nothing for a while. Unlike a backoff it is never broken, not even if
+// the pool has no other upstream.
+func (d *Dispatcher) Pause(r *replica.Replica, length time.Duration, now time.Time) {
+	until := now.Add(min(length, maxPauseOnRequest))
+	d.updateHealth(r, func(h *health) {
+		if until.After(h.pausedUntil) {
+			h.pausedUntil = until
+		}
+	})
+}
+
+// SaidLeaving records that an upstream said that it is leaving, and reports whether this was not known yet. The other
+// nodes learn it from the next digest.
+func (d *Dispatcher) SaidLeaving(r *replica.Replica) (first bool) {
+	first = r.MarkLeaving()
+	d.updateHealth(r, func(h *health) { h.saidLeaving = true })
+	return first
+}
+
 // Succeeded records a complete response; took is the response time of a plain service, or zero for a stream.
 func (d *Dispatcher) Succeeded(r *replica.Replica, took time.Duration, now time.Time) {
 	d.mu.Lock()
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -46,6 +46,8 @@
 	// Loads is keyed by upstream name, EngineDemands by pool name.
 	Loads         map[string]Load
 	EngineDemands map[string]EngineDemand
+	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
+	Leaving map[string]int
 }
 
 // peerDigest is the last digest received from a peer.
@@ -101,12 +103,11 @@
 	return float64(others) / float64(covered)
 }
 
-// Advertise returns the digest of this node to send to the others, and remembers it for ReceiveSiteDigest.
+// Advertise returns the digest of this node to send to the others.
 func (d *Dispatcher) Advertise(now time.Time) Digest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.advertised = d.localDigest(now)
-	return d.advertised
+	return d.localDigest(now)
 }
 
 // localDigest returns this node's load at each upstream and demand in each pool; the lock must be held.
@@ -117,9 +118,12 @@
 			Waiting: upstream.forecast.backlog(lastTier, now),
 			Running: upstream.forecast.running,
 		}
-		if upstream.health.backedOff(now) {
+		if upstream.health.backedOff(now) || upstream.health.paused(now) {
 			load.Down = 1
 		}
+		if upstream.health.saidLeaving {
+			digest.Leaving[r.Name()] = r.Boot()
+		}
 		if load != (Load{}) {
 			digest.Loads[r.Name()] = load
 		}
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strings"
 	"time"
 )
@@ -20,15 +21,15 @@
 	d.ReceiveDigest(zonePrefix+zone, sum, now)
 }
 
-// ReceiveSiteDigest replaces all peer digests by a relay's answer. The sum covers all nodes, so the digest that this
-// node last advertised is subtracted.
-func (d *Dispatcher) ReceiveSiteDigest(sum Digest, now time.Time) {
+// ReceiveSiteDigest replaces all peer digests by a relay's answer to this node's digest. The sum covers all nodes and
+// includes that digest, which is subtracted.
+func (d *Dispatcher) ReceiveSiteDigest(sum, own Digest, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	others := newDigest()
 	others.Nodes = max(sum.nodes()-1, 1)
 	others.add(sum, 1)
-	others.add(d.advertised, -1)
+	others.add(own, -1)
 	for name := range d.peers {
 		d.dropPeer(name)
 	}
@@ -65,6 +66,7 @@
 	return Digest{
 		Loads:         map[string]Load{},
 		EngineDemands: map[string]EngineDemand{},
+		Leaving:       map[string]int{},
 	}
 }
 
@@ -81,6 +83,9 @@
 			Down:    max(load.Down, 0),
 		}
 	}
+	if sign > 0 {
+		maps.Copy(g.Leaving, other.Leaving)
+	}
 	for pool, otherDemand := range other.EngineDemands {
 		demand := g.EngineDemands[pool].plus(otherDemand, float64(sign))
 		g.EngineDemands[pool] = EngineDemand{
@@ -102,6 +107,19 @@
 		receivedAt: now,
 	}
 	d.addPeerLoads(digest.Loads, 1)
+	d.markLeaving(digest.Leaving)
+}
+
+// markLeaving marks the boots of upstreams that said so to another node as leaving; the lock must be held. This node's
+// own digests then repeat it, so that it passes through relays.
+func (d *Dispatcher) markLeaving(boots map[string]int) {
+	snapshot := d.Table.Load()
+	for name, boot := range boots {
+		if r, known := snapshot.Replica(name); known && r.Boot() == boot {
+			r.MarkLeaving()
+			d.state(r).health.saidLeaving = true
+		}
+	}
 }
 
 // dropPeer removes the digest of a peer; the lock must be held.
--- a/internal/coordination/dispatch/relay_test.go
+++ b/internal/coordination/dispatch/relay_test.go
@@ -36,8 +36,9 @@
 		for zone, nodes := range site {
 			relay := nodes[0]
 			for i, node := range nodes[1:] {
-				relay.ReceiveDigest(fmt.Sprint(zone, i), node.Advertise(start), start)
-				node.ReceiveSiteDigest(relay.SiteSum(start), start)
+				own := node.Advertise(start)
+				relay.ReceiveDigest(fmt.Sprint(zone, i), own, start)
+				node.ReceiveSiteDigest(relay.SiteSum(start), own, start)
 			}
 			for otherZone, otherNodes := range site {
 				if otherZone != zone {
@@ -61,7 +62,7 @@
 	is := is.New(t)
 	node, relay := newBusyDispatcher(20, 0), newBusyDispatcher(20, 4)
 	relay.ReceiveDigest("other", newBusyDispatcher(20, 2).Advertise(start), start)
-	node.ReceiveSiteDigest(relay.SiteSum(start), start)
+	node.ReceiveSiteDigest(relay.SiteSum(start), Digest{}, start)
 	name := node.Table.Load().PoolReplicas("p")[0].Name()
 	is.Equal(node.peerLoad(name).Waiting, 6000)
 	is.True(node.expirePeers(start) > 1) // the sum does not cover all nineteen other nodes
@@ -73,7 +74,7 @@
 	is := is.New(t)
 	node := newBusyDispatcher(20, 0)
 	name := node.Table.Load().PoolReplicas("p")[0].Name()
-	node.ReceiveSiteDigest(newBusyDispatcher(20, 3).SiteSum(start), start)
+	node.ReceiveSiteDigest(newBusyDispatcher(20, 3).SiteSum(start), Digest{}, start)
 	node.ReceiveDigest("other", newBusyDispatcher(20, 1).Advertise(start), start)
 	is.Equal(node.peerLoad(name).Waiting, 1000)
 }
@@ -82,12 +83,13 @@
 func TestSumsOfDifferentTimesNeverFallBelowZero(t *testing.T) {
 	is := is.New(t)
 	node, relay := newBusyDispatcher(20, 1), newBusyDispatcher(20, 0)
-	relay.ReceiveDigest("node", node.Advertise(start), start)
+	own := node.Advertise(start)
+	relay.ReceiveDigest("node", own, start)
 	sum := relay.SiteSum(start)
 	for range 3 {
 		node.Begin(node.Table.Load().PoolReplicas("p")[0], newPrompt(1, 2), Choice{}, 0, start)
 	}
-	node.Advertise(start)
-	node.ReceiveSiteDigest(sum, start.Add(time.Millisecond))
+	node.Advertise(start) // a later digest is not what the sum includes
+	node.ReceiveSiteDigest(sum, own, start.Add(time.Millisecond))
 	is.Equal(node.peerLoad(node.Table.Load().PoolReplicas("p")[0].Name()).Waiting, 0)
 }
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -39,7 +39,7 @@
 // eligible reports whether an upstream is compared. It checks the view because the part index also contains upstreams
 // of other pools and removed ones.
 func (c *selection) eligible(s *upstreamState) bool {
-	return s.view == c.view && !s.replica.Leaving() && s.backedOff(c.now) == c.backedOff &&
+	return s.view == c.view && !s.replica.Leaving() && !s.health.paused(c.now) && s.backedOff(c.now) == c.backedOff &&
 		!slices.Contains(c.request.Exclude, s.replica.Name())
 }
 
@@ -54,6 +54,21 @@
 	}
 }
 
+// endOfPauses returns when the first of the pool's upstreams that asked to be sent nothing may be sent requests again. It
+// is zero unless all upstreams that could be used asked for it.
+func (c *selection) endOfPauses() (first time.Time) {
+	for _, s := range c.view.states {
+		switch {
+		case s.replica.Leaving():
+		case !s.health.paused(c.now):
+			return time.Time{}
+		case first.IsZero() || s.health.pausedUntil.Before(first):
+			first = s.health.pausedUntil
+		}
+	}
+	return first
+}
+
 // compareCacheHolders compares the homes of the prompt and the upstreams that have its beginning in the cache.
 func (c *selection) compareCacheHolders() {
 	for _, candidate := range c.homes {
--- a/internal/model/site/site.go
+++ b/internal/model/site/site.go
@@ -290,7 +290,7 @@
 		s.clock.After(s.spec.IntraRegionDelay, func() {
 			relay.dispatcher.ReceiveDigest(name, digest, s.clock.Now())
 			sum := relay.dispatcher.SiteSum(s.clock.Now())
-			s.clock.After(s.spec.IntraRegionDelay, func() { from.dispatcher.ReceiveSiteDigest(sum, s.clock.Now()) })
+			s.clock.After(s.spec.IntraRegionDelay, func() { from.dispatcher.ReceiveSiteDigest(sum, digest, s.clock.Now()) })
 		})
 	}
 	if s.rounds%roundsPerRelayExchange != 0 {
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -123,8 +123,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	var answer wire.LoadDigest
-	own := encodeLoads(p.Name, p.dispatcher.Advertise(time.Now()))
-	if err := p.client.Call(ctx, relay.Address, peer.MethodRelayLoads, own, &answer); err != nil {
+	own := p.dispatcher.Advertise(time.Now())
+	if err := p.client.Call(
+		ctx, relay.Address, peer.MethodRelayLoads, encodeLoads(p.Name, own), &answer); err != nil {
 		p.Logger.Warn().Err(err).Str("decision", "relay").Str("step", peer.MethodRelayLoads).Str("peer", relay.Name).
 			Msg("load relay did not answer; trying another one for a while")
 		l.mu.Lock()
@@ -135,7 +136,7 @@
 		l.lastFailure[relay.Name] = time.Now()
 		return
 	}
-	p.dispatcher.ReceiveSiteDigest(decodeLoads(answer), time.Now())
+	p.dispatcher.ReceiveSiteDigest(decodeLoads(answer), own, time.Now())
 }
 
 // reportToOtherZones sends the total of this availability zone to the relays of the others.
@@ -196,6 +197,12 @@
 			Down:     load.Down,
 		})
 	}
+	for name, boot := range digest.Leaving {
+		message.Leaving = append(message.Leaving, wire.LeavingUpstream{
+			Upstream: name,
+			Boot:     boot,
+		})
+	}
 	for pool, demand := range digest.EngineDemands {
 		message.Work = append(message.Work, wire.PoolWork{
 			Pool:        pool,
@@ -211,6 +218,7 @@
 		Nodes:         message.Nodes,
 		Loads:         make(map[string]dispatch.Load, len(message.Rows)),
 		EngineDemands: make(map[string]dispatch.EngineDemand, len(message.Work)),
+		Leaving:       make(map[string]int, len(message.Leaving)),
 	}
 	for _, row := range message.Rows {
 		digest.Loads[row.Upstream] = dispatch.Load{
@@ -219,6 +227,9 @@
 			Down:    row.Down,
 		}
 	}
+	for _, row := range message.Leaving {
+		digest.Leaving[row.Upstream] = row.Boot
+	}
 	for _, row := range message.Work {
 		digest.EngineDemands[row.Pool] = dispatch.EngineDemand{
 			Interactive: row.Interactive,
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -30,6 +30,7 @@
 				Bulk:        9,
 			},
 		},
+		Leaving: map[string]int{"i-2": 17},
 	}
 	data, err := json.Marshal(encodeLoads("a", sent))
 	is.NoErr(err)
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -56,10 +57,25 @@
 		if cause != nil {
 			answer.reason += ": " + cause.Error()
 		}
-		x.sendLocalAnswer(answer)
+		x.finishWithout(answer)
 		return
 	}
-	status := http.StatusOK
+	x.deliver()
+}
+
+// finishWithout ends a request for which no more answers can be had. An upstream's error that was to be replaced by a
+// better answer is delivered after all; else the caller is sent the local answer.
+func (x *exchange) finishWithout(answer localAnswer) {
+	if x.buffered != nil && !x.progress.headWritten {
+		x.deliver()
+		return
+	}
+	x.sendLocalAnswer(answer)
+}
+
+// deliver sends the buffered answer, if there is one, and records the answer.
+func (x *exchange) deliver() {
+	status := cmp.Or(x.sentStatus, http.StatusOK)
 	if x.buffered != nil {
 		status = x.buffered.status
 		if err := x.writeBuffered(); err != nil {
--- a/internal/transport/gateway/call.go
+++ b/internal/transport/gateway/call.go
@@ -47,6 +47,12 @@
 	NotRun bool
 	// IdleTimeout is how long the upstream keeps an idle connection open, 0 if it does not say.
 	IdleTimeout time.Duration
+	// Instance is the name of the upstream that answered, empty if the answer does not say.
+	Instance string
+	// Leaving reports that the upstream is leaving and must be sent no new requests.
+	Leaving bool
+	// RetryAfter is how long the upstream asks to be sent no requests, 0 if it does not ask.
+	RetryAfter time.Duration
 }
 
 // Codec translates between HTTP messages and the types of this package.
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -164,15 +164,16 @@
 		phase   drain.Phase
 		status  int
 	}{
-		"no route":      {path: "/none/x", status: 404},
-		"no key":        {path: "/keyed/x", status: 401},
-		"unknown key":   {path: "/keyed/x", headers: map[string]string{"Authorization": "Token k2"}, status: 401},
-		"key":           {path: "/keyed/x", headers: map[string]string{"Authorization": "Token k1"}, status: 200},
-		"body too long": {path: "/safe/x", body: strings.Repeat("b", 101), status: 413},
-		"no ID":         {path: "/safe/x", headers: map[string]string{"X-Lagoongw-Attempt-Id": ""}, status: 400},
-		"leaving":       {path: "/safe/x", phase: drain.Leaving, status: 200},
-		"refusing":      {path: "/unsafe/x", phase: drain.Refusing, status: 503},
-		"zero timeout":  {path: "/safe/x", headers: map[string]string{"X-Lagoongw-Deadline-Ms": "0"}, status: 200},
+		"no route":        {path: "/none/x", status: 404},
+		"no key":          {path: "/keyed/x", status: 401},
+		"unknown key":     {path: "/keyed/x", headers: map[string]string{"Authorization": "Token k2"}, status: 401},
+		"key":             {path: "/keyed/x", headers: map[string]string{"Authorization": "Token k1"}, status: 200},
+		"body too long":   {path: "/safe/x", body: strings.Repeat("b", 101), status: 413},
+		"header too long": {path: "/safe/x", headers: map[string]string{"X-Long": strings.Repeat("h", 2000)}, status: 431},
+		"no ID":           {path: "/safe/x", headers: map[string]string{"X-Lagoongw-Attempt-Id": ""}, status: 400},
+		"leaving":         {path: "/safe/x", phase: drain.Leaving, status: 200},
+		"refusing":        {path: "/unsafe/x", phase: drain.Refusing, status: 503},
+		"zero timeout":    {path: "/safe/x", headers: map[string]string{"X-Lagoongw-Deadline-Ms": "0"}, status: 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -235,6 +236,34 @@
 	}
 }
 
+// TestLongErrorCountsAgainstTheUpstream sends an error that is too long to buffer: it must count as a failure, so that
+// the next request goes to the other upstream.
+func TestLongErrorCountsAgainstTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGateway(t, map[string]script{
+			"u1": answer(500, strings.Repeat("long ", 1<<19)),
+			"u2": answer(200, "good"),
+		})
+		is.Equal(g.call(t.Context(), "/unsafe/x", "body", nil).status, 500)
+		is.Equal(g.call(t.Context(), "/unsafe/x", "body", nil).status, 200)
+	})
+}
+
+// TestHeadersOfOneConnectionAreNotPassedOn has an upstream name a header that concerns its connection alone.
+func TestHeadersOfOneConnectionAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGateway(t, map[string]script{
+			"u1": answerWith(200, "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Other: 2\r\n"),
+		})
+		got := g.call(t.Context(), "/safe/x", "body", nil)
+		is.Equal(got.status, 200)
+		is.Equal(got.header.Get("X-Hop"), "")
+		is.Equal(got.header.Get("X-Other"), "2")
+	})
+}
+
 func TestCallerDisconnectClosesUpstreamConnection(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"} {
 		t.Run(path, func(t *testing.T) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -50,8 +50,10 @@
 	progress relayProgress
 	// tries counts the calls of choose, whether or not a send followed.
 	tries int
-	// buffered is the last upstream's complete answer, nil if there is none or if it was sent as it arrived.
+	// buffered is the last complete answer of an upstream, nil if there is none or if it was sent as it arrived.
 	buffered *bufferedAnswer
+	// sentStatus is the status of an answer that was sent as it arrived, 0 for a stream.
+	sentStatus int
 	// closeConnection reports whether the caller's connection is closed after the answer.
 	closeConnection bool
 }
@@ -73,10 +75,9 @@
 	for {
 		chosen, refusal := x.choose()
 		if refusal != nil {
-			x.sendLocalAnswer(*refusal)
+			x.finishWithout(*refusal)
 			return
 		}
-		x.buffered = nil
 		result, err := x.sendOnce(chosen)
 		if x.callerLeft() && result != attempt.Answered {
 			x.abandon(chosen.Replica, err)
@@ -116,7 +117,11 @@
 		Exclude: x.excluded,
 	}, rand.Uint64(), time.Now())
 	if choice.Replica == nil {
-		return dispatch.Choice{}, x.noUpstream(choice.Reason)
+		answer := x.noUpstream(choice.Reason)
+		if answer.retryAfter > 0 && !choice.RetryAt.IsZero() {
+			answer.retryAfter = time.Until(choice.RetryAt)
+		}
+		return dispatch.Choice{}, answer
 	}
 	x.logChoice(choice)
 	return choice, nil
@@ -208,15 +213,38 @@
 		x.server.Dispatcher.Failed(s.upstream, time.Now())
 		return attempt.Lost, errOtherRequest
 	}
+	x.heedUpstream(s)
 	if s.reply.NotRun {
 		return attempt.NotRun, x.recordRefusal(s)
 	}
 	if x.route.Kind() == route.Stream && s.response.StatusCode == http.StatusOK {
+		x.buffered = nil
 		return x.relayStream(s)
 	}
 	return x.bufferAnswer(s)
 }
 
+// heedUpstream passes on to the dispatcher what an upstream asks for in the header of an answer. Status 421 comes from
+// another upstream than the one that was meant.
+func (x *exchange) heedUpstream(s *upstreamSend) {
+	now := time.Now()
+	from := s.upstream
+	if s.response.StatusCode == http.StatusMisdirectedRequest {
+		if from = x.server.Dispatcher.Lookup(s.reply.Instance); from == nil {
+			return
+		}
+	}
+	if s.reply.Leaving && x.server.Dispatcher.SaidLeaving(from) {
+		x.server.Logger.Info().Str("decision", "upstreams").Str("request-id", x.call.ID).Str("upstream", from.Name()).
+			Msg("upstream says that it is leaving; it is sent no new requests")
+	}
+	if s.reply.RetryAfter > 0 {
+		x.server.Dispatcher.Pause(from, s.reply.RetryAfter, now)
+		x.server.Logger.Info().Str("decision", "upstreams").Str("request-id", x.call.ID).Str("upstream", from.Name()).
+			Dur("pause-ms", s.reply.RetryAfter).Msg("upstream asked to be sent nothing for a while")
+	}
+}
+
 // recordRefusal tells the dispatcher that the upstream did not run the request, and reads the answer's body so that the
 // connection can be reused. Status 421 means that another upstream has taken over the address.
 func (x *exchange) recordRefusal(s *upstreamSend) error {
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -86,7 +86,7 @@
 		 "target_latency_ms": 1500, "service": "s", "max_attempts": 2, "public": true, "resumable": true},
 		{"name": "keyed", "host": "h", "path_prefix": "/keyed/", "kind": "safe", "timeout_ms": 1500, "service": "s"}
 	],
-	"services": [{"name": "s"}], "limits": {"max_body_bytes": 100},
+	"services": [{"name": "s"}], "limits": {"max_body_bytes": 100, "max_header_bytes": 2000},
 	"tenants": [{"name": "t1", "api_keys": ["k1"]}]}`
 
 // newTestGateway starts a gateway whose upstreams, by name, follow the scripts; one with a nil script refuses
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"lagoongw/internal/coordination/attempt"
@@ -54,6 +56,7 @@
 	body, more, err := x.readAnswer(s)
 	now := time.Now()
 	if err == nil && more {
+		x.buffered = nil
 		err = x.streamLongAnswer(s, body)
 	}
 	if err != nil {
@@ -61,7 +64,7 @@
 		return attempt.Lost, err
 	}
 	if more {
-		x.server.Dispatcher.Succeeded(s.upstream, 0, now)
+		x.recordLongAnswer(s, now)
 		return attempt.Answered, nil
 	}
 	x.buffered = &bufferedAnswer{
@@ -77,6 +80,16 @@
 	return attempt.Answered, nil
 }
 
+// recordLongAnswer tells the dispatcher whether an answer that was sent as it arrived was a server error.
+func (x *exchange) recordLongAnswer(s *upstreamSend, now time.Time) {
+	x.sentStatus = s.response.StatusCode
+	if s.response.StatusCode >= http.StatusInternalServerError {
+		x.server.Dispatcher.Failed(s.upstream, now)
+		return
+	}
+	x.server.Dispatcher.Succeeded(s.upstream, 0, now)
+}
+
 // streamLongAnswer sends an answer that is too long to buffer to the caller as it arrives; from its first byte on, no
 // other answer can be given.
 func (x *exchange) streamLongAnswer(s *upstreamSend, body []byte) error {
@@ -113,8 +126,11 @@
 // did not send is set to nil, so that net/http adds none.
 func (x *exchange) copyHeader(from http.Header) {
 	header := x.w.Header()
-	for name, values := range from {
-		header[name] = values
+	maps.Copy(header, from)
+	for _, named := range from.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopByHopHeaders {
 		header.Del(name)
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -69,6 +70,7 @@
 	steps := []func(*http.Request) *localAnswer{
 		x.decode,
 		x.matchRoute,
+		x.checkHeaderSize,
 		x.identify,
 		x.readBody,
 		x.refuseWhileDraining,
@@ -124,6 +126,29 @@
 	return nil
 }
 
+// checkHeaderSize enforces the operator's limit on the size of a request's header.
+func (x *exchange) checkHeaderSize(r *http.Request) *localAnswer {
+	limit := x.table.Limits().HeaderBytes
+	if limit <= 0 || headerBytes(r) <= limit {
+		return nil
+	}
+	return &localAnswer{
+		status: http.StatusRequestHeaderFieldsTooLarge,
+		reason: fmt.Sprintf("header longer than the %d bytes that are allowed", limit),
+	}
+}
+
+// headerBytes returns the size of a request's header on the wire, apart from optional white space.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return size
+}
+
 // identify finds the team by the API key and sets the request's priority level.
 func (x *exchange) identify(*http.Request) *localAnswer {
 	team := x.table.TeamByKey(x.call.Key)
