Mend five faults of upstreams, peers and settings found in reading

Each with its cause, and a test that failed first where the code allows one: - routing: ejecting an upstream of a pool with fewer than three known latencies averaged its latency with zero. - replica: a table update kept the old pool, zone and slots of an upstream whose entry had changed. - upstreams: signs that an upstream leaves were kept for good, and applied to its next boot for 30 s. - peer: any error that a peer answered with closed the connection that other calls were waiting on. - command: a settings file that could not be read was passed over in silence; now it is logged once (no test). The listeners accept headers up to 256 KiB, so that the routing table's limit decides.

--- a/internal/coordination/routing/ejector.go
+++ b/internal/coordination/routing/ejector.go
@@ -101,7 +101,9 @@
 		// An ejected upstream gets few requests that could update its statistics. Without this, the failures counted so
 		// far would eject it again as soon as the ejection ends.
 		r.RecordSuccess()
-		r.RecordLatency(median)
+		if median > 0 {
+			r.RecordLatency(median)
+		}
 		ejectedCount++
 	}
 }
--- a/internal/coordination/routing/router_test.go
+++ b/internal/coordination/routing/router_test.go
@@ -208,3 +208,20 @@
 		})
 	}
 }
+
+// TestEjectionLeavesTheLatencyAloneWithoutAMedian ejects a failing upstream of a pool of which too few latencies are
+// known: its own latency must not be averaged with zero.
+func TestEjectionLeavesTheLatencyAloneWithoutAMedian(t *testing.T) {
+	is := is.New(t)
+	table := replica.NewTable()
+	table.Update(engines(4))
+	failing := table.Load().PoolReplicas("engines")[0]
+	failing.RecordLatency(200 * time.Millisecond)
+	for range DefaultMaxFailures {
+		failing.RecordFailure()
+	}
+	ejector := NewEjector()
+	ejector.Tick(table.Load(), start)
+	is.True(ejector.Ejected(failing.Name(), start))
+	is.Equal(failing.Latency(), 200*time.Millisecond)
+}
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -32,6 +32,8 @@
 	hash     uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	// slots is the number of slots in the newest row of the machine.
+	slots    atomic.Int64
 	failures atomic.Int64
 	// latency holds the bits of a float64, in seconds.
 	latency        atomic.Uint64
@@ -61,10 +63,19 @@
 
 // New returns a replica for a machine in the platform's list of VMs.
 func New(machine wire.Machine) *Replica {
-	return &Replica{
+	r := &Replica{
 		machine: machine,
 		hash:    rendezvous.Hash(machine.Name),
 	}
+	r.slots.Store(int64(machine.Slots))
+	return r
+}
+
+// sameUpstream reports whether a row of a machine with the same name is about this run of this upstream.
+func (r *Replica) sameUpstream(machine wire.Machine) bool {
+	return r.machine.Address == machine.Address && r.machine.Boot == machine.Boot &&
+		r.machine.Kind == machine.Kind && r.machine.Pool == machine.Pool &&
+		r.machine.AvailabilityZone == machine.AvailabilityZone && r.machine.Region == machine.Region
 }
 
 // Hash returns the hash of the machine's name for rendezvous hashing.
@@ -96,7 +107,7 @@
 	if load := r.load.Load(); load != nil && load.slots > 0 {
 		return load.slots
 	}
-	return max(r.machine.Slots, 1)
+	return max(int(r.slots.Load()), 1)
 }
 
 // Models returns the models that the upstream has loaded. The caller must not modify the slice.
--- a/internal/state/replica/table.go
+++ b/internal/state/replica/table.go
@@ -88,8 +88,8 @@
 // Load returns the current snapshot.
 func (t *Table) Load() *Snapshot { return t.current.Load() }
 
-// Update publishes a snapshot of the engines and services among the machines. An upstream with the same
-// name, address and boot keeps its replica and thus its counters. Only one goroutine may call Update.
+// Update publishes a snapshot of the engines and services among the machines. An upstream of which nothing changed but
+// its state and its slots keeps its replica and thus its counters. Only one goroutine may call Update.
 func (t *Table) Update(machines []wire.Machine) {
 	before := t.current.Load()
 	next := &Snapshot{
@@ -101,9 +101,10 @@
 			continue
 		}
 		r, known := before.byName[machine.Name]
-		if !known || r.Address() != machine.Address || r.Boot() != machine.Boot {
+		if !known || !r.sameUpstream(machine) {
 			r = New(machine)
 		}
+		r.slots.Store(int64(machine.Slots))
 		if machine.State == StateLeaving {
 			r.MarkLeaving()
 		}
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -37,8 +37,8 @@
 	Tier *int
 }
 
-// Limits holds the operator's limits on the size of a caller's requests and on the time that a caller may take. Only
-// BodyBytes is enforced; the listeners have fixed limits in place of the others.
+// Limits holds the operator's limits on the size of a caller's requests and on the time that a caller may take.
+// HeaderTimeout and IdleTimeout are not enforced; the listeners have fixed limits in their place.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -87,7 +87,8 @@
 // watchSettings applies changes of the settings file until ctx ends. It reads the file when a signal arrives on reload,
 // and every settingsPollInterval.
 func watchSettings(ctx context.Context, path string, reload <-chan os.Signal, p *entryvm.Process) {
-	current, _ := os.ReadFile(path)
+	current, err := os.ReadFile(path)
+	unreadable := err != nil
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -99,7 +100,12 @@
 			return
 		}
 		data, err := os.ReadFile(path)
-		if err != nil || bytes.Equal(data, current) {
+		if err != nil && !unreadable {
+			p.Logger.Error().Err(err).Str("decision", "settings").
+				Msg("the settings file can't be read; keeping the previous settings")
+		}
+		unreadable = err != nil
+		if unreadable || bytes.Equal(data, current) {
 			continue
 		}
 		current = data
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -30,11 +30,11 @@
 )
 
 const (
-	// headerTimeout, callerIdleTimeout and maxHeaderBytes limit the clients of all HTTP listeners; the limits in the
-	// routing table don't change them. Callers stop reusing an idle connection sooner than callerIdleTimeout.
+	// headerTimeout, callerIdleTimeout and maxHeaderBytes limit the clients of all HTTP listeners; the routing table sets
+	// a lower limit for the headers of requests. Callers stop reusing an idle connection sooner than callerIdleTimeout.
 	headerTimeout     = 5 * time.Second
 	callerIdleTimeout = time.Minute
-	maxHeaderBytes    = 32 << 10
+	maxHeaderBytes    = 256 << 10
 	peerIdleTimeout   = 30 * time.Second
 	drainPollInterval = 50 * time.Millisecond
 	// refuseAfterShare is the share of the grace period in which a leaving node still accepts requests: longer than most
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -48,14 +49,18 @@
 
 // Call sends a request to a peer and decodes its answer into result.
 //
-// After any error, a timeout included, it closes the connection, so that the next call opens a new one.
+// After any error but one that the peer answered with, a timeout included, it closes the connection, so that the next
+// call opens a new one.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
 	rpc, err := c.connection(ctx, address)
 	if err != nil {
 		return eris.Wrapf(err, "connect to peer %s", address)
 	}
 	if err := rpc.Call(ctx, method, params, result); err != nil {
-		c.drop(address, rpc)
+		var answered *jsonrpc2.Error
+		if !errors.As(err, &answered) {
+			c.drop(address, rpc)
+		}
 		return eris.Wrapf(err, "call %s at peer %s", method, address)
 	}
 	return nil
--- a/internal/transport/peer/server_test.go
+++ b/internal/transport/peer/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -168,3 +169,29 @@
 	c.CloseIdle(time.Now().Add(2 * maxIdleTime))
 	is.Equal(len(c.conns), 0)
 }
+
+// TestErrorOfOneMethodKeepsTheConnection has a peer answer one call with an error while another call is in flight on the
+// same connection: that one must still be answered.
+func TestErrorOfOneMethodKeepsTheConnection(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	address, _ := startServer(t, map[string]Handler{
+		"fail": func(context.Context, json.RawMessage) (any, error) { return nil, errors.New("not yet") },
+		"wait": func(context.Context, json.RawMessage) (any, error) {
+			<-release
+			return "done", nil
+		},
+		echo: echoHandler,
+	})
+	client := newClient(t, secret)
+	var text string
+	is.NoErr(client.Call(t.Context(), address, echo, "first", &text))
+	waited := make(chan error)
+	go func() {
+		var answer string
+		waited <- client.Call(t.Context(), address, "wait", nil, &answer)
+	}()
+	is.True(client.Call(t.Context(), address, "fail", nil, &text) != nil)
+	close(release)
+	is.NoErr(<-waited)
+}
--- a/internal/transport/upstreams/service.go
+++ b/internal/transport/upstreams/service.go
@@ -25,6 +25,14 @@
 	leavingTTL = 30 * time.Second
 )
 
+// leavingSign is when an upstream was first known to be leaving.
+type leavingSign struct {
+	since time.Time
+	// boot is the run of the upstream that is leaving; it is not known until the upstream is listed.
+	boot      int
+	bootKnown bool
+}
+
 // Service updates the table of upstreams; its exported fields must be set before Run is called.
 type Service struct {
 	// AvailabilityZone is this node's availability zone.
@@ -42,9 +50,9 @@
 	// Logger receives one line for each upstream that is leaving.
 	Logger zerolog.Logger
 
-	mu           sync.Mutex // guards leavingSince and polling
-	leavingSince map[string]time.Time
-	polling      map[string]bool
+	mu      sync.Mutex // guards leaving and polling
+	leaving map[string]leavingSign
+	polling map[string]bool
 	// nextPoll is a counter that selects the upstreams to poll in turn.
 	nextPoll int
 }
@@ -161,15 +169,20 @@
 
 // recordLeaving records when an upstream was first known to be leaving, and logs it.
 func (s *Service) recordLeaving(name, sign string) {
+	r, listed := s.Table.Load().Replica(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leavingSince == nil {
-		s.leavingSince = map[string]time.Time{}
+	if s.leaving == nil {
+		s.leaving = map[string]leavingSign{}
 	}
-	if _, known := s.leavingSince[name]; known {
+	if before, known := s.leaving[name]; known && (!listed || before.boot == r.Boot()) {
 		return
 	}
-	s.leavingSince[name] = time.Now()
+	record := leavingSign{since: time.Now()}
+	if listed {
+		record.boot, record.bootKnown = r.Boot(), true
+	}
+	s.leaving[name] = record
 	s.Logger.Info().
 		Str("decision", "upstream-leaving").
 		Str("upstream", name).
@@ -177,10 +190,19 @@
 		Msg("upstream gets no new work")
 }
 
-// reapplyLeaving marks the listed upstreams that were reported as leaving before they were listed.
+// reapplyLeaving marks the listed upstreams that were reported as leaving before they were listed. It forgets the signs
+// that are older than leavingTTL, and those of an earlier run of an upstream that has started again.
 func (s *Service) reapplyLeaving() {
-	for _, name := range s.Leaving() {
-		if r, known := s.Table.Load().Replica(name); known {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, sign := range s.leaving {
+		r, listed := s.Table.Load().Replica(name)
+		switch {
+		case time.Since(sign.since) > leavingTTL, listed && sign.bootKnown && r.Boot() != sign.boot:
+			delete(s.leaving, name)
+		case listed:
+			sign.boot, sign.bootKnown = r.Boot(), true
+			s.leaving[name] = sign
 			r.MarkLeaving()
 		}
 	}
@@ -191,11 +213,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
-	for name, since := range s.leavingSince {
-		if time.Since(since) > leavingTTL {
-			continue
+	for name, sign := range s.leaving {
+		if time.Since(sign.since) <= leavingTTL {
+			names = append(names, name)
 		}
-		names = append(names, name)
 	}
 	return names
 }
