Learn the speed of engines, and keep tight streams apart by the pauses that were seen

Cause: every choice used one make of engine as constants (62.4 tokens a ms, 6.55 ms a step, chunks of 1,024, 120 ms to begin). Change: package calibration learns the start, the time per token and the steps of a pool's engines from first events and pauses at engines where nothing is known to wait, and counts pauses by length. Nodes add up what they saw with the load digests. A kind of stream is kept apart when a quarter of its streams would be late by the pauses at engines that read any prompt, until fewer than a tenth would be. Engines for it follow its prompts and its slots; a small pool gives them back while long prompts wait more than 0.4 s. Sums of fractions are formed in the order of names, so that a run repeats.

--- a/internal/coordination/dispatch/choice_test.go
+++ b/internal/coordination/dispatch/choice_test.go
@@ -114,13 +114,13 @@
 			Prompt: newPrompt(1, 100+i),
 		}
 		choice := node.Choose(request, 0, now)
-		assignment := node.Begin(choice.Replica, request.Prompt, choice, 0, now)
+		assignment := node.Begin(choice.Replica, request, choice, now)
 		took := choice.Predicted
 		if choice.Replica == slow {
 			took *= 3
 		}
 		now = now.Add(took)
-		assignment.FirstEvent(now)
+		assignment.Events(1, now)
 		assignment.End(now)
 	}
 	is.True(node.states[slow].health.slowness(now) > 1.5)
@@ -162,12 +162,13 @@
 	now := start
 	for i := range uint64(10 * partLifetime / interval) {
 		now = now.Add(interval)
-		assignment := node.Begin(upstream, prompt.Prompt{
+		request := Request{Prompt: prompt.Prompt{
 			{
 				ID:     i,
 				Tokens: 1,
 			},
-		}, Choice{}, 0, now)
+		}}
+		assignment := node.Begin(upstream, request, Choice{}, now)
 		assignment.End(now)
 	}
 	// The index holds the parts of one lifetime, and the expired ones since the last sweep.
@@ -190,7 +191,7 @@
 		Prompt: cachedPrompt,
 	}, 0, start)
 	is.Equal(choice.Replica.Name(), "other")
-	node.Begin(choice.Replica, cachedPrompt, choice, 0, start).End(start)
+	node.Begin(choice.Replica, Request{Prompt: cachedPrompt}, choice, start).End(start)
 	for i := range uint64(20) {
 		is.True(node.Choose(Request{
 			Pool:   "p",
@@ -209,7 +210,7 @@
 		Prompt: newPrompt(1, 2),
 	}
 	choice := node.Choose(request, 0, start)
-	node.Begin(choice.Replica, request.Prompt, choice, 0, start).End(start)
+	node.Begin(choice.Replica, request, choice, start).End(start)
 	var rest []wire.Machine
 	for _, r := range node.Table.Load().PoolReplicas("p") {
 		if r != choice.Replica {
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lagoongw/internal/coordination/calibration"
 	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -57,6 +58,8 @@
 	Predicted time.Duration
 	// Uncached is the number of prompt tokens that the upstream is expected to prefill.
 	Uncached int
+	// assumed reports that Uncached relies on what other nodes are expected to have sent there.
+	assumed bool
 	// Interactive reports whether the prompt is short and the pauses between the events of the response have to be
 	// short too.
 	Interactive bool
@@ -79,12 +82,16 @@
 	// OnSplitChange, if set, is called when the number of engines that are reserved for interactive requests changes,
 	// with that number and the number of all engines of the pool. It must not block.
 	OnSplitChange func(pool string, interactive, engines int)
+	// OnProfileChange, if set, is called when what is known of the speed of a pool's engines has changed. It must not
+	// block.
+	OnProfileChange func(pool string, profile calibration.Profile)
 
 	mu     sync.Mutex
 	states map[*replica.Replica]*upstreamState
 	views  map[string]*view
 	parts  partIndex
 	splits map[string]*split
+	paces  map[string]*pace
 	// peers holds the digests received from other nodes, by node name, and the sums received from relays, by siteKey or
 	// by zonePrefix and the zone.
 	peers map[string]peerDigest
@@ -148,7 +155,9 @@
 		},
 	}
 	c.interactiveEngines = d.interactiveEngines(request.Pool, len(v.states), c.peerScale, now)
-	c.interactive = isInteractive(request, pool.Engine)
+	known := d.updatedPace(request.Pool, now)
+	c.profile = known.profile
+	c.interactive = known.isInteractive(request, pool.Engine, now)
 	c.rankHomes()
 	c.compareCacheHolders()
 	if c.best.Cost > c.minCostElsewhere() {
--- a/internal/coordination/dispatch/forecast.go
+++ b/internal/coordination/dispatch/forecast.go
@@ -4,27 +4,10 @@
 	"math"
 	"time"
 
-	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 )
 
-// Model of an engine, based on the figures that the users published: between the decode steps of the running requests
-// it prefills waiting prompts in chunks.
 const (
-	// firstTokenOverhead is the time from the start of a prefill to the first token, not counting the prefill itself.
-	firstTokenOverhead = 120 * time.Millisecond
-	// prefillTokensPerMillisecond is the prefill speed of an engine on which nothing else runs.
-	prefillTokensPerMillisecond = 62.4
-	// chunkTokens is the number of prompt tokens that are prefilled between two decode steps.
-	chunkTokens = 1024
-	// stepBaseTime is the time of a decode step without running requests, and stepTimePerRequest is added for each of
-	// them.
-	stepBaseTime       = 6550 * time.Microsecond
-	stepTimePerRequest = 165 * time.Microsecond
-	// prefillStartTokens is the delay that the start of a prefill adds for the prompts queued behind it, as the number
-	// of tokens that are prefilled in that time. The delay is about a quarter of firstTokenOverhead, since the rest of
-	// that time overlaps with other work.
-	prefillStartTokens = 2000
 	// maxWaitingTime is how long a prompt counts as waiting if its first event does not arrive.
 	maxWaitingTime = 20 * time.Second
 	// defaultLatency is the assumed latency of a plain service, an upstream that is not an engine, before its first
@@ -43,19 +26,12 @@
 	waiting  map[*Assignment]struct{}
 	running  int
 	inFlight int
+	// waitingUntil is when the last prompt stopped waiting.
+	waitingUntil time.Time
 	// latency is the average response time of a plain service, zero before the first response.
 	latency time.Duration
 }
 
-// TimeToFirstToken predicts the time to the first token at an engine that has to prefill tokens first, with running
-// requests past their first event.
-func TimeToFirstToken(tokens, running int) time.Duration {
-	chunks := float64(tokens) / chunkTokens
-	step := stepBaseTime + time.Duration(running)*stepTimePerRequest
-	prefill := time.Duration(float64(tokens) / prefillTokensPerMillisecond * float64(time.Millisecond))
-	return firstTokenOverhead + prefill + time.Duration(chunks*float64(step))
-}
-
 // crowdingCost returns the cost of the other requests that run at an engine, which slow down its decode steps. The cost
 // rises steeply above half of the slots, since requests wait for a slot at a nearly full engine.
 func crowdingCost(running, slots int) time.Duration {
@@ -113,55 +89,87 @@
 	dispatcher *Dispatcher
 	replica    *replica.Replica
 	tier       int
-	// prefillTokens is Choice.Uncached plus prefillStartTokens.
-	prefillTokens  int
-	predicted      time.Duration
-	sent           time.Time
-	firstEventSeen bool
-	ended          bool
+	// gap is the target for the longest pause between events, zero for no target.
+	gap time.Duration
+	// uncached is Choice.Uncached; prefillTokens adds the delay of the start of the prefill.
+	uncached      int
+	prefillTokens int
+	predicted     time.Duration
+	sent          time.Time
+	// measurable reports that no other prompt was known to wait at the upstream when the request was sent, and that it
+	// was known what the upstream has cached.
+	measurable  bool
+	events      int
+	lastEventAt time.Time
+	ended       bool
 }
 
-// Begin records that a request is sent to an upstream; choice is the result of Choose.
-func (d *Dispatcher) Begin(r *replica.Replica, p prompt.Prompt, choice Choice, tier int, now time.Time) *Assignment {
+// Begin records that a request is sent to an upstream; choice is the result of Choose for it.
+func (d *Dispatcher) Begin(r *replica.Replica, request Request, choice Choice, now time.Time) *Assignment {
 	assignment := &Assignment{
-		dispatcher:    d,
-		replica:       r,
-		tier:          tier,
-		prefillTokens: choice.Uncached + prefillStartTokens,
-		predicted:     choice.Predicted,
-		sent:          now,
+		dispatcher: d,
+		replica:    r,
+		tier:       request.Tier,
+		gap:        request.Gap,
+		uncached:   choice.Uncached,
+		predicted:  choice.Predicted,
+		sent:       now,
 	}
 	r.Begin()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	upstream := d.state(r)
+	p := request.Prompt
 	upstream.forecast.inFlight++
 	upstream.health.recordSend(now)
 	if len(p) == 0 {
 		return assignment
 	}
+	known := d.pace(r.Pool())
+	assignment.prefillTokens = choice.Uncached + known.profile.QueueDelayTokens()
+	assignment.measurable = !choice.assumed && len(upstream.forecast.waiting) == 0 && upstream.peerLoad.Waiting == 0
 	upstream.forecast.addWaiting(assignment)
 	d.parts.add(upstream, p, now)
-	d.split(r.Pool()).record(choice.Interactive, engineSeconds(choice.Interactive, choice.Uncached), now)
+	settings, _ := d.Pool(r.Pool())
+	kind, prefill := known.kindOf(request, settings.Engine), known.profile.Prefill(assignment.prefillTokens)
+	known.recordPrefill(kind, prefill)
+	d.split(r.Pool()).record(kind, prefill, now)
 	return assignment
 }
 
-// FirstEvent records that the prompt was prefilled. Only the first call has an effect.
-func (a *Assignment) FirstEvent(now time.Time) {
-	if a.firstEventSeen {
+// Events records that further events of the response arrived at the same time. The first call shows that the prompt was
+// prefilled.
+func (a *Assignment) Events(count int, now time.Time) {
+	if count <= 0 || a.ended {
 		return
 	}
-	a.firstEventSeen = true
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
 	upstream := a.dispatcher.state(a.replica)
-	delete(upstream.forecast.waiting, a)
-	upstream.forecast.running++
+	if a.events == 0 {
+		a.firstEvent(upstream, now)
+	} else {
+		a.dispatcher.observePause(upstream, now.Sub(a.lastEventAt), now)
+	}
+	a.events += count
+	a.lastEventAt = now
+}
+
+func (a *Assignment) firstEvent(upstream *upstreamState, now time.Time) {
+	f := &upstream.forecast
+	if _, waiting := f.waiting[a]; waiting {
+		delete(f.waiting, a)
+		f.waitingUntil = now
+	}
+	f.running++
 	upstream.health.recordFirstEvent(now.Sub(a.sent), a.predicted, now)
+	if a.measurable && upstream.distance < otherRegionCost && len(f.waiting) == 0 {
+		a.dispatcher.pace(a.replica.Pool()).estimator.ObserveFirstEvent(now.Sub(a.sent), a.uncached)
+	}
 }
 
 // End records that the request has ended. Only the first call has an effect.
-func (a *Assignment) End(time.Time) {
+func (a *Assignment) End(now time.Time) {
 	if a.ended {
 		return
 	}
@@ -171,8 +179,12 @@
 	defer a.dispatcher.mu.Unlock()
 	f := &a.dispatcher.state(a.replica).forecast
 	f.inFlight--
-	delete(f.waiting, a)
-	if a.firstEventSeen {
+	if _, waiting := f.waiting[a]; waiting {
+		delete(f.waiting, a)
+		f.waitingUntil = now
+	}
+	if a.events > 0 {
 		f.running--
+		a.dispatcher.pace(a.replica.Pool()).recordLength(a.gap, a.events)
 	}
 }
--- a/internal/coordination/dispatch/health_test.go
+++ b/internal/coordination/dispatch/health_test.go
@@ -37,7 +37,7 @@
 	node.Unreachable(bad, start)
 	later := start.Add(connectBackoffMin)
 	is.True(countChoices(node, later)[bad.Name()] > 0)
-	probe := node.Begin(bad, nil, Choice{}, 0, later)
+	probe := node.Begin(bad, Request{}, Choice{}, later)
 	is.Equal(countChoices(node, later)[bad.Name()], 0)
 	probe.End(later)
 	is.True(countChoices(node, later.Add(probeTime))[bad.Name()] > 0) // the probe ended without a result
--- a/internal/coordination/dispatch/parts.go
+++ b/internal/coordination/dispatch/parts.go
@@ -63,14 +63,20 @@
 
 // uncached returns the number of prompt tokens that an upstream has to prefill: the first part that is not in the
 // cache and everything after it. At the primary home of the prompt the shared parts count as cached, since other nodes
-// send them there.
-func (p *partIndex) uncached(s *upstreamState, requested prompt.Prompt, atPrimaryHome bool, now time.Time) int {
+// send them there; assumed reports that this made a difference.
+func (p *partIndex) uncached(
+	s *upstreamState, requested prompt.Prompt, atPrimaryHome bool, now time.Time,
+) (tokens int, assumed bool) {
 	for i, part := range requested {
-		if !p.holds(s, part, now) && (!atPrimaryHome || i == len(requested)-1) {
-			return requested[i:].Tokens()
+		if p.holds(s, part, now) {
+			continue
 		}
+		if !atPrimaryHome || i == len(requested)-1 {
+			return requested[i:].Tokens(), assumed
+		}
+		assumed = true
 	}
-	return 0
+	return 0, assumed
 }
 
 // holders returns the upstreams that were sent the first part of a prompt; all others have to prefill the whole
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lagoongw/internal/coordination/calibration"
+)
 
 // peerDigestLifetime is how long a digest received from another node is valid.
 const peerDigestLifetime = 2 * time.Second
@@ -46,6 +52,8 @@
 	// Loads is keyed by upstream name, EngineDemands by pool name.
 	Loads         map[string]Load
 	EngineDemands map[string]EngineDemand
+	// Evidence is what was observed of the engines of each pool.
+	Evidence map[string]calibration.Evidence
 	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
 	Leaving map[string]int
 }
@@ -128,17 +136,30 @@
 			digest.Loads[r.Name()] = load
 		}
 	}
-	for pool, s := range d.splits {
-		digest.EngineDemands[pool] = s.demand(now)
+	for pool := range d.splits {
+		digest.EngineDemands[pool] = d.demand(pool, now)
+	}
+	for pool, p := range d.paces {
+		digest.Evidence[pool] = p.estimator.Evidence(now)
 	}
 	return digest
 }
 
+// sortedPeers returns the digests received from other nodes in the order of their names, so that sums of fractions are
+// the same each time; the lock must be held.
+func (d *Dispatcher) sortedPeers() []peerDigest {
+	digests := make([]peerDigest, 0, len(d.peers))
+	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+		digests = append(digests, d.peers[name])
+	}
+	return digests
+}
+
 // totalDemand returns how many engines of a pool the requests of all nodes need; the lock must be held.
 func (d *Dispatcher) totalDemand(pool string, scale float64, now time.Time) EngineDemand {
 	var others EngineDemand
-	for _, peer := range d.peers {
+	for _, peer := range d.sortedPeers() {
 		others = others.plus(peer.EngineDemands[pool], 1)
 	}
-	return d.split(pool).demand(now).plus(others, scale)
+	return d.demand(pool, now).plus(others, scale)
 }
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -2,8 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
+
+	"lagoongw/internal/coordination/calibration"
 )
 
 // A site is all nodes together. On a large site each node sends its digest to one relay, a node of its availability
@@ -53,8 +56,8 @@
 	d.expirePeers(now)
 	total := d.localDigest(now)
 	total.Nodes = 1
-	for name, peer := range d.peers {
-		if name != siteKey && include(name) {
+	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+		if peer := d.peers[name]; name != siteKey && include(name) {
 			total.Nodes += peer.nodes()
 			total.add(peer.Digest, 1)
 		}
@@ -66,6 +69,7 @@
 	return Digest{
 		Loads:         map[string]Load{},
 		EngineDemands: map[string]EngineDemand{},
+		Evidence:      map[string]calibration.Evidence{},
 		Leaving:       map[string]int{},
 	}
 }
@@ -83,6 +87,9 @@
 			Down:    max(load.Down, 0),
 		}
 	}
+	for pool, evidence := range other.Evidence {
+		g.Evidence[pool] = g.Evidence[pool].Plus(evidence, float64(sign))
+	}
 	if sign > 0 {
 		maps.Copy(g.Leaving, other.Leaving)
 	}
--- a/internal/coordination/dispatch/relay_test.go
+++ b/internal/coordination/dispatch/relay_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/internal/coordination/calibration"
 )
 
 // newBusyDispatcher returns a dispatcher with prompts of 1000 tokens waiting at its first upstream.
@@ -13,8 +15,9 @@
 	node := newDispatcher(3)
 	node.Nodes = func() int { return nodes }
 	upstream := node.Table.Load().PoolReplicas("p")[0]
+	queueDelay := calibration.Evidence{}.Profile().QueueDelayTokens()
 	for i := range prompts {
-		node.Begin(upstream, newPrompt(1, uint64(100+i)), Choice{Uncached: 1000 - prefillStartTokens}, 0, start)
+		node.Begin(upstream, Request{Prompt: newPrompt(1, uint64(100+i))}, Choice{Uncached: 1000 - queueDelay}, start)
 	}
 	return node
 }
@@ -87,7 +90,7 @@
 	relay.ReceiveDigest("node", own, start)
 	sum := relay.SiteSum(start)
 	for range 3 {
-		node.Begin(node.Table.Load().PoolReplicas("p")[0], newPrompt(1, 2), Choice{}, 0, start)
+		node.Begin(node.Table.Load().PoolReplicas("p")[0], Request{Prompt: newPrompt(1, 2)}, Choice{}, start)
 	}
 	node.Advertise(start) // a later digest is not what the sum includes
 	node.ReceiveSiteDigest(sum, own, start.Add(time.Millisecond))
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lagoongw/internal/coordination/calibration"
 	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -14,6 +15,8 @@
 	request Request
 	view    *view
 	engine  *route.Engine
+	// profile is the speed of the pool's engines.
+	profile calibration.Profile
 	now     time.Time
 	random  uint64
 	// promptTokens is the length of the prompt, and cacheHolders are the upstreams that have its beginning in the
@@ -86,7 +89,7 @@
 	if c.engine == nil || c.promptTokens == 0 {
 		return 0
 	}
-	return TimeToFirstToken(c.promptTokens, 0) + affinityCost(c.promptTokens, nonHome)
+	return c.profile.TimeToFirstToken(c.promptTokens, 0) + c.affinityCost(c.promptTokens, nonHome)
 }
 
 // consider makes an upstream the best choice if its cost is lower.
@@ -118,10 +121,10 @@
 		}
 	}
 	aff := c.affinity(s)
-	uncached := c.uncached(s, aff)
+	uncached, assumed := c.uncached(s, aff)
 	waitingTokens := s.forecast.backlog(c.request.Tier, c.now) + int(c.peerScale*float64(s.peerLoad.Waiting))
 	running := s.forecast.running + int(c.peerScale*float64(s.peerLoad.Running))
-	timeToFirstToken := TimeToFirstToken(uncached+waitingTokens, running)
+	timeToFirstToken := c.profile.TimeToFirstToken(uncached+waitingTokens, running)
 	adjusted := s.distance + time.Duration(float64(timeToFirstToken)*s.health.slowness(c.now))
 	if c.reservedForOthers(s) {
 		adjusted += reservedCost
@@ -130,34 +133,37 @@
 		Replica:     s.replica,
 		Interactive: c.interactive,
 		Cost: adjusted + s.health.failurePenalty(c.now) + crowdingCost(running, s.replica.Slots()) +
-			affinityCost(uncached, aff),
+			c.affinityCost(uncached, aff),
 		Predicted: s.distance + timeToFirstToken,
 		Uncached:  uncached,
+		assumed:   assumed,
 		Reason:    reasonLowestCost,
 	}
 }
 
-// uncached returns the number of prompt tokens that an upstream has to prefill.
-func (c *selection) uncached(s *upstreamState, aff affinity) int {
+// uncached returns the number of prompt tokens that an upstream has to prefill, and whether it is assumed that other
+// nodes had the rest cached there.
+func (c *selection) uncached(s *upstreamState, aff affinity) (tokens int, assumed bool) {
 	if aff != primaryHome {
 		if _, holds := c.cacheHolders[s]; !holds {
-			return c.promptTokens
+			return c.promptTokens, false
 		}
 	}
 	return c.parts.uncached(s, c.request.Prompt, aff == primaryHome, c.now)
 }
 
-// DisplacementCost returns what the prefill of uncached prompt tokens costs other requests: those queued behind it
-// and those whose cached parts it evicts.
-func DisplacementCost(uncached int) time.Duration {
-	return time.Duration(displacementFactor * float64(uncached) / prefillTokensPerMillisecond * float64(time.Millisecond))
+// DisplacementCost returns what the prefill of uncached prompt tokens costs other requests: those queued behind it and
+// those whose cached parts it evicts.
+func DisplacementCost(profile calibration.Profile, uncached int) time.Duration {
+	return displacementFactor * profile.Prefill(uncached)
 }
 
 // affinityCost returns the displacement cost, raised by nonHomeFactor where no other request will reuse the cached
 // parts.
-func affinityCost(uncached int, aff affinity) time.Duration {
+func (c *selection) affinityCost(uncached int, aff affinity) time.Duration {
+	cost := DisplacementCost(c.profile, uncached)
 	if aff == nonHome {
-		return time.Duration(nonHomeFactor * float64(DisplacementCost(uncached)))
+		return nonHomeFactor * cost
 	}
-	return DisplacementCost(uncached)
+	return cost
 }
--- a/internal/coordination/dispatch/view.go
+++ b/internal/coordination/dispatch/view.go
@@ -57,10 +57,23 @@
 	if now.Sub(s.checkedAt) >= splitInterval {
 		s.checkedAt = now
 		before := s.interactiveEngines
-		s.resize(d.totalDemand(pool, scale, now), engines)
+		s.resize(d.totalDemand(pool, scale, now), engines, d.bulkWait(pool, s.interactiveEngines, scale, now))
 		if s.interactiveEngines != before && d.OnSplitChange != nil {
 			d.OnSplitChange(pool, s.interactiveEngines, engines)
 		}
 	}
 	return min(s.interactiveEngines, max(engines-1, 0))
 }
+
+// bulkWait returns how long prompts wait on average at the engines of a pool that are not reserved for interactive
+// requests; the lock must be held.
+func (d *Dispatcher) bulkWait(pool string, reserved int, scale float64, now time.Time) time.Duration {
+	tokens, engines := 0, 0
+	for _, s := range d.view(pool).states {
+		if s.hashRank >= reserved && !s.replica.Leaving() {
+			tokens += s.forecast.backlog(lastTier, now) + int(scale*float64(s.peerLoad.Waiting))
+			engines++
+		}
+	}
+	return d.pace(pool).profile.Prefill(tokens) / time.Duration(max(engines, 1))
+}
--- a/internal/coordination/estimate/histogram.go
+++ b/internal/coordination/estimate/histogram.go
@@ -71,3 +71,16 @@
 func bucketUpperBound(bucket int) float64 {
 	return math.Exp2(float64(bucket) / bucketsPerDoubling)
 }
+
+// Quantile returns the value below which the given share of the observed values lies, 0 if there are none.
+func (h *Histogram) Quantile(share float64) float64 {
+	below := 0.0
+	for i, count := range h.counts {
+		if count > 0 && below+count >= share*h.total {
+			position := float64(i-1) + (share*h.total-below)/count
+			return math.Exp2(position / bucketsPerDoubling)
+		}
+		below += count
+	}
+	return 0
+}
--- a/internal/model/engine/engine.go
+++ b/internal/model/engine/engine.go
@@ -125,10 +125,13 @@
 		contextTokens += job.contextTokens()
 	}
 	e.chunkTokens = 0
+	duration := e.Spec.stepTime(len(e.running), contextTokens)
 	if len(e.prefilling) > 0 {
-		e.chunkTokens = min(e.Spec.ChunkTokens, e.prefilling[0].remainingPrefill)
+		job := e.prefilling[0]
+		e.chunkTokens = min(e.Spec.ChunkTokens, job.remainingPrefill)
+		duration += e.Spec.PrefillTime(e.chunkTokens) +
+			e.Spec.attentionTime(e.chunkTokens, job.contextTokens()-job.remainingPrefill)
 	}
-	duration := e.Spec.stepTime(len(e.running), contextTokens) + e.Spec.prefillTime(e.chunkTokens)
 	if len(e.prefilling) > 0 && !e.prefilling[0].prefillStarted {
 		e.prefilling[0].prefillStarted = true
 		duration += e.Spec.setupTime(e.prefilling[0].remainingPrefill)
--- a/internal/model/engine/engine_test.go
+++ b/internal/model/engine/engine_test.go
@@ -104,7 +104,7 @@
 	for i := 1; i < len(tokens); i++ {
 		longest = max(longest, tokens[i].Sub(tokens[i-1]))
 	}
-	is.True(longest <= e.Spec.PrefillSetupTime+e.Spec.prefillTime(e.Spec.ChunkTokens)+e.Spec.stepTime(2, 100_400))
+	is.True(longest <= e.Spec.PrefillSetupTime+e.Spec.PrefillTime(e.Spec.ChunkTokens)+e.Spec.stepTime(2, 100_400))
 }
 
 func TestNewestJobOfLowestPriorityIsPreempted(t *testing.T) {
--- a/internal/model/engine/spec.go
+++ b/internal/model/engine/spec.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"lagoongw/internal/coordination/calibration"
+)
 
 // Spec describes the speed and the size of an engine.
 type Spec struct {
@@ -18,6 +22,8 @@
 	// prefilled between two decode steps.
 	PrefillTokensPerMillisecond float64
 	ChunkTokens                 int
+	// PrefillTimePerMillionPairs is added for each million pairs of a prefilled token and one before it in its prompt.
+	PrefillTimePerMillionPairs time.Duration
 	// PrefillDelay is the time from the arrival of a prompt to the prefill of its first token. The last part of it is
 	// the setup of the prefill, which delays the other requests of the batch. The setup takes PrefillSetupTime, but at
 	// most half of the time of the prefill.
@@ -42,6 +48,12 @@
 	}
 }
 
+// Profile returns the speed of the engine as lagoongw describes it.
+func (s Spec) Profile() calibration.Profile {
+	return calibration.NewProfile(
+		s.PrefillDelay, s.PrefillTime(1), s.StepBaseTime, s.StepTimePerRequest)
+}
+
 // stepTime returns the duration of a decode step, in which each running request generates one token.
 func (s Spec) stepTime(running, contextTokens int) time.Duration {
 	if running == 0 {
@@ -51,12 +63,19 @@
 		time.Duration(contextTokens)*s.StepTimePerThousandTokens/1000
 }
 
-// prefillTime returns the time to prefill prompt tokens, without setup.
-func (s Spec) prefillTime(tokens int) time.Duration {
+// PrefillTime returns the time to prefill prompt tokens, without setup.
+func (s Spec) PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.PrefillTokensPerMillisecond * float64(time.Millisecond))
 }
 
+// attentionTime returns the time that a chunk takes in addition because of the tokens before it in its prompt.
+func (s Spec) attentionTime(chunkTokens, tokensBefore int) time.Duration {
+	const million = 1e6
+	pairs := float64(chunkTokens) * (float64(tokensBefore) + float64(chunkTokens)/2)
+	return time.Duration(pairs / million * float64(s.PrefillTimePerMillionPairs))
+}
+
 // setupTime returns the time to set up the prefill of prompt tokens.
 func (s Spec) setupTime(tokens int) time.Duration {
-	return min(s.PrefillSetupTime, s.prefillTime(tokens)/2)
+	return min(s.PrefillSetupTime, s.PrefillTime(tokens)/2)
 }
--- a/internal/model/experiment/file.go
+++ b/internal/model/experiment/file.go
@@ -32,6 +32,7 @@
 	Engines        int           `toml:"engines"`
 	Slots          int           `toml:"slots"`
 	Memory         int           `toml:"memory-tokens"`
+	Make           *engineMake   `toml:"engine"`
 	Services       int           `toml:"services"`
 	ServiceSlots   int           `toml:"service-slots"`
 	BetweenRegions duration      `toml:"between-regions"`
@@ -45,6 +46,36 @@
 	Disturbances   []disturbance `toml:"disturbance"`
 }
 
+// engineMake is the speed of the engines, instead of the published one.
+type engineMake struct {
+	Step                  duration `toml:"step"`
+	StepPerRequest        duration `toml:"step-per-request"`
+	StepPerThousandTokens duration `toml:"step-per-thousand-tokens"`
+	PrefillPerMillisecond float64  `toml:"prefill-tokens-per-ms"`
+	Chunk                 int      `toml:"chunk-tokens"`
+	PrefillPerPairs       duration `toml:"prefill-per-million-pairs"`
+	PrefillDelay          duration `toml:"prefill-delay"`
+	PrefillSetup          duration `toml:"prefill-setup"`
+}
+
+func (f file) engineSpec() engine.Spec {
+	if f.Make == nil {
+		return engine.PublishedSpec(f.Slots, f.Memory)
+	}
+	return engine.Spec{
+		Slots:                       f.Slots,
+		MemoryTokens:                f.Memory,
+		StepBaseTime:                time.Duration(f.Make.Step),
+		StepTimePerRequest:          time.Duration(f.Make.StepPerRequest),
+		StepTimePerThousandTokens:   time.Duration(f.Make.StepPerThousandTokens),
+		PrefillTokensPerMillisecond: f.Make.PrefillPerMillisecond,
+		ChunkTokens:                 f.Make.Chunk,
+		PrefillTimePerMillionPairs:  time.Duration(f.Make.PrefillPerPairs),
+		PrefillDelay:                time.Duration(f.Make.PrefillDelay),
+		PrefillSetupTime:            time.Duration(f.Make.PrefillSetup),
+	}
+}
+
 type class struct {
 	Name        string   `toml:"name"`
 	Tier        int      `toml:"tier"`
@@ -97,7 +128,7 @@
 		Nodes:                 f.Nodes,
 		Regions:               f.Regions,
 		Engines:               f.Engines,
-		Engine:                engine.PublishedSpec(f.Slots, f.Memory),
+		Engine:                f.engineSpec(),
 		Services:              f.Services,
 		ServiceSlots:          f.ServiceSlots,
 		InterRegionDelay:      time.Duration(f.BetweenRegions),
--- a/internal/model/site/policy.go
+++ b/internal/model/site/policy.go
@@ -16,6 +16,9 @@
 	Summary string
 	// IgnoreTiers gives all requests the same priority at the engines.
 	IgnoreTiers bool
+	// IgnoreGaps hides the gap targets from the dispatcher. Without one, no request counts as interactive, and no engines
+	// are reserved.
+	IgnoreGaps bool
 
 	decide func(s *Site, r *request) decision
 }
@@ -52,9 +55,10 @@
 			decide:  ownRegion,
 		},
 		{
-			Name:    "no-division",
-			Summary: "the policy of lagoongw without engines reserved for interactive requests",
-			decide:  withoutSplit,
+			Name:       "no-division",
+			Summary:    "the policy of lagoongw without engines reserved for interactive requests",
+			IgnoreGaps: true,
+			decide:     productChoice,
 		},
 		{
 			Name:    "bounded-load",
@@ -90,13 +94,17 @@
 }
 
 func (r *request) dispatchRequest() dispatch.Request {
-	return dispatch.Request{
+	request := dispatch.Request{
 		Pool:    r.pool(),
 		Prompt:  r.prompt,
 		Tier:    r.class.Tier,
 		Gap:     r.class.TargetGap,
 		Exclude: r.excluded,
 	}
+	if r.site.policy.IgnoreGaps {
+		request.Gap = 0
+	}
+	return request
 }
 
 func (s *Site) dispatch(r *request, req dispatch.Request) decision {
@@ -138,13 +146,6 @@
 	return s.dispatch(r, req)
 }
 
-// withoutSplit removes the gap target. Without it no request counts as interactive, and no engines are reserved.
-func withoutSplit(s *Site, r *request) decision {
-	req := r.dispatchRequest()
-	req.Gap = 0
-	return s.dispatch(r, req)
-}
-
 // boundedLoad chooses by rendezvous hashing of the affinity key among the upstreams whose current number of requests is
 // at most the mean times loadFactor plus slack. If there are none, or the request has no prompt, it chooses the
 // upstream with the fewest requests.
@@ -195,8 +196,9 @@
 			return distance + float64(u.running+len(u.queue))*float64(r.class.ServiceTime)
 		}
 		uncached := u.engine.Uncached(r.prompt)
-		first := dispatch.TimeToFirstToken(uncached+u.engine.Backlog(r.class.Tier), u.engine.Running())
-		return distance + float64(first)*max(u.engine.Slowdown, 1) + float64(dispatch.DisplacementCost(uncached))
+		profile := s.spec.Engine.Profile()
+		first := profile.TimeToFirstToken(uncached+u.engine.Backlog(r.class.Tier), u.engine.Running())
+		return distance + float64(first)*max(u.engine.Slowdown, 1) + float64(dispatch.DisplacementCost(profile, uncached))
 	})
 }
 
--- a/internal/model/site/request.go
+++ b/internal/model/site/request.go
@@ -143,7 +143,7 @@
 		node:       r.node,
 		upstream:   s.byName[decision.choice.Replica.Name()],
 		replica:    decision.choice.Replica,
-		assignment: r.node.dispatcher.Begin(decision.choice.Replica, r.prompt, decision.choice, r.class.Tier, s.clock.Now()),
+		assignment: r.node.dispatcher.Begin(decision.choice.Replica, r.dispatchRequest(), decision.choice, s.clock.Now()),
 	}
 	r.currentAttempt = a
 	s.clock.After(s.transferTime(r.node.region, a.upstream.region, requestBytes), a.arrive)
@@ -281,9 +281,7 @@
 	arrival := r.site.transferTime(a.upstream.region, a.node.region, eventBytes)
 	r.generatedTokens = p.Job.GeneratedTokens
 	r.recordEvent(r.site.clock.Now().Add(arrival))
-	if isFirst {
-		r.site.clock.After(arrival, func() { a.assignment.FirstEvent(r.site.clock.Now()) })
-	}
+	r.site.clock.After(arrival, func() { a.assignment.Events(1, r.site.clock.Now()) })
 	if p.Ended {
 		r.site.clock.After(arrival, a.complete)
 	}
--- a/internal/model/site/result.go
+++ b/internal/model/site/result.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lagoongw/internal/coordination/calibration"
 )
 
 // Result holds the figures of one run: the results of the callers and the work of the engines and links.
@@ -19,6 +21,8 @@
 	Preemptions int
 	// InterRegionBytes is the number of bytes sent between regions, counted only if Spec.LinkMegabitsPerSecond is set.
 	InterRegionBytes int
+	// Learned is what the first node had learned of the speed of the engines at the end of Spec.Duration.
+	Learned calibration.Profile
 }
 
 // ClassResult holds the results of one class of requests.
--- a/internal/model/site/site.go
+++ b/internal/model/site/site.go
@@ -97,6 +97,9 @@
 		s.scheduleDisturbance(d)
 	}
 	s.clock.After(spec.AdvertiseInterval, s.advertise)
+	s.clock.After(spec.Duration, func() {
+		s.result.Learned = s.nodes[0].dispatcher.Profile(enginePool, s.clock.Now())
+	})
 	longestDeadline := time.Duration(0)
 	for _, class := range spec.Classes {
 		longestDeadline = max(longestDeadline, class.Deadline)
--- a/internal/model/site/spec.go
+++ b/internal/model/site/spec.go
@@ -131,6 +131,10 @@
 	if s.Engines > 0 && (s.Engine.Slots <= 0 || s.Engine.MemoryTokens <= 0) {
 		return eris.New("slots and memory-tokens must be positive if there are engines")
 	}
+	if e := s.Engine; s.Engines > 0 && (e.StepBaseTime <= 0 || e.PrefillTokensPerMillisecond <= 0 || e.ChunkTokens <= 0 ||
+		e.StepTimePerRequest < 0 || e.StepTimePerThousandTokens < 0 || e.PrefillDelay < 0 || e.PrefillSetupTime < 0) {
+		return eris.New("step, prefill-tokens-per-ms and chunk-tokens of the engine must be positive, its other times 0 or more")
+	}
 	classes := map[string]bool{}
 	for _, class := range s.Classes {
 		classes[class.Name] = true
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -583,6 +583,19 @@
 	State string `json:"state"`
 }
 
+// ObservationGroup is a weighted sum over observations of similar sizes; see
+// package calibration.
+type ObservationGroup struct {
+	// LogSum corresponds to the JSON schema field "log-sum".
+	LogSum float64 `json:"log-sum"`
+
+	// SizeSum corresponds to the JSON schema field "size-sum".
+	SizeSum float64 `json:"size-sum"`
+
+	// Weight corresponds to the JSON schema field "weight".
+	Weight float64 `json:"weight"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
@@ -625,11 +638,21 @@
 	// Bulk corresponds to the JSON schema field "bulk".
 	Bulk float64 `json:"bulk,omitempty,omitzero"`
 
+	// Firsts holds the times to first events by the number of prefilled tokens.
+	Firsts []ObservationGroup `json:"firsts,omitempty,omitzero"`
+
 	// Interactive corresponds to the JSON schema field "interactive".
 	Interactive float64 `json:"interactive,omitempty,omitzero"`
 
+	// Pauses counts the pauses between events by length; see package calibration.
+	Pauses []float64 `json:"pauses,omitempty,omitzero"`
+
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
+
+	// Steps holds the times of decode steps at the engines by the number of running
+	// requests.
+	Steps []ObservationGroup `json:"steps,omitempty,omitzero"`
 }
 
 // PublishRequest carries a whole rule file and the revision that it is based on.
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"lagoongw/internal/coordination/calibration"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
@@ -203,21 +205,32 @@
 			Boot:     boot,
 		})
 	}
-	for pool, demand := range digest.EngineDemands {
-		message.Work = append(message.Work, wire.PoolWork{
+	for pool, evidence := range digest.Evidence {
+		demand := digest.EngineDemands[pool]
+		work := wire.PoolWork{
 			Pool:        pool,
 			Interactive: demand.Interactive,
 			Bulk:        demand.Bulk,
-		})
+		}
+		work.Steps = encodeGroups(evidence.Steps[:])
+		work.Firsts = encodeGroups(evidence.Firsts[:])
+		for _, count := range evidence.Pauses {
+			work.Pauses = append(work.Pauses, round(count))
+		}
+		message.Work = append(message.Work, work)
 	}
 	return message
 }
 
+// round shortens a number on the wire; the digits that are lost are far below the noise of the observations.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 func decodeLoads(message wire.LoadDigest) dispatch.Digest {
 	digest := dispatch.Digest{
 		Nodes:         message.Nodes,
 		Loads:         make(map[string]dispatch.Load, len(message.Rows)),
 		EngineDemands: make(map[string]dispatch.EngineDemand, len(message.Work)),
+		Evidence:      make(map[string]calibration.Evidence, len(message.Work)),
 		Leaving:       make(map[string]int, len(message.Leaving)),
 	}
 	for _, row := range message.Rows {
@@ -235,6 +248,38 @@
 			Interactive: row.Interactive,
 			Bulk:        row.Bulk,
 		}
+		digest.Evidence[row.Pool] = decodeEvidence(row)
 	}
 	return digest
 }
+
+func encodeGroups(groups []calibration.Group) []wire.ObservationGroup {
+	rows := make([]wire.ObservationGroup, len(groups))
+	for i, group := range groups {
+		rows[i] = wire.ObservationGroup{
+			Weight:  round(group.Weight),
+			SizeSum: round(group.SizeSum),
+			LogSum:  round(group.LogSum),
+		}
+	}
+	return rows
+}
+
+// decodeEvidence decodes the evidence in a row. Rows of another length come from another version; missing entries are
+// empty.
+func decodeEvidence(row wire.PoolWork) (evidence calibration.Evidence) {
+	decodeGroups(evidence.Steps[:], row.Steps)
+	decodeGroups(evidence.Firsts[:], row.Firsts)
+	copy(evidence.Pauses[:], row.Pauses)
+	return evidence
+}
+
+func decodeGroups(groups []calibration.Group, rows []wire.ObservationGroup) {
+	for i := range min(len(groups), len(rows)) {
+		groups[i] = calibration.Group{
+			Weight:  rows[i].Weight,
+			SizeSum: rows[i].SizeSum,
+			LogSum:  rows[i].LogSum,
+		}
+	}
+}
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/coordination/calibration"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/protocol/wire"
 )
@@ -30,6 +31,26 @@
 				Bulk:        9,
 			},
 		},
+		Evidence: map[string]calibration.Evidence{
+			"p": {
+				Steps: [calibration.GroupCount]calibration.Group{
+					{
+						Weight:  12,
+						SizeSum: 40,
+						LogSum:  201.25,
+					},
+				},
+				Firsts: [calibration.GroupCount]calibration.Group{
+					{},
+					{
+						Weight:  3,
+						SizeSum: 1200,
+						LogSum:  53.5,
+					},
+				},
+				Pauses: [calibration.PauseBuckets]float64{3.5, 0, 1},
+			},
+		},
 		Leaving: map[string]int{"i-2": 17},
 	}
 	data, err := json.Marshal(encodeLoads("a", sent))
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeromicro/go-zero/rest"
 
+	"lagoongw/internal/coordination/calibration"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/membership"
@@ -139,6 +140,7 @@
 		Pool:             p.lookupPool,
 		Nodes:            func() int { return p.members.LiveCount() },
 		OnSplitChange:    p.logSplitChange,
+		OnProfileChange:  p.logProfileChange,
 	}
 	p.Catalog.Table = p.table
 	p.Catalog.OnUpstreamsChange = p.dispatcher.Prune
@@ -174,6 +176,18 @@
 		Msg("engine split changed")
 }
 
+// logProfileChange logs what is known of the speed of a pool's engines.
+func (p *Process) logProfileChange(pool string, profile calibration.Profile) {
+	const thousandTokens = 1000
+	p.Logger.Info().
+		Str("decision", "calibration").
+		Str("pool", pool).
+		Dur("start-ms", profile.Start()).
+		Dur("prefill-ms-per-1000-tokens", profile.Prefill(thousandTokens)).
+		Dur("step-ms", profile.Step(0)).
+		Msg("speed of the engines learned")
+}
+
 // preparePeers prepares the client and the server for peer calls, and the membership protocol.
 func (p *Process) preparePeers() {
 	p.loadReporter.process = p
--- a/internal/transport/gateway/announcement_test.go
+++ b/internal/transport/gateway/announcement_test.go
@@ -12,11 +12,11 @@
 	"github.com/matryer/is"
 )
 
-// countRequests returns how many of the received requests went to an upstream.
-func countRequests(g *testGateway, upstream string) int {
+// countRequestsToU1 returns how many of the received requests went to u1.
+func countRequestsToU1(g *testGateway) int {
 	count := 0
 	for _, request := range g.receivedRequests() {
-		if strings.HasPrefix(request, upstream+" ") {
+		if strings.HasPrefix(request, "u1 ") {
 			count++
 		}
 	}
@@ -67,10 +67,10 @@
 					"u2": answer(200, "good"),
 				})
 				g.call(t.Context(), c.path, "body", nil)
-				is.Equal(countRequests(g, "u1"), 1)
+				is.Equal(countRequestsToU1(g), 1)
 				time.Sleep(10 * time.Second) // whatever u1 did otherwise is forgotten
 				g.call(t.Context(), "/unsafe/x", "body", nil)
-				is.Equal(countRequests(g, "u1") > 1, c.stays)
+				is.Equal(countRequestsToU1(g) > 1, c.stays)
 			})
 		})
 	}
@@ -105,13 +105,13 @@
 				began := time.Now()
 				g.call(t.Context(), "/unsafe/x", "body", nil)
 				for time.Since(began) < c.quiet-10*time.Millisecond {
-					is.Equal(countRequests(g, "u1"), 1)
+					is.Equal(countRequestsToU1(g), 1)
 					is.Equal(g.call(t.Context(), "/unsafe/x", "body", nil).status, 200)
 					time.Sleep(50 * time.Millisecond)
 				}
 				time.Sleep(10 * time.Second) // the refusal itself is forgotten too
 				g.call(t.Context(), "/unsafe/x", "body", nil)
-				is.True(countRequests(g, "u1") > 1)
+				is.True(countRequestsToU1(g) > 1)
 			})
 		})
 	}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -109,13 +109,7 @@
 	if x.tries > maxTries {
 		return dispatch.Choice{}, x.noUpstream("too many upstreams failed")
 	}
-	choice := x.server.Dispatcher.Choose(dispatch.Request{
-		Pool:    x.pool,
-		Prompt:  x.call.Prompt,
-		Tier:    x.priorityLevel,
-		Gap:     x.route.TargetGap(),
-		Exclude: x.excluded,
-	}, rand.Uint64(), time.Now())
+	choice := x.server.Dispatcher.Choose(x.dispatchRequest(), rand.Uint64(), time.Now())
 	if choice.Replica == nil {
 		answer := x.noUpstream(choice.Reason)
 		if answer.retryAfter > 0 && !choice.RetryAt.IsZero() {
@@ -127,6 +121,16 @@
 	return choice, nil
 }
 
+func (x *exchange) dispatchRequest() dispatch.Request {
+	return dispatch.Request{
+		Pool:    x.pool,
+		Prompt:  x.call.Prompt,
+		Tier:    x.priorityLevel,
+		Gap:     x.route.TargetGap(),
+		Exclude: x.excluded,
+	}
+}
+
 // noUpstream returns the final answer to a request for which no other upstream can be chosen. Its status still depends
 // on whether the request may have run.
 func (x *exchange) noUpstream(reason string) *localAnswer {
@@ -155,7 +159,7 @@
 		started:  time.Now(),
 		cost:     choice.Cost,
 	}
-	s.assignment = x.server.Dispatcher.Begin(upstream, x.call.Prompt, choice, x.priorityLevel, s.started)
+	s.assignment = x.server.Dispatcher.Begin(upstream, x.dispatchRequest(), choice, s.started)
 	defer func() { s.assignment.End(time.Now()) }()
 	response, sent, err := conn.Send(ctx, connection.Request{
 		Method: x.method,
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -107,7 +107,7 @@
 	} else {
 		x.progress.maxGap = max(x.progress.maxGap, now.Sub(x.progress.lastEventAt))
 	}
-	s.assignment.FirstEvent(now)
+	s.assignment.Events(count, now)
 	x.progress.events += count
 	x.progress.lastEventAt = now
 	if lastID != "" {
--- a/internal/transport/upstreams/service_test.go
+++ b/internal/transport/upstreams/service_test.go
@@ -32,9 +32,10 @@
 	return l
 }
 
-func (l *listed) leaving(name string) bool {
+// leaving reports whether the engine is leaving after the list was read again.
+func (l *listed) leaving() bool {
 	l.service.refreshList(context.Background())
-	r, known := l.service.Table.Load().Replica(name)
+	r, known := l.service.Table.Load().Replica("e1")
 	return known && r.Leaving()
 }
 
@@ -53,12 +54,12 @@
 		is := is.New(t)
 		l := newListed(engine(1))
 		l.service.MarkLeaving("e1", "a peer")
-		is.True(l.leaving("e1"))
+		is.True(l.leaving())
 		l.rows = []wire.Machine{engine(2)}
-		is.True(!l.leaving("e1"))
+		is.True(!l.leaving())
 		is.Equal(len(l.service.Leaving()), 0)
 		l.service.MarkLeaving("e1", "a peer") // this boot leaves as well
-		is.True(l.leaving("e1"))
+		is.True(l.leaving())
 	})
 }
 
@@ -68,10 +69,10 @@
 		l := newListed()
 		l.service.MarkLeaving("e1", "a peer")
 		l.rows = []wire.Machine{engine(1)}
-		is.True(l.leaving("e1"))
+		is.True(l.leaving())
 		is.Equal(l.service.Leaving(), []string{"e1"})
 		time.Sleep(leavingTTL + time.Second)
-		is.True(l.leaving("e1")) // for this boot it is final
+		is.True(l.leaving()) // for this boot it is final
 		is.Equal(len(l.service.leaving), 0)
 	})
 }
