Read routes that are too large to push from the store at each node

The reader pushed the whole record to 59 nodes over its link of 10 Mbit/s. The log shows the version that was acknowledged at 35.05 s in force at the first nodes after 34.2 s and at the last one at 43.1 s; the bound is 4 s. Calls of peers time out after 0.4 s, and the nodes that then asked the reader for the whole topic loaded the same link again. Ruled out: a store that answers late (the reader had the version 0.1 s after the acknowledgement), decoding (milliseconds at the nodes that had the record). Change: an update whose size times the number of nodes exceeds 4 MiB is pushed without records and says so; a node that lacks them reads the store, once at a time, and asks the sender only if that fails. Usual changes are pushed as before. Tests: the sizes at which records are left out; a site whose pushes carry none, on the fake clock.

--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -327,6 +327,10 @@
 	// Next corresponds to the JSON schema field "next".
 	Next int `json:"next"`
 
+	// Omitted reports that the records are left out because they are too large to
+	// send to all nodes.
+	Omitted bool `json:"omitted,omitempty,omitzero"`
+
 	// Records corresponds to the JSON schema field "records".
 	Records []FeedRecord `json:"records,omitempty,omitzero"`
 
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -41,6 +41,8 @@
 	changes map[int]bool
 	// unsaved holds, by key, the newest record that this node has not saved to the copy.
 	unsaved map[string]wire.FeedRecord
+	// catchingUp is set while a read of records that a peer left out is in flight.
+	catchingUp bool
 	// fromCopy is set when the copy was loaded because the topic could not be read.
 	fromCopy bool
 }
@@ -59,6 +61,32 @@
 	return nil
 }
 
+// readAlone reads the store once for this node alone.
+func (f *follower) readAlone(ctx context.Context) error {
+	update, err := f.fetch(ctx, 0)
+	if err == nil {
+		f.handleUpdate(update)
+	}
+	return err
+}
+
+// beginCatchUp reports whether a catch-up may start; it may not while another one is in flight.
+func (f *follower) beginCatchUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.catchingUp {
+		return false
+	}
+	f.catchingUp = true
+	return true
+}
+
+func (f *follower) endCatchUp() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catchingUp = false
+}
+
 // fetch reads the records after the last known offset, or the whole topic if it isn't loaded, if records were deleted,
 // or if the store was restored from an older copy, in which the known offsets mean other records.
 func (f *follower) fetch(ctx context.Context, wait time.Duration) (wire.FeedUpdate, error) {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -246,6 +246,19 @@
 	return wire.FeedUpdate{}, false
 }
 
+// CatchUp reads the records that a peer's update left out from the store, or fetches the whole topic from the peer at an
+// address if the store can't be read.
+func (s *Service) CatchUp(ctx context.Context, address, topic string) {
+	f := s.follower(topic)
+	if f == nil || !f.beginCatchUp() {
+		return
+	}
+	defer f.endCatchUp()
+	if f.readAlone(ctx) != nil {
+		s.Refetch(ctx, address, topic)
+	}
+}
+
 // Refetch fetches a whole topic from the peer at an address and applies it.
 func (s *Service) Refetch(ctx context.Context, address, topic string) {
 	update, err := s.Peers.Fetch(ctx, address, topic)
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// TestRecordsThatAreTooLargeToPushAreReadFromTheStore changes the routes while pushes carry no records: each node learns
+// from a push that it lacks some, and reads the store.
+func TestRecordsThatAreTooLargeToPushAreReadFromTheStore(t *testing.T) {
+	runSite(t, func(s *site, routes, upstreams *fakeTopic) {
+		is := is.New(t)
+		s.omits = true
+		callsBefore := routes.callCount()
+		routes.put("config", "2")
+		upstreams.put("u1", "draining")
+		time.Sleep(1700 * time.Millisecond) // one read of the upstreams; the routes are read as soon as they change
+		is.Equal(s.versions(), []int{2, 2, 2})
+		is.Equal(s.leaving(), []bool{true, true, true})
+		is.True(routes.callCount()-callsBefore <= 4) // two reads of the reader, one of each other node
+	})
+}
+
 // TestReaderPushesRecordsThatAPeerSentDuringItsRead checks that a reader pushes every record that it read. While its
 // read is in flight, a peer sends it the same records, so that they are not new when the read returns; other peers may
 // still lack them.
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -154,6 +154,8 @@
 	isolated map[int]bool
 	// lost reports which pushes are lost on the way.
 	lost func(from, to int) bool
+	// omits makes nodes leave the records out of their pushes.
+	omits bool
 }
 
 func newSite() *site {
@@ -189,12 +191,27 @@
 }
 
 func (p sitePeers) Push(update wire.FeedUpdate) {
+	if p.site.omits && len(update.Records) > 0 {
+		update = wire.FeedUpdate{
+			Topic:     update.Topic,
+			Era:       update.Era,
+			FreshFrom: update.FreshFrom,
+			From:      update.Next,
+			Next:      update.Next,
+			Omitted:   true,
+		}
+	}
 	for i, other := range p.site.services {
 		if !p.site.delivers(p.self, i) {
 			continue
 		}
 		go func() {
-			if other.HandleUpdate(update) {
+			gap := other.HandleUpdate(update)
+			if gap && update.Omitted {
+				other.CatchUp(context.Background(), "", update.Topic)
+				return
+			}
+			if gap {
 				whole, known := p.site.services[p.self].Snapshot(update.Topic)
 				if known {
 					other.HandleUpdate(whole)
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -17,6 +17,9 @@
 const (
 	// peerTimeout bounds a call to a peer; it covers several round trips between regions.
 	peerTimeout = 400 * time.Millisecond
+	// maxPushBytes is the largest size of an update times the number of nodes that it is pushed to, so that a push takes
+	// at most a few seconds on a link of 10 Mbit/s.
+	maxPushBytes = 4 << 20
 	// readersKey is the rendezvous hashing key that ranks the nodes as readers of the store.
 	readersKey = "readers"
 )
@@ -40,8 +43,30 @@
 
 // Push sends an update to every live peer without waiting for the answers.
 func (p catalogPeers) Push(update wire.FeedUpdate) {
+	live := p.process.members.Live()
+	update = omitLargeRecords(update, len(live))
 	update.Sender = p.process.Name
-	p.process.notify(p.process.members.Live(), peer.MethodFeedUpdate, update)
+	p.process.notify(live, peer.MethodFeedUpdate, update)
+}
+
+// omitLargeRecords removes the records of an update that would keep the link of this node busy for long if it were sent
+// to all nodes. The peers then see that records are missing and read the store, which has the faster link.
+func omitLargeRecords(update wire.FeedUpdate, nodes int) wire.FeedUpdate {
+	size := 0
+	for _, record := range update.Records {
+		size += len(record.Key) + len(record.Value)
+	}
+	if size*nodes <= maxPushBytes {
+		return update
+	}
+	return wire.FeedUpdate{
+		Topic:     update.Topic,
+		Era:       update.Era,
+		FreshFrom: update.FreshFrom,
+		From:      update.Next,
+		Next:      update.Next,
+		Omitted:   true,
+	}
 }
 
 // Fetch requests a snapshot of a topic from the peer at an address.
@@ -109,7 +134,11 @@
 	}
 	// After a gap between this node's copy and the update, the sender's snapshot supplies the missing records.
 	if p.Catalog.HandleUpdate(update) && !update.Whole {
-		if sender, known := p.members.Lookup(update.Sender); known {
+		sender, known := p.members.Lookup(update.Sender)
+		switch {
+		case known && update.Omitted:
+			go p.Catalog.CatchUp(context.Background(), sender.Address, update.Topic)
+		case known:
 			go p.Catalog.Refetch(context.Background(), sender.Address, update.Topic)
 		}
 	}
--- /dev/null
+++ b/internal/transport/entryvm/peers_test.go
@@ -0,0 +1,52 @@
+package entryvm
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+// TestLargeUpdatesArePushedWithoutTheirRecords checks that routes that have grown by a thousand are not sent to 60 nodes
+// over a slow link: the last ones got them after 8 s.
+func TestLargeUpdatesArePushedWithoutTheirRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes   int
+		nodes   int
+		omitted bool
+	}{
+		"usual routes, 8 nodes":   {bytes: 18_000, nodes: 8},
+		"usual routes, 195 nodes": {bytes: 18_000, nodes: 195},
+		"many routes, 8 nodes":    {bytes: 250_000, nodes: 8},
+		"many routes, 60 nodes":   {bytes: 250_000, nodes: 60, omitted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			update := wire.FeedUpdate{
+				Topic:     "routes",
+				Era:       2,
+				FreshFrom: 1,
+				From:      7,
+				Next:      9,
+				Whole:     true,
+				Records: []wire.FeedRecord{
+					{
+						Key:    "config",
+						Value:  strings.Repeat("r", c.bytes),
+						Offset: 8,
+					},
+				},
+			}
+			pushed := omitLargeRecords(update, c.nodes)
+			is.Equal(pushed.Omitted, c.omitted)
+			is.Equal(pushed.Next, 9)
+			is.Equal(pushed.Era, 2)
+			is.Equal(pushed.FreshFrom, 1)
+			is.Equal(len(pushed.Records) == 0, c.omitted)
+			is.Equal(pushed.From == pushed.Next, c.omitted) // a node that is not there yet sees that records are missing
+			is.True(!c.omitted || !pushed.Whole)
+		})
+	}
+}
