--- a/internal/coordination/dispatch/split_test.go
+++ b/internal/coordination/dispatch/split_test.go
@@ -97,6 +97,7 @@
 		demand   EngineDemand
 		engines  int
 		previous int
+		bulkWait time.Duration
 		expected int
 	}{
 		"as many as demanded": {
@@ -138,6 +139,42 @@
 			previous: 5,
 			expected: 0,
 		},
+		"two engines, so that one may fail": {
+			demand: EngineDemand{
+				Interactive: 0.4,
+				Bulk:        4,
+			},
+			engines:  9,
+			expected: 2,
+		},
+		"one engine where bulk requests need the others": {
+			demand: EngineDemand{
+				Interactive: 0.4,
+				Bulk:        7.5,
+			},
+			engines:  9,
+			expected: 1,
+		},
+		"a small pool gives way while prompts wait": {
+			demand: EngineDemand{
+				Interactive: 2,
+				Bulk:        4,
+			},
+			engines:  9,
+			previous: 2,
+			bulkWait: 2 * maxBulkWait,
+			expected: 1,
+		},
+		"a large pool stays divided while prompts wait": {
+			demand: EngineDemand{
+				Interactive: 20,
+				Bulk:        50,
+			},
+			engines:  140,
+			previous: 20,
+			bulkWait: 2 * maxBulkWait,
+			expected: 20,
+		},
 		"no split of a single engine": {
 			demand: EngineDemand{
 				Interactive: 1,
@@ -154,12 +191,34 @@
 				decayedAt:          start.Add(time.Minute),
 				interactiveEngines: c.previous,
 			}
-			s.resize(c.demand, c.engines, 0)
+			s.resize(c.demand, c.engines, c.bulkWait)
 			is.Equal(s.interactiveEngines, c.expected)
 		})
 	}
 }
 
+// TestEngineThatWasGivenUpIsNotGivenBackAtOnce lets the prompts of a small pool wait too long once.
+func TestEngineThatWasGivenUpIsNotGivenBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := split{
+		firstAt:            start,
+		decayedAt:          start.Add(time.Minute),
+		interactiveEngines: 1,
+	}
+	demand := EngineDemand{
+		Interactive: 2,
+		Bulk:        4,
+	}
+	s.resize(demand, 9, 2*maxBulkWait)
+	is.Equal(s.interactiveEngines, 0)
+	s.decayedAt = s.decayedAt.Add(giveWayTime - time.Second)
+	s.resize(demand, 9, 0)
+	is.Equal(s.interactiveEngines, 0)
+	s.decayedAt = s.decayedAt.Add(time.Second)
+	s.resize(demand, 9, 0)
+	is.Equal(s.interactiveEngines, 2)
+}
+
 func TestDemandIsEstimatedSoonAndFollowsChanges(t *testing.T) {
 	is := is.New(t)
 	var s split
