Stalled streams are found by their events, not by their bytes

Cause, one of the operators' reports: the time after which an upstream counts as silent began anew with each read, so that one that sent a byte now and then, but completed no event, kept a resumable stream until the request's deadline. Change: it runs from the last event that was relayed, or from the send, and not while a slow caller holds up the write. Ruled out: a slow but sound stream is not cut; its pauses are just below the limit in a case of its own.

--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -104,6 +104,9 @@
 			stream:    outcome{200, 2, false, 1},
 		},
 		"stalls after 2":          {u1: stall(2), resumable: outcome{200, 5, true, 2}, stream: outcome{200, 2, false, 1}},
+		"drips bytes, no event":   {u1: drip(0), resumable: outcome{200, 5, true, 2}, stream: outcome{504, 0, true, 1}},
+		"drips bytes after 2":     {u1: drip(2), resumable: outcome{200, 5, true, 2}, stream: outcome{200, 2, false, 1}},
+		"is slow but sound":       {u1: slowStream, resumable: outcome{200, 5, true, 1}, stream: outcome{200, 5, true, 1}},
 		"hangs before its header": {u1: hang, resumable: outcome{200, 5, true, 2}, stream: outcome{504, 0, true, 1}},
 		"server error": {
 			u1:        answer(500, "bad"),
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -192,7 +192,7 @@
 func (x *exchange) headerDeadline(cost time.Duration) time.Time {
 	switch {
 	case x.route.Kind() == route.Stream:
-		return x.silenceDeadline(cost)
+		return x.silenceDeadline(time.Now(), cost)
 	case x.route.Kind() == route.Safe && !x.attempts.MayHaveRun() && x.route.MaxAttempts() > 1:
 		return x.deadlineAfter(max(minPlainAnswerWait, x.route.TargetLatency()))
 	}
--- a/internal/transport/gateway/script_test.go
+++ b/internal/transport/gateway/script_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// drip returns a script that streams count events and then one byte of the next event at a time, without an end.
+func drip(count int) script {
+	return func(conn net.Conn, r *http.Request) bool {
+		writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+		for i := 1; i <= count; i++ {
+			writeAnswer(conn, r, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)))
+		}
+		for {
+			time.Sleep(400 * time.Millisecond)
+			if _, err := io.WriteString(conn, chunk("x")); err != nil {
+				return false
+			}
+		}
+	}
+}
+
+// slowStream streams all events with pauses just shorter than those after which a stream is taken for stalled.
+func slowStream(conn net.Conn, r *http.Request) bool {
+	writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+	for i := 1; i <= streamEvents; i++ {
+		time.Sleep(1400 * time.Millisecond)
+		writeAnswer(conn, r, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)))
+	}
+	writeAnswer(conn, r, "0\r\n\r\n")
+	return true
+}
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // eventText returns the text of the first count events of a stream.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -38,6 +38,8 @@
 	lastEventID  string
 	firstEventAt time.Time
 	lastEventAt  time.Time
+	// relayedAt is when the last event was written; a caller that reads slowly delays it.
+	relayedAt time.Time
 	// maxGap is the longest time between two writes of events.
 	maxGap time.Duration
 }
@@ -56,7 +58,7 @@
 	var splitter event.Splitter
 	buffer := make([]byte, streamBufferBytes)
 	for {
-		s.response.SetReadDeadline(x.silenceDeadline(s.cost))
+		s.response.SetReadDeadline(x.silenceDeadline(s.started, s.cost))
 		n, err := s.response.Body.Read(buffer)
 		if events := splitter.Add(buffer[:n]); len(events) > 0 {
 			if writeErr := x.writeEvents(s, events, splitter.LastID(), splitter.Completed()); writeErr != nil {
@@ -78,9 +80,10 @@
 	}
 }
 
-// silenceDeadline returns when to give up an upstream that sends nothing more; cost is the Cost of the choice. If no
-// other upstream can resume the stream, that is the request's deadline.
-func (x *exchange) silenceDeadline(cost time.Duration) time.Time {
+// silenceDeadline returns when to give up an upstream that completes no further event; sent is when the request was sent
+// to it, and cost the Cost of the choice. Bytes that complete no event don't put it off. If no other upstream can resume
+// the stream, it is the request's deadline.
+func (x *exchange) silenceDeadline(sent time.Time, cost time.Duration) time.Time {
 	if !x.route.Resumable() {
 		return x.deadline
 	}
@@ -88,7 +91,14 @@
 	if x.progress.events == 0 {
 		silence = max(minFirstEventWait, firstEventCostFactor*cost)
 	}
-	return x.deadlineAfter(silence)
+	since := sent
+	if x.progress.relayedAt.After(since) {
+		since = x.progress.relayedAt
+	}
+	if at := since.Add(silence); at.Before(x.deadline) {
+		return at
+	}
+	return x.deadline
 }
 
 // writeEvents sends complete events to the caller; count is their number, and lastID the ID of the last one that has an
@@ -116,7 +126,9 @@
 	if _, err := x.w.Write(events); err != nil {
 		return errors.Join(errCallerLeft, err)
 	}
-	return http.NewResponseController(x.w).Flush()
+	err := http.NewResponseController(x.w).Flush()
+	x.progress.relayedAt = time.Now()
+	return err
 }
 
 func (x *exchange) finishStream(s *upstreamSend) (attempt.Result, error) {
