--- a/internal/transport/catalog/restore_test.go
+++ b/internal/transport/catalog/restore_test.go
@@ -155,14 +155,13 @@
 // TestAllNodesStartAfterARestore checks that nodes that know nothing else serve by the older copy, and take what is
 // written again.
 func TestAllNodesStartAfterARestore(t *testing.T) {
-	runSite(t, func(s *site, routes, upstreams *fakeTopic) {
+	runSite(t, func(_ *site, routes, upstreams *fakeTopic) {
 		is := is.New(t)
 		routes.put("config", "2")
 		time.Sleep(bound)
 		routes.restore(1)
 		upstreams.restore(1)
-		s.services = nil // no peer is left
-		started, stop := s.startNode(routes, upstreams, 40*time.Millisecond)
+		started, stop := newSite().startNode(routes, upstreams, 40*time.Millisecond)
 		defer stop()
 		time.Sleep(time.Second)
 		is.True(started.Ready())
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -173,11 +173,16 @@
 	group.Wait()
 }
 
-// loadCopies loads the copies of the topics that the store did not return within copyReadDelay of the start.
+// loadCopies loads the copies of the topics that the store did not return within copyReadDelay of the start. While a topic
+// is being received its copy is not read: it may be older, and both would share the link.
 func (s *Service) loadCopies(ctx context.Context) {
 	schedule.Pause(ctx, copyReadDelay)
-	s.routes.loadCopy(ctx)
-	s.upstreams.loadCopy(ctx)
+	for _, f := range []*follower{s.routes, s.upstreams} {
+		for f.source.Receiving() && ctx.Err() == nil {
+			schedule.Pause(ctx, pollInterval)
+		}
+		f.loadCopy(ctx)
+	}
 }
 
 // followUpstreams reads the upstreams when this node is due. A node other than the reader is due only if no update has
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -68,7 +68,7 @@
 func TestRecordsThatAreTooLargeToPushAreReadFromTheStore(t *testing.T) {
 	runSite(t, func(s *site, routes, upstreams *fakeTopic) {
 		is := is.New(t)
-		s.omits = true
+		s.omitRecords()
 		callsBefore := routes.callCount()
 		routes.put("config", "2")
 		upstreams.put("u1", "draining")
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -138,6 +138,8 @@
 	}, nil
 }
 
+func (s *fakeTopic) Receiving() bool { return false }
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -179,6 +181,19 @@
 	s.lost = lost
 }
 
+// omitRecords makes nodes leave the records out of their pushes.
+func (s *site) omitRecords() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.omits = true
+}
+
+func (s *site) omitsRecords() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.omits
+}
+
 func (s *site) delivers(from, to int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,7 +206,7 @@
 }
 
 func (p sitePeers) Push(update wire.FeedUpdate) {
-	if p.site.omits && len(update.Records) > 0 {
+	if p.site.omitsRecords() && len(update.Records) > 0 {
 		update = wire.FeedUpdate{
 			Topic:     update.Topic,
 			Era:       update.Era,
--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -28,6 +28,8 @@
 	Newest(ctx context.Context) (Batch, error)
 	// Read returns the records from an offset on; if there are none, it waits for one for at most the given time.
 	Read(ctx context.Context, from int, wait time.Duration) (Batch, error)
+	// Receiving reports whether records are being received, which takes a while if there are many and the link is slow.
+	Receiving() bool
 }
 
 // Copy is a second topic of the store that holds a copy of the first: the store may lose one topic while it serves the
