peer: keep the library's own log lines off standard error

Change: it is given a logger that discards; the errors reach the callers, who log them. No test: nothing in the process can see standard error of the library's default logger.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -140,7 +142,8 @@
 		sent:     &c.sent,
 		received: &c.received,
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}), methodNotFoundHandler{})
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}), methodNotFoundHandler{},
+		withoutLibraryLog)
 	if err := c.authenticate(ctx, rpc); err != nil {
 		_ = rpc.Close()
 		return nil, err
@@ -148,6 +151,10 @@
 	return rpc, nil
 }
 
+// withoutLibraryLog keeps the library from writing lines that are not structured to standard error. The errors of a
+// connection reach those who call on it.
+var withoutLibraryLog = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // authenticate proves to the listener that this node holds the shared secret, and checks the listener's proof.
 func (c *Client) authenticate(ctx context.Context, rpc *jsonrpc2.Conn) error {
 	var challenge wire.Challenge
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -84,7 +84,7 @@
 		remoteAddr: raw.RemoteAddr().String(),
 	}
 	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}),
-		jsonrpc2.AsyncHandler(session))
+		jsonrpc2.AsyncHandler(session), withoutLibraryLog)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
