--- a/internal/transport/catalog/restore_test.go
+++ b/internal/transport/catalog/restore_test.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
 	"lagoongw/internal/protocol/wire"
-	"lagoongw/internal/state/replica"
 )
 
 // boots returns, for each service, the boot of an upstream that it may send requests to, or -1.
@@ -174,26 +172,13 @@
 
 // startNode starts one more node, which does not read for others; its calls of peers take the given time.
 func (s *site) startNode(routes, upstreams *fakeTopic, roundTrip time.Duration) (started *Service, stop func()) {
-	started = &Service{
-		Routes:              routes,
-		RoutesCopy:          newTopic(),
-		Upstreams:           upstreams,
-		UpstreamsCopy:       newTopic(),
-		RoutesKey:           "config",
-		DecodeRoutes:        decodeVersion,
-		DecodeRoutesVersion: decodeVersionOnly,
-		DecodeUpstream:      decodeState,
-		Peers: slowPeers{
-			sitePeers: sitePeers{
-				site: s,
-				self: len(s.services),
-			},
-			roundTrip: roundTrip,
+	started = newNode(slowPeers{
+		sitePeers: sitePeers{
+			site: s,
+			self: len(s.services),
 		},
-		Table:             replica.NewTable(),
-		OnUpstreamsChange: func() {},
-		Logger:            zerolog.Nop(),
-	}
+		roundTrip: roundTrip,
+	}, routes, upstreams)
 	started.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
-
-	"lagoongw/internal/state/replica"
 )
 
 // bound is the time within which users require every node to know a change of the routes or a leaving upstream.
@@ -175,20 +172,8 @@
 		routes.set(func() { routes.unavailable = true })
 		first := s.services[0]
 		emptySite := newSite() // no other node is left
-		restarted := &Service{
-			Routes:              routes,
-			RoutesCopy:          first.RoutesCopy,
-			Upstreams:           first.Upstreams,
-			UpstreamsCopy:       first.UpstreamsCopy,
-			RoutesKey:           "config",
-			DecodeRoutes:        decodeVersion,
-			DecodeRoutesVersion: decodeVersionOnly,
-			DecodeUpstream:      decodeState,
-			Peers:               sitePeers{site: emptySite},
-			Table:               replica.NewTable(),
-			OnUpstreamsChange:   func() {},
-			Logger:              zerolog.Nop(),
-		}
+		restarted := newNode(sitePeers{site: emptySite}, routes, first.Upstreams.(*fakeTopic))
+		restarted.RoutesCopy, restarted.UpstreamsCopy = first.RoutesCopy, first.UpstreamsCopy
 		restarted.Prepare()
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -251,6 +251,24 @@
 
 func (p sitePeers) ReaderRank() int { return p.self }
 
+// newNode returns a node that follows two topics, with empty copies of its own.
+func newNode(peers Peers, routes, upstreams *fakeTopic) *Service {
+	return &Service{
+		Routes:              routes,
+		RoutesCopy:          newTopic(),
+		Upstreams:           upstreams,
+		UpstreamsCopy:       newTopic(),
+		RoutesKey:           "config",
+		DecodeRoutes:        decodeVersion,
+		DecodeRoutesVersion: decodeVersionOnly,
+		DecodeUpstream:      decodeState,
+		Peers:               peers,
+		Table:               replica.NewTable(),
+		OnUpstreamsChange:   func() {},
+		Logger:              zerolog.Nop(),
+	}
+}
+
 // runSite runs a test against three nodes, 5 s after they started on a store with version 1 of the routes and one
 // upstream.
 func runSite(t *testing.T, test func(s *site, routes, upstreams *fakeTopic)) {
@@ -261,23 +279,11 @@
 		routesCopy, upstreamsCopy := newTopic(), newTopic()
 		s := newSite()
 		for i := range 3 {
-			service := &Service{
-				Routes:              routes,
-				RoutesCopy:          routesCopy,
-				Upstreams:           upstreams,
-				UpstreamsCopy:       upstreamsCopy,
-				RoutesKey:           "config",
-				DecodeRoutes:        decodeVersion,
-				DecodeRoutesVersion: decodeVersionOnly,
-				DecodeUpstream:      decodeState,
-				Peers: sitePeers{
-					site: s,
-					self: i,
-				},
-				Table:             replica.NewTable(),
-				OnUpstreamsChange: func() {},
-				Logger:            zerolog.Nop(),
-			}
+			service := newNode(sitePeers{
+				site: s,
+				self: i,
+			}, routes, upstreams)
+			service.RoutesCopy, service.UpstreamsCopy = routesCopy, upstreamsCopy
 			s.services = append(s.services, service)
 		}
 		for _, service := range s.services {
