Report what holds a process's memory

Nothing in its log or metrics told which of its parts had grown: routes, bodies, answers, pushes to peers, stacks, or pages of the program itself.

The memory limit is read from the settings. Each new peak of a sixteenth of it is logged with the resident memory and its file-mapped part, heap, stacks, goroutines, requests in flight, bodies of requests and buffered answers in bytes, unanswered pushes and the routes' version; the same figures are gauges. No decision changes.

--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -160,6 +160,7 @@
 			return platform.DirectoryRoutes(addresses, directoryAnswerTTL)
 		},
 		DroppedLines: logWriter.Dropped,
+		MemoryLimit:  platformSettings.MemoryLimit,
 		Logger:       logger,
 	}
 }
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -26,5 +26,56 @@
 	m.RegisterGauge("log_lines_dropped", "Log lines dropped because too many waited.", func() float64 {
 		return float64(p.DroppedLines())
 	})
+	p.registerMemoryGauges(m)
 	return m
 }
+
+// registerMemoryGauges adds gauges of what holds the memory of the process.
+func (p *Process) registerMemoryGauges(m *gateway.Metrics) {
+	m.RegisterGauge("memory_limit_bytes", "Memory above which the platform kills the process, 0 if unknown.",
+		func() float64 { return float64(p.MemoryLimit) })
+	for _, gauge := range []struct {
+		name, help string
+		read       func(use memoryUse) int64
+	}{
+		{
+			name: "memory_resident_bytes",
+			help: "Memory that counts towards the limit.",
+			read: func(use memoryUse) int64 { return use.resident },
+		},
+		{
+			name: "memory_file_bytes",
+			help: "Resident memory that is mapped from files, such as the program.",
+			read: func(use memoryUse) int64 { return use.file },
+		},
+		{
+			name: "memory_heap_bytes",
+			help: "Objects on the heap, live or not yet collected.",
+			read: func(use memoryUse) int64 { return use.heap },
+		},
+		{
+			name: "memory_stacks_bytes",
+			help: "Stacks of goroutines.",
+			read: func(use memoryUse) int64 { return use.stacks },
+		},
+		{
+			name: "memory_request_bodies_bytes",
+			help: "Bodies of callers' requests that are held until they are answered.",
+			read: func(use memoryUse) int64 { return use.requests },
+		},
+		{
+			name: "memory_answers_bytes",
+			help: "Upstreams' answers that are held until they are complete.",
+			read: func(use memoryUse) int64 { return use.answers },
+		},
+		{
+			name: "goroutines",
+			help: "Goroutines.",
+			read: func(use memoryUse) int64 { return use.goroutines },
+		},
+	} {
+		m.RegisterGauge(gauge.name, gauge.help, func() float64 { return float64(gauge.read(p.memory.use())) })
+	}
+	m.RegisterGauge("peer_calls", "Pushes to peers that have not been answered yet.",
+		func() float64 { return float64(p.peerCalls.Load()) })
+}
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -116,7 +116,9 @@
 		if row.Name == p.Name {
 			continue
 		}
+		p.peerCalls.Add(1)
 		go func() {
+			defer p.peerCalls.Add(-1)
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
 			var answer struct{}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -84,6 +84,8 @@
 	DirectoryRoutes func(addresses func(zone, region string) []string) []rest.Route
 	// DroppedLines returns the number of log lines that were dropped.
 	DroppedLines func() int64
+	// MemoryLimit is the memory in bytes above which the platform kills the process, 0 for none.
+	MemoryLimit int64
 	// Logger receives the log lines of the process.
 	Logger zerolog.Logger
 
@@ -97,9 +99,12 @@
 	server       *peer.Server
 	peerListener net.Listener
 	loadReporter loadReporter
-	budgetsMu    sync.Mutex
-	budgets      map[string]*retry.WindowBudget
-	drainer      shutdown.Drainer
+	memory       memoryReporter
+	// peerCalls is the number of calls to peers whose answers nobody waits for, such as pushes.
+	peerCalls atomic.Int64
+	budgetsMu sync.Mutex
+	budgets   map[string]*retry.WindowBudget
+	drainer   shutdown.Drainer
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
@@ -115,6 +120,7 @@
 	group.Go(func() { p.joinWhenReady(ctx) })
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
+	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memory.check) })
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -148,6 +154,7 @@
 	p.Catalog.Peers = catalogPeers{process: p}
 	p.Catalog.Prepare()
 	p.budgets = map[string]*retry.WindowBudget{}
+	p.memory.process = p
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -222,7 +222,7 @@
 		return attempt.NotRun, x.recordRefusal(s)
 	}
 	if x.route.Kind() == route.Stream && s.response.StatusCode == http.StatusOK {
-		x.buffered = nil
+		x.setBuffered(nil)
 		return x.relayStream(s)
 	}
 	return x.bufferAnswer(s)
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -56,7 +56,7 @@
 	body, more, err := x.readAnswer(s)
 	now := time.Now()
 	if err == nil && more {
-		x.buffered = nil
+		x.setBuffered(nil)
 		err = x.streamLongAnswer(s, body)
 	}
 	if err != nil {
@@ -67,11 +67,11 @@
 		x.recordLongAnswer(s, now)
 		return attempt.Answered, nil
 	}
-	x.buffered = &bufferedAnswer{
+	x.setBuffered(&bufferedAnswer{
 		status: s.response.StatusCode,
 		header: s.response.Header,
 		body:   body,
-	}
+	})
 	if s.response.StatusCode >= http.StatusInternalServerError {
 		x.server.Dispatcher.Failed(s.upstream, now)
 		return attempt.Failed, nil
@@ -80,6 +80,20 @@
 	return attempt.Answered, nil
 }
 
+// setBuffered replaces the buffered answer; nil drops it.
+func (x *exchange) setBuffered(answer *bufferedAnswer) {
+	x.server.answerBytes.Add(answer.size() - x.buffered.size())
+	x.buffered = answer
+}
+
+// size returns the size of the body, 0 if there is no answer.
+func (b *bufferedAnswer) size() int64 {
+	if b == nil {
+		return 0
+	}
+	return int64(len(b.body))
+}
+
 // recordLongAnswer tells the dispatcher whether an answer that was sent as it arrived was a server error.
 func (x *exchange) recordLongAnswer(s *upstreamSend, now time.Time) {
 	x.sentStatus = s.response.StatusCode
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -41,12 +41,20 @@
 	// Logger receives one line for each decision.
 	Logger zerolog.Logger
 
-	inFlight atomic.Int64
+	inFlight     atomic.Int64
+	requestBytes atomic.Int64
+	answerBytes  atomic.Int64
 }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// RequestBytes returns the size of the request bodies that are held.
+func (s *Server) RequestBytes() int64 { return s.requestBytes.Load() }
+
+// AnswerBytes returns the size of the upstreams' answers that are held until they are complete.
+func (s *Server) AnswerBytes() int64 { return s.answerBytes.Load() }
+
 // ServeHTTP forwards one request and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
@@ -67,6 +75,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x.path, _, _ = strings.Cut(x.target, "?")
+	defer x.releaseHeldBytes()
 	steps := []func(*http.Request) *localAnswer{
 		x.decode,
 		x.matchRoute,
@@ -189,9 +198,16 @@
 		}
 	}
 	x.body = body
+	x.server.requestBytes.Add(int64(len(body)))
 	return nil
 }
 
+// releaseHeldBytes takes the bodies of an ended request out of the counts of those that are held.
+func (x *exchange) releaseHeldBytes() {
+	x.server.requestBytes.Add(-int64(len(x.body)))
+	x.setBuffered(nil)
+}
+
 // refuseWhileDraining refuses a request that might not finish before this node stops; other nodes can serve it at once.
 // In drain.Leaving, the first phase of a drain, requests are still accepted.
 func (x *exchange) refuseWhileDraining(*http.Request) *localAnswer {
