--- /dev/null
+++ b/internal/transport/catalog/refetch_test.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+)
+
+// countingPeers answers fetches after a delay and counts them.
+type countingPeers struct {
+	sitePeers
+	delay  time.Duration
+	answer wire.FeedUpdate
+	err    error
+
+	mu                      sync.Mutex
+	calls, inFlight, atOnce int
+}
+
+func (p *countingPeers) Fetch(context.Context, string, string) (wire.FeedUpdate, error) {
+	p.mu.Lock()
+	p.calls++
+	p.inFlight++
+	p.atOnce = max(p.atOnce, p.inFlight)
+	p.mu.Unlock()
+	time.Sleep(p.delay)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight--
+	return p.answer, p.err
+}
+
+// TestNewerRoutesAreFetchedOnceAtATime guards against the fault that killed a process: each digest of a member with newer
+// routes started another fetch of all of them, while the fetches before still ran.
+func TestNewerRoutesAreFetchedOnceAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peers := &countingPeers{
+			sitePeers: sitePeers{site: newSite()},
+			delay:     time.Second,
+			answer: wire.FeedUpdate{
+				Topic:   TopicRoutes,
+				Whole:   true,
+				Next:    1,
+				Records: []wire.FeedRecord{{Key: "config", Value: "2"}},
+			},
+		}
+		service := newNode(peers, newTopic(), newTopic())
+		service.Prepare()
+		for range 40 {
+			go service.Refetch(t.Context(), "10.0.0.1:1", TopicRoutes)
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		time.Sleep(2 * time.Second)
+		is.Equal(service.RoutesVersion(), 2)
+		is.Equal(peers.atOnce, 1)
+	})
+}
