Fetch a whole topic from one peer at a time

Each digest of a member with newer routes, and each push with a gap, started a fetch of all routes. It gave up after 0.4 s and closed the connection that all other calls to that peer use, and the next digest began again, while the peers asked went on encoding and holding copies for all of them.

A topic is now fetched by one fetch at a time; the newest request that comes meanwhile waits, and is dropped if the fetch has made it needless. A fetch has a connection of its own and goes on while bytes arrive, for 4 s at most. If no peer supplies the topic, the store is read once.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -43,6 +43,8 @@
 	unsaved map[string]wire.FeedRecord
 	// catchingUp is set while a read of records that a peer left out is in flight.
 	catchingUp bool
+	// fetches are the fetches of the whole topic from peers.
+	fetches feed.FetchQueue
 	// fromCopy is set when the copy was loaded because the topic could not be read.
 	fromCopy bool
 }
@@ -87,6 +89,18 @@
 	f.catchingUp = false
 }
 
+func (f *follower) requestFetch(target feed.Target) (start bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fetches.Request(target)
+}
+
+func (f *follower) endFetch() (next feed.Target, more bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fetches.Done()
+}
+
 // fetch reads the records after the last known offset, or the whole topic if it isn't loaded, if records were deleted,
 // or if the store was restored from an older copy, in which the known offsets mean other records.
 func (f *follower) fetch(ctx context.Context, wait time.Duration) (wire.FeedUpdate, error) {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -264,14 +264,44 @@
 	}
 }
 
-// Refetch fetches a whole topic from the peer at an address and applies it.
+// Refetch fetches a whole topic from the peer at an address and applies it. While another fetch of the topic is in
+// flight, it only asks for one more after it.
 func (s *Service) Refetch(ctx context.Context, address, topic string) {
-	update, err := s.Peers.Fetch(ctx, address, topic)
-	if err != nil {
-		s.Logger.Warn().Err(err).Str("step", "fetch "+topic).Str("peer", address).Msg("peer call failed")
+	s.fetchFrom(ctx, s.follower(topic), feed.Target{Address: address})
+}
+
+// FetchNewerRoutes fetches the routes from the peer at an address, which has a version of them, unless this node has it
+// already.
+func (s *Service) FetchNewerRoutes(ctx context.Context, address string, version int) {
+	s.fetchFrom(ctx, s.routes, feed.Target{
+		Address: address,
+		Version: version,
+	})
+}
+
+// fetchFrom fetches a topic from a peer, and from another one that was named meanwhile, one at a time. If the last one
+// can't supply it, the store is read.
+func (s *Service) fetchFrom(ctx context.Context, f *follower, target feed.Target) {
+	if f == nil || !f.requestFetch(target) {
 		return
 	}
-	s.HandleUpdate(update)
+	var err error
+	for more := true; more; target, more = f.endFetch() {
+		if target.Version > 0 && target.Version <= s.RoutesVersion() {
+			continue
+		}
+		var update wire.FeedUpdate
+		if update, err = s.Peers.Fetch(ctx, target.Address, f.topic.Name); err == nil {
+			s.HandleUpdate(update)
+			continue
+		}
+		s.Logger.Warn().Err(err).Str("step", "fetch "+f.topic.Name).Str("peer", target.Address).
+			Msg("peer call failed; reading the store unless another peer is named")
+	}
+	if err != nil && f.beginCatchUp() {
+		defer f.endCatchUp()
+		_ = f.readAlone(ctx)
+	}
 }
 
 func (s *Service) follower(topic string) *follower {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -10,13 +10,16 @@
 
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
-	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/peer"
 )
 
 const (
 	// peerTimeout bounds a call to a peer; it covers several round trips between regions.
 	peerTimeout = 400 * time.Millisecond
+	// fetchSilence is how long a peer that sends a whole topic may send nothing. It covers the time in which a small node
+	// encodes it. maxFetchTime limits the transfer, however steadily it arrives.
+	fetchSilence = 800 * time.Millisecond
+	maxFetchTime = 4 * time.Second
 	// maxPushBytes is the largest size of an update times the number of nodes that it is pushed to, so that a push takes
 	// at most a few seconds on a link of 10 Mbit/s.
 	maxPushBytes = 4 << 20
@@ -103,10 +106,10 @@
 }
 
 func (p *Process) fetch(ctx context.Context, address, topic string) (wire.FeedUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxFetchTime)
 	defer cancel()
 	var update wire.FeedUpdate
-	err := p.client.Call(ctx, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update)
+	err := p.client.Download(ctx, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update, fetchSilence)
 	return update, err
 }
 
@@ -164,6 +167,6 @@
 // node's; the digest's Revision is the version.
 func (p *Process) fetchNewerRoutes(digest wire.Digest) {
 	if digest.Revision > p.Catalog.RoutesVersion() {
-		go p.Catalog.Refetch(context.Background(), digest.From.Address, catalog.TopicRoutes)
+		go p.Catalog.FetchNewerRoutes(context.Background(), digest.From.Address, digest.Revision)
 	}
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -68,6 +68,23 @@
 	return nil
 }
 
+// Download sends a request whose answer may be large, on a connection of its own, so that other calls don't wait for it
+// and its end closes nothing that they use. It goes on for as long as the peer sends something within each silence.
+func (c *Client) Download(
+	ctx context.Context, address, method string, params, result any, silence time.Duration,
+) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(dialTimeout, cancel)
+	defer silent.Stop()
+	rpc, err := c.dial(ctx, address, func() { silent.Reset(silence) })
+	if err != nil {
+		return eris.Wrapf(err, "connect to peer %s", address)
+	}
+	defer func() { _ = rpc.Close() }()
+	return eris.Wrapf(rpc.Call(ctx, method, params, result), "call %s at peer %s", method, address)
+}
+
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -100,7 +117,7 @@
 		return cached.rpc, nil
 	}
 	c.mu.Unlock()
-	rpc, err := c.dial(ctx, address)
+	rpc, err := c.dial(ctx, address, func() {})
 	if err != nil {
 		return nil, err
 	}
@@ -130,8 +147,8 @@
 	_ = rpc.Close()
 }
 
-// dial opens a connection and authenticates both sides.
-func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+// dial opens a connection and authenticates both sides. It calls progress each time that bytes are received.
+func (c *Client) dial(ctx context.Context, address string, progress func()) (*jsonrpc2.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -141,6 +158,7 @@
 		Conn:     raw,
 		sent:     &c.sent,
 		received: &c.received,
+		progress: progress,
 	}
 	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}), methodNotFoundHandler{},
 		withoutLibraryLog)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -77,6 +77,7 @@
 		},
 		sent:     &s.sent,
 		received: &s.received,
+		progress: func() {},
 	}
 	session := &session{
 		server:     s,
