Bound the messages that wait for slow peers

Each push of a topic and each load digest had a goroutine and an encoded copy of its own for each peer until the peer answered or 0.4 s were over; a call that can't write isn't even ended by its deadline. Of 200 messages to a peer that reads nothing, 136 were held at once.

Newer loads replace those that wait. An update of a topic is joined with the one that waits if its records follow and both are small; otherwise it is sent without records, as large ones are, so that the peer sees the gap and reads. No update is lost without a gap.

TestSlowPeerHoldsABoundedBacklog failed before with 136 calls at once to one peer, now 8 to 8 peers.

--- a/internal/transport/entryvm/backlog_test.go
+++ b/internal/transport/entryvm/backlog_test.go
@@ -39,24 +39,32 @@
 		},
 	}
 	t.Cleanup(p.client.Close)
-	target := wire.Member{
-		Name:    "vm-2",
-		Address: startSilentPeer(t),
+	p.outgoing.process = p
+	p.outgoing.outbox.MaxBytes = 300 << 10
+	var targets []wire.Member
+	for i := range 8 {
+		targets = append(targets, wire.Member{
+			Name:    "vm-" + strconv.Itoa(2+i),
+			Address: startSilentPeer(t),
+		})
 	}
 	noise := make([]byte, 32<<10)
 	_, _ = rand.Read(noise)
-	most := int64(0)
+	most, bytes := int64(0), 0
 	for i := range 200 {
-		p.notify([]wire.Member{target}, peer.MethodFeedUpdate, wire.FeedUpdate{
+		p.outgoing.send(targets, peer.MethodFeedUpdate, updateMessage(wire.FeedUpdate{
 			Topic:   "routes",
 			From:    i,
 			Next:    i + 1,
 			Records: []wire.FeedRecord{{Key: strconv.Itoa(i), Value: hex.EncodeToString(noise), Offset: i}},
-		})
-		most = max(most, p.peerCalls.Load())
+		}))
+		most = max(most, p.outgoing.calls.Load())
+		bytes = max(bytes, p.outgoing.bytes())
 	}
-	is.Equal(most, int64(1))
-	for p.peerCalls.Load() > 0 {
+	is.Equal(most, int64(8))
+	is.True(bytes <= 301<<10) // the excess is replaced by updates without records
+	for p.outgoing.calls.Load() > 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
+	is.Equal(p.outgoing.bytes(), 0)
 }
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -85,7 +85,7 @@
 	if len(digest.Loads) == 0 && !l.due(&l.lastOwnReport, idleLoadReportInterval, now) {
 		return
 	}
-	l.process.notify(live, peer.MethodLoadDigest, encodeLoads(l.process.Name, digest))
+	l.process.outgoing.sendLoads(live, peer.MethodLoadDigest, encodeLoads(l.process.Name, digest))
 }
 
 // relayOf returns the relay of an availability zone. All nodes that know the same members choose the same one, except
@@ -152,7 +152,7 @@
 			relays = append(relays, l.relayOf(live, row.AvailabilityZone, now))
 		}
 	}
-	l.process.notify(relays, peer.MethodZoneLoads, sum)
+	l.process.outgoing.sendLoads(relays, peer.MethodZoneLoads, sum)
 }
 
 // loadDigestHandler returns a handler that decodes a peer's load digest and passes it to receive.
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -77,5 +77,5 @@
 		m.RegisterGauge(gauge.name, gauge.help, func() float64 { return float64(gauge.read(p.memory.use())) })
 	}
 	m.RegisterGauge("peer_calls", "Pushes to peers that have not been answered yet.",
-		func() float64 { return float64(p.peerCalls.Load()) })
+		func() float64 { return float64(p.outgoing.calls.Load()) })
 }
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/transport/peer"
@@ -49,27 +50,16 @@
 	live := p.process.members.Live()
 	update = omitLargeRecords(update, len(live))
 	update.Sender = p.process.Name
-	p.process.notify(live, peer.MethodFeedUpdate, update)
+	p.process.outgoing.send(live, peer.MethodFeedUpdate+" "+update.Topic, updateMessage(update))
 }
 
 // omitLargeRecords removes the records of an update that would keep the link of this node busy for long if it were sent
 // to all nodes. The peers then see that records are missing and read the store, which has the faster link.
 func omitLargeRecords(update wire.FeedUpdate, nodes int) wire.FeedUpdate {
-	size := 0
-	for _, record := range update.Records {
-		size += len(record.Key) + len(record.Value)
-	}
-	if size*nodes <= maxPushBytes {
+	if feed.Size(update)*nodes <= maxPushBytes {
 		return update
 	}
-	return wire.FeedUpdate{
-		Topic:     update.Topic,
-		Era:       update.Era,
-		FreshFrom: update.FreshFrom,
-		From:      update.Next,
-		Next:      update.Next,
-		Omitted:   true,
-	}
+	return feed.Omit(update)
 }
 
 // Fetch requests a snapshot of a topic from the peer at an address.
@@ -113,25 +103,6 @@
 	return update, err
 }
 
-// notify calls a method at peers without waiting for their answers, which are empty.
-func (p *Process) notify(targets []wire.Member, method string, params any) {
-	for _, row := range targets {
-		if row.Name == p.Name {
-			continue
-		}
-		p.peerCalls.Add(1)
-		go func() {
-			defer p.peerCalls.Add(-1)
-			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-			defer cancel()
-			var answer struct{}
-			if err := p.client.Call(ctx, row.Address, method, params, &answer); err != nil {
-				p.Logger.Debug().Err(err).Str("step", method).Str("peer", row.Name).Msg("peer call failed")
-			}
-		}()
-	}
-}
-
 func (p *Process) handleFeedUpdate(_ context.Context, params json.RawMessage) (any, error) {
 	var update wire.FeedUpdate
 	if err := json.Unmarshal(params, &update); err != nil {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -100,11 +100,10 @@
 	peerListener net.Listener
 	loadReporter loadReporter
 	memory       memoryReporter
-	// peerCalls is the number of calls to peers whose answers nobody waits for, such as pushes.
-	peerCalls atomic.Int64
-	budgetsMu sync.Mutex
-	budgets   map[string]*retry.WindowBudget
-	drainer   shutdown.Drainer
+	outgoing     outgoing
+	budgetsMu    sync.Mutex
+	budgets      map[string]*retry.WindowBudget
+	drainer      shutdown.Drainer
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
@@ -198,6 +197,8 @@
 // preparePeers prepares the client and the server for peer calls, and the membership protocol.
 func (p *Process) preparePeers() {
 	p.loadReporter.process = p
+	p.outgoing.process = p
+	p.outgoing.outbox.MaxBytes = MaxOutgoingBytes
 	p.client = &peer.Client{
 		Name:   p.Name,
 		Secret: p.Secret,
