Bound what a node holds for the requests of its peers

A node took every request of a peer into work at once, each with a goroutine, its parameters and its encoded answer, whether or not the peer read answers; a frame could take 10 MB, also that of a stranger. All 200 requests that one peer sent were in work at once.

A connection has at most 8 requests in work and isn't read meanwhile; all together have 256 and 4 MiB of parameters, beyond which a request is answered at once with an error that keeps the connection. One whole topic is encoded and sent at a time, eight more requests for one wait without a copy. Frames are limited to 16 KiB before the handshake, to 1 MiB for requests and 4 MiB for answers, decompressed; pushes are limited to fit. At most two frames are encoded or decoded at once, and 4 MiB of frames are received on each side. A peer that doesn't accept 16 KiB within a second is disconnected: the deadline of a call doesn't end a write.

The excess is refused with an error that says that another peer can be asked; fetches then turn to the store. TestRequestsInWorkAreLimited failed before with 200, now 8.

--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -24,6 +24,8 @@
 	// maxPushBytes is the largest size of an update times the number of nodes that it is pushed to, so that a push takes
 	// at most a few seconds on a link of 10 Mbit/s.
 	maxPushBytes = 4 << 20
+	// maxUpdateBytes is the largest size of an update that is pushed. Encoded, it takes up to twice as much.
+	maxUpdateBytes = peer.MaxRequestBytes / 4
 	// readersKey is the rendezvous hashing key that ranks the nodes as readers of the store.
 	readersKey = "readers"
 )
@@ -56,7 +58,7 @@
 // omitLargeRecords removes the records of an update that would keep the link of this node busy for long if it were sent
 // to all nodes. The peers then see that records are missing and read the store, which has the faster link.
 func omitLargeRecords(update wire.FeedUpdate, nodes int) wire.FeedUpdate {
-	if feed.Size(update)*nodes <= maxPushBytes {
+	if size := feed.Size(update); size <= maxUpdateBytes && size*nodes <= maxPushBytes {
 		return update
 	}
 	return feed.Omit(update)
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -33,9 +33,10 @@
 
 	mu sync.Mutex
 	// conns holds the authenticated connections by address.
-	conns    map[string]*conn
-	sent     atomic.Int64
-	received atomic.Int64
+	conns     map[string]*conn
+	receiving allowance
+	sent      atomic.Int64
+	received  atomic.Int64
 }
 
 // conn is a connection that the client keeps, with the time of the last call on it.
@@ -155,12 +156,16 @@
 		return nil, err
 	}
 	counted := countingConn{
-		Conn:     raw,
+		Conn:     writeTimeoutConn{Conn: raw},
 		sent:     &c.sent,
 		received: &c.received,
 		progress: progress,
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}), methodNotFoundHandler{},
+	frames := codec{
+		maxRead:   func() int { return MaxAnswerBytes },
+		receiving: &c.receiving,
+	}
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, frames), methodNotFoundHandler{},
 		withoutLibraryLog)
 	if err := c.authenticate(ctx, rpc); err != nil {
 		_ = rpc.Close()
--- a/internal/transport/peer/codec.go
+++ b/internal/transport/peer/codec.go
@@ -12,9 +12,6 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxFrameBytes is the maximum size of a frame in bytes, both compressed and decompressed.
-const MaxFrameBytes = 10 << 20
-
 // ErrInvalidFrame is returned for a frame that is too long or malformed.
 var ErrInvalidFrame = eris.New("peer frame too long or malformed")
 
@@ -35,7 +32,12 @@
 
 // codec is a jsonrpc2 object codec. A frame is a big-endian length of four bytes, then the object as JSON, compressed
 // with flate.
-type codec struct{}
+type codec struct {
+	// maxRead returns the largest frame to read now.
+	maxRead func() int
+	// receiving counts the bytes of the frames that are being received.
+	receiving *allowance
+}
 
 // WriteObject writes one frame.
 func (codec) WriteObject(stream io.Writer, object any) error {
@@ -47,29 +49,46 @@
 	return err
 }
 
-// ReadObject reads one frame into an object; a frame that is too long or can't be decoded gives ErrInvalidFrame.
-func (codec) ReadObject(stream *bufio.Reader, into any) error {
+// ReadObject reads one frame into an object; a frame that is too long or can't be decoded gives ErrInvalidFrame, and one
+// for which there is no room now ErrBusy.
+func (c codec) ReadObject(stream *bufio.Reader, into any) error {
 	var header [4]byte
 	if _, err := io.ReadFull(stream, header[:]); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxFrameBytes {
+	size, maxSize := int(binary.BigEndian.Uint32(header[:])), c.maxRead()
+	if size > maxSize {
 		return ErrInvalidFrame
 	}
+	if size > uncountedBytes {
+		if !c.receiving.take(size, MaxReceivedBytes) {
+			return ErrBusy
+		}
+		defer c.receiving.put(size)
+	}
 	var compressed bytes.Buffer
 	if _, err := io.CopyN(&compressed, stream, int64(size)); err != nil {
 		return err
 	}
-	return decodeFrame(compressed.Bytes(), into)
+	return decodeFrame(compressed.Bytes(), maxSize, into)
 }
 
 // encodeFrame returns an object as a frame, the length included.
 func encodeFrame(object any) ([]byte, error) {
+	coding <- struct{}{}
+	defer func() { <-coding }()
 	body, err := json.Marshal(object)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode peer frame")
 	}
+	if len(body) > MaxAnswerBytes {
+		return nil, ErrInvalidFrame
+	}
+	return compressFrame(body)
+}
+
+// compressFrame returns the JSON of an object as a frame, the length included.
+func compressFrame(body []byte) ([]byte, error) {
 	var out bytes.Buffer
 	out.Write(make([]byte, 4))
 	compressor := compressors.Get().(*flate.Writer)
@@ -82,22 +101,21 @@
 		return nil, eris.Wrap(err, "compress peer frame")
 	}
 	frame := out.Bytes()
-	if len(frame) > MaxFrameBytes {
-		return nil, ErrInvalidFrame
-	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
 	return frame, nil
 }
 
-// decodeFrame decodes a frame without its length.
-func decodeFrame(compressed []byte, into any) error {
+// decodeFrame decodes a frame of at most maxSize bytes, without its length.
+func decodeFrame(compressed []byte, maxSize int, into any) error {
+	coding <- struct{}{}
+	defer func() { <-coding }()
 	reader := decompressors.Get().(io.ReadCloser)
 	defer decompressors.Put(reader)
 	if err := reader.(flate.Resetter).Reset(bytes.NewReader(compressed), []byte(dictionary)); err != nil {
 		return ErrInvalidFrame
 	}
-	body, err := io.ReadAll(io.LimitReader(reader, MaxFrameBytes+1))
-	if err != nil || len(body) > MaxFrameBytes {
+	body, err := io.ReadAll(io.LimitReader(reader, int64(maxSize)+1))
+	if err != nil || len(body) > maxSize {
 		return ErrInvalidFrame
 	}
 	if err := json.Unmarshal(body, into); err != nil {
--- a/internal/transport/peer/codec_test.go
+++ b/internal/transport/peer/codec_test.go
@@ -48,12 +48,19 @@
 	return digest
 }
 
+func newTestCodec() codec {
+	return codec{
+		maxRead:   func() int { return MaxAnswerBytes },
+		receiving: &allowance{},
+	}
+}
+
 func TestFrameRoundTrip(t *testing.T) {
 	is := is.New(t)
 	var stream bytes.Buffer
 	is.NoErr(codec{}.WriteObject(&stream, sampleDigest(3)))
 	var got wire.Digest
-	is.NoErr(codec{}.ReadObject(bufio.NewReader(&stream), &got))
+	is.NoErr(newTestCodec().ReadObject(bufio.NewReader(&stream), &got))
 	is.Equal(got, sampleDigest(3))
 }
 
@@ -63,11 +70,13 @@
 		t.Fatal(err)
 	}
 	tooLong := make([]byte, 4)
-	binary.BigEndian.PutUint32(tooLong, MaxFrameBytes+1)
-	bomb, err := encodeFrame(strings.Repeat("a", MaxFrameBytes+10))
+	binary.BigEndian.PutUint32(tooLong, MaxAnswerBytes+1)
+	bomb, err := compressFrame([]byte(`"` + strings.Repeat("a", MaxAnswerBytes) + `"`))
 	if err != nil {
 		t.Fatal(err)
 	}
+	_, err = encodeFrame(strings.Repeat("a", MaxAnswerBytes))
+	is.New(t).True(err != nil) // no peer would read it
 	for name, data := range map[string][]byte{
 		"length too long":    tooLong,
 		"ends early":         frame[:len(frame)/2],
@@ -76,8 +85,8 @@
 		"empty":              {0, 0, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var got wire.Digest
-			is.New(t).True(codec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &got) != nil)
+			var got any
+			is.New(t).True(newTestCodec().ReadObject(bufio.NewReader(bytes.NewReader(data)), &got) != nil)
 		})
 	}
 }
@@ -91,7 +100,7 @@
 	f.Add([]byte("hello"))
 	f.Fuzz(func(t *testing.T, compressed []byte) {
 		var digest wire.Digest
-		if decodeFrame(compressed, &digest) != nil {
+		if decodeFrame(compressed, MaxAnswerBytes, &digest) != nil {
 			return
 		}
 		reencoded, err := encodeFrame(digest)
@@ -99,7 +108,7 @@
 			t.Fatal(err)
 		}
 		var got wire.Digest
-		if err := decodeFrame(reencoded[4:], &got); err != nil {
+		if err := decodeFrame(reencoded[4:], MaxAnswerBytes, &got); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -117,7 +126,7 @@
 					b.Fatal(err)
 				}
 				var got wire.Digest
-				if err := decodeFrame(frame[4:], &got); err != nil {
+				if err := decodeFrame(frame[4:], MaxAnswerBytes, &got); err != nil {
 					b.Fatal(err)
 				}
 				size = len(frame)
--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // TestRequestsInWorkAreLimited guards against a goroutine and an answer held for each of the requests that one peer sends
@@ -105,3 +111,106 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestOneLargeAnswerIsHeldAtATime guards against a copy of a whole topic for each peer that asks for it: one request is in
+// work, a few wait, and the others are refused at once on a connection that stays open.
+func TestOneLargeAnswerIsHeldAtATime(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	var inWork, most atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &Server{
+		Secret:      secret,
+		IdleTimeout: time.Minute,
+		OneAtATime:  []string{"topic"},
+		Logger:      zerolog.Nop(),
+		Handlers: map[string]Handler{"topic": func(context.Context, json.RawMessage) (any, error) {
+			most.Store(max(most.Load(), inWork.Add(1)))
+			defer inWork.Add(-1)
+			<-release
+			return "all", nil
+		}},
+	}
+	go func() { _ = server.Run(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	c := newClient(t, secret)
+	errs := make(chan error, 30)
+	for range cap(errs) {
+		go func() { errs <- c.Download(t.Context(), listener.Addr().String(), "topic", nil, nil, waitTimeout) }()
+	}
+	for range cap(errs) - maxAlone {
+		var refused *jsonrpc2.Error
+		is.True(errors.As(<-errs, &refused))
+		is.Equal(refused.Message, ErrBusy.Error())
+	}
+	close(release)
+	for range maxAlone {
+		is.NoErr(<-errs)
+	}
+	is.Equal(most.Load(), int64(1))
+}
+
+// waitTimeout bounds waits for events that take milliseconds.
+const waitTimeout = 20 * time.Second
+
+// TestPeerThatReadsNothingIsDisconnected guards against calls that hold their messages for as long as a peer keeps a
+// connection open without reading from it: the deadline of a call doesn't end a write.
+func TestPeerThatReadsNothingIsDisconnected(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	written, err := writeTimeoutConn{Conn: near}.Write(make([]byte, 2*writeChunkBytes))
+	is.Equal(written, 0)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	_, err = far.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+// TestFramesAndConnectionsAreLimited guards against memory that anyone who connects can claim.
+func TestFramesAndConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	address, server := startServer(t, map[string]Handler{echo: echoHandler})
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+		return conn
+	}
+	stranger := dial()
+	_, err := stranger.Write(binary.BigEndian.AppendUint32(nil, maxHandshakeBytes+1))
+	is.NoErr(err)
+	_, err = stranger.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // closed without waiting for the frame
+
+	c := newClient(t, secret)
+	large := strings.Repeat("x", MaxRequestBytes)
+	is.True(c.Call(t.Context(), address, echo, large, nil) != nil)
+	is.NoErr(c.Call(t.Context(), address, echo, large[100:], nil))
+
+	server.mu.Lock()
+	for len(server.conns) < MaxConnections {
+		server.conns[&jsonrpc2.Conn{}] = struct{}{}
+	}
+	server.mu.Unlock()
+	_, err = dial().Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	server.mu.Lock()
+	clear(server.conns)
+	server.mu.Unlock()
+	is.NoErr(c.Call(t.Context(), address, echo, "still connected", nil))
+}
+
+func TestAllowanceTakesUpToItsLimit(t *testing.T) {
+	is := is.New(t)
+	var a allowance
+	is.True(a.take(60, 100))
+	is.True(!a.take(41, 100))
+	is.True(a.take(40, 100)) // what was refused isn't held
+	a.put(60)
+	is.True(a.take(60, 100))
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -27,6 +27,8 @@
 	Secret []byte
 	// Handlers holds the handlers by the name of their method, without those of the handshake.
 	Handlers map[string]Handler
+	// OneAtATime names the methods of which one request is in work at a time, until its answer was written.
+	OneAtATime []string
 	// IdleTimeout is how long a connection may receive nothing before it is closed.
 	IdleTimeout time.Duration
 	// Logger logs refused requests.
@@ -36,6 +38,18 @@
 	conns    map[*jsonrpc2.Conn]struct{}
 	sent     atomic.Int64
 	received atomic.Int64
+	// receiving, inWork and inWorkBytes count what is held for the peers.
+	receiving   allowance
+	inWork      allowance
+	inWorkBytes allowance
+	// alone holds the requests of each method in OneAtATime.
+	alone map[string]*alone
+}
+
+// alone is the requests of a method of which one is in work at a time.
+type alone struct {
+	inWork chan struct{}
+	held   allowance
 }
 
 // ByteCounts returns the number of bytes sent and received so far on the connections that peers opened.
@@ -47,6 +61,10 @@
 func (s *Server) Run(listener net.Listener) error {
 	s.mu.Lock()
 	s.conns = map[*jsonrpc2.Conn]struct{}{}
+	s.alone = map[string]*alone{}
+	for _, method := range s.OneAtATime {
+		s.alone[method] = &alone{inWork: make(chan struct{}, 1)}
+	}
 	s.mu.Unlock()
 	for {
 		raw, err := listener.Accept()
@@ -70,9 +88,13 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
+	if s.connectionCount() >= MaxConnections {
+		_ = raw.Close()
+		return
+	}
 	counted := countingConn{
 		Conn: idleTimeoutConn{
-			Conn:    raw,
+			Conn:    writeTimeoutConn{Conn: raw},
 			timeout: s.IdleTimeout,
 		},
 		sent:     &s.sent,
@@ -83,9 +105,14 @@
 		server:     s,
 		nonce:      newNonce(),
 		remoteAddr: raw.RemoteAddr().String(),
+		inWork:     make(chan struct{}, maxInWorkPerConnection),
+	}
+	frames := codec{
+		maxRead:   session.maxRead,
+		receiving: &s.receiving,
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, codec{}),
-		jsonrpc2.AsyncHandler(session), withoutLibraryLog)
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(counted, frames), session,
+		withoutLibraryLog)
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
 	s.mu.Unlock()
@@ -102,44 +129,95 @@
 	}()
 }
 
+func (s *Server) connectionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // session is the state of one incoming connection.
 type session struct {
 	server        *Server
 	nonce         string
 	remoteAddr    string
 	authenticated atomic.Bool
+	// inWork holds an element for each request of this connection that is in work.
+	inWork chan struct{}
+}
+
+func (s *session) maxRead() int {
+	if s.authenticated.Load() {
+		return MaxRequestBytes
+	}
+	return maxHandshakeBytes
 }
 
-// Handle answers one request and ignores notifications.
+// Handle answers one request and ignores notifications. It waits while too many requests of the connection are in work,
+// so that no more are read from it.
 func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	if request.Notif {
 		return
 	}
-	result, err := s.answer(ctx, request)
-	if err != nil {
-		s.server.Logger.Warn().Str("step", request.Method).Str("peer", s.remoteAddr).Err(err).Msg("peer request refused")
-		_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{
-			Code:    jsonrpc2.CodeInvalidRequest,
-			Message: err.Error(),
-		})
-		return
-	}
-	_ = rpc.Reply(ctx, request.ID, result)
+	s.inWork <- struct{}{}
+	go func() {
+		defer func() { <-s.inWork }()
+		if err := s.work(ctx, rpc, request); err != nil {
+			s.server.Logger.Warn().Str("step", request.Method).Str("peer", s.remoteAddr).Err(err).
+				Msg("peer request refused")
+			_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{
+				Code:    jsonrpc2.CodeInvalidRequest,
+				Message: err.Error(),
+			})
+		}
+	}()
 }
 
-// answer serves the handshake methods to anyone and the handlers only to an authenticated peer.
-func (s *session) answer(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+// work answers one request, unless the node holds too many already.
+func (s *session) work(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) error {
 	params := json.RawMessage("null")
 	if request.Params != nil {
 		params = *request.Params
 	}
-	switch request.Method {
+	if !s.server.inWork.take(1, maxInWork) {
+		return ErrBusy
+	}
+	defer s.server.inWork.put(1)
+	size := len(params)
+	if !s.server.inWorkBytes.take(size, MaxInWorkBytes) {
+		return ErrBusy
+	}
+	defer s.server.inWorkBytes.put(size)
+	if alone := s.server.alone[request.Method]; alone != nil {
+		if !alone.held.take(1, maxAlone) {
+			return ErrBusy
+		}
+		defer alone.held.put(1)
+		select {
+		case alone.inWork <- struct{}{}:
+		case <-rpc.DisconnectNotify():
+			return nil
+		}
+		defer func() { <-alone.inWork }()
+	}
+	result, err := s.answer(ctx, request.Method, params)
+	if err != nil {
+		return err
+	}
+	if err := rpc.Reply(ctx, request.ID, result); errors.Is(err, ErrInvalidFrame) {
+		return err
+	}
+	return nil // the peer has gone, or accepts nothing
+}
+
+// answer serves the handshake methods to anyone and the handlers only to an authenticated peer.
+func (s *session) answer(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
 	case MethodChallenge:
 		return wire.Challenge{Nonce: s.nonce}, nil
 	case MethodHello:
 		return s.hello(params)
 	}
-	handler, ok := s.server.Handlers[request.Method]
+	handler, ok := s.server.Handlers[method]
 	switch {
 	case !s.authenticated.Load():
 		return nil, ErrAuthentication
--- a/internal/transport/peer/server_test.go
+++ b/internal/transport/peer/server_test.go
@@ -85,7 +85,7 @@
 	is.True(c.Call(t.Context(), address, echo, nil, nil) != nil)
 	raw, err := net.Dial("tcp", address)
 	is.NoErr(err)
-	rpc := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(raw, codec{}), methodNotFoundHandler{})
+	rpc := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(raw, newTestCodec()), methodNotFoundHandler{})
 	defer func() { _ = rpc.Close() }()
 	is.True(rpc.Call(t.Context(), echo, nil, nil) != nil) // no handshake at all
 	is.Equal(called.Load(), int64(0))
