Decode only the newest of many versions of the routes

A node that lagged got every version in between, up to 16 MB in one answer, decoded each as a whole table, and decoded both the known and the new record each time that it compared their versions.

Of the versions in one update only the newest is decoded, and the rank of the known record is kept.

On the code before, TestOnlyTheNewestVersionIsDecoded got two versions of the key instead of one; the other tests need the new field of a batch.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"sort"
 
 	"lagoongw/internal/protocol/wire"
@@ -21,8 +22,10 @@
 	RankFirst bool
 
 	records map[string]wire.FeedRecord
-	era     int
-	next    int
+	// ranks holds the ranks of records that were compared, by key: to rank a record it has to be decoded.
+	ranks map[string]Rank
+	era   int
+	next  int
 	// freshFrom is the offset from which all records were certainly written in the current era. Records before it may
 	// have been restored from a copy that is older than what the nodes know.
 	freshFrom int
@@ -53,8 +56,8 @@
 	return records
 }
 
-// Apply merges an update and returns the records that changed; gap reports that records before the update are missing,
-// so that the whole topic has to be fetched.
+// Apply merges an update and returns the records that changed, only the newest of each key if RankFirst is set; gap
+// reports that records before the update are missing, so that the whole topic has to be fetched.
 func (t *Topic) Apply(update wire.FeedUpdate) (changed []wire.FeedRecord, gap bool) {
 	if t.records == nil {
 		t.records = map[string]wire.FeedRecord{}
@@ -70,8 +73,8 @@
 	t.freshFrom = min(t.freshFrom, update.FreshFrom)
 	for _, record := range update.Records {
 		if t.replaces(record) {
-			t.records[record.Key] = record
-			changed = append(changed, record)
+			t.put(record)
+			changed = t.appendChange(changed, record)
 		}
 	}
 	if update.Whole {
@@ -109,12 +112,40 @@
 		if _, known := t.records[record.Key]; !known && !t.RankFirst || !t.replaces(record) {
 			continue
 		}
-		t.records[record.Key] = record
-		changed = append(changed, record)
+		t.put(record)
+		changed = t.appendChange(changed, record)
 	}
 	return changed
 }
 
+func (t *Topic) put(record wire.FeedRecord) {
+	t.records[record.Key] = record
+	delete(t.ranks, record.Key)
+}
+
+// appendChange appends a changed record. Where the rank decides, it takes the place of the one before of its key, which
+// nobody has to decode any more.
+func (t *Topic) appendChange(changed []wire.FeedRecord, record wire.FeedRecord) []wire.FeedRecord {
+	if t.RankFirst {
+		changed = slices.DeleteFunc(changed, func(before wire.FeedRecord) bool { return before.Key == record.Key })
+	}
+	return append(changed, record)
+}
+
+// rankOf returns the rank of the known record of a key.
+func (t *Topic) rankOf(current wire.FeedRecord) Rank {
+	rank, known := t.ranks[current.Key]
+	if known {
+		return rank
+	}
+	if t.ranks == nil {
+		t.ranks = map[string]Rank{}
+	}
+	rank = t.Rank(current)
+	t.ranks[current.Key] = rank
+	return rank
+}
+
 // replaces reports whether a record replaces the known record of its key.
 func (t *Topic) replaces(record wire.FeedRecord) bool {
 	current, known := t.records[record.Key]
@@ -123,7 +154,7 @@
 	}
 	restored := record.Offset < t.freshFrom && current.Offset < t.freshFrom
 	if t.RankFirst || restored {
-		if order := t.Rank(record).compare(t.Rank(current)); order != 0 {
+		if order := t.Rank(record).compare(t.rankOf(current)); order != 0 {
 			return order > 0
 		}
 	}
@@ -145,10 +176,10 @@
 			Key:    key,
 			Offset: current.Offset,
 		}
-		if t.RankFirst && t.Rank(tombstone).compare(t.Rank(current)) < 0 {
+		if t.RankFirst && t.Rank(tombstone).compare(t.rankOf(current)) < 0 {
 			continue
 		}
-		t.records[key] = tombstone
+		t.put(tombstone)
 		removed = append(removed, tombstone)
 	}
 	sort.Slice(removed, func(i, j int) bool { return removed[i].Key < removed[j].Key })
--- a/internal/coordination/feed/topic_test.go
+++ b/internal/coordination/feed/topic_test.go
@@ -84,3 +84,25 @@
 		}
 	})
 }
+
+// TestOnlyTheNewestVersionIsDecoded guards against a node that lags and decodes each version of large routes, most of them
+// several times.
+func TestOnlyTheNewestVersionIsDecoded(t *testing.T) {
+	is := is.New(t)
+	ranked := map[string]int{}
+	topic := Topic{
+		RankFirst: true,
+		Rank: func(record wire.FeedRecord) Rank {
+			ranked[record.Value]++
+			return Rank{Version: len(record.Value)}
+		},
+	}
+	topic.Apply(wire.FeedUpdate{Whole: true, Next: 1, Records: []wire.FeedRecord{put("a", "1", 0)}})
+	changed, _ := topic.Apply(wire.FeedUpdate{From: 1, Next: 6, Records: []wire.FeedRecord{
+		put("a", "11", 1), put("b", "1", 2), put("a", "1111", 3), put("a", "111", 4), put("a", "", 5),
+	}})
+	is.Equal(changed, []wire.FeedRecord{put("b", "1", 2), put("a", "1111", 3)})
+	for value, count := range ranked {
+		is.True(count <= 2 || value == "") // when it comes, and when the next one does
+	}
+}
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -101,8 +101,9 @@
 	return f.fetches.Done()
 }
 
-// fetch reads the records after the last known offset, or the whole topic if it isn't loaded, if records were deleted,
-// or if the store was restored from an older copy, in which the known offsets mean other records.
+// fetch reads the records after the last known offset, or the whole topic if it isn't loaded, if more follow than one
+// answer holds, if records were deleted, or if the store was restored from an older copy, in which the known offsets
+// mean other records.
 func (f *follower) fetch(ctx context.Context, wait time.Duration) (wire.FeedUpdate, error) {
 	f.mu.Lock()
 	loaded, era := f.topic.Loaded(), f.topic.Era()
@@ -116,14 +117,14 @@
 	if loaded {
 		batch, err := f.source.Read(ctx, update.From, wait)
 		switch {
-		case err == nil && batch.Era == era:
+		case err == nil && batch.Era == era && !batch.More:
 			update.Records, update.Next = batch.Records, batch.Next
 			return update, nil
 		case err != nil && !errors.Is(err, ErrRecordsDeleted):
 			return update, err
 		}
 		f.logger.Warn().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.From).Int("era", era).
-			Msg("records were deleted or the store was restored; reading the newest records")
+			Msg("records were deleted or are many, or the store was restored; reading the newest records")
 	}
 	batch, err := f.source.Newest(ctx)
 	update.Whole = true
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/route"
 )
 
 // countingPeers answers fetches after a delay and counts them.
@@ -87,3 +89,25 @@
 		is.Equal(routes.callCount(), 1)
 	})
 }
+
+// TestNodeThatLagsReadsOnlyTheNewestVersion checks that many versions which come at once are not read one by one.
+func TestNodeThatLagsReadsOnlyTheNewestVersion(t *testing.T) {
+	is := is.New(t)
+	routes := newTopic()
+	routes.put("config", "1")
+	service := newNode(&countingPeers{}, routes, newTopic())
+	decoded := 0
+	service.DecodeRoutes = func(data []byte) (*route.Table, []string, error) {
+		decoded++
+		return decodeVersion(data)
+	}
+	service.Prepare()
+	service.CatchUp(t.Context(), "", TopicRoutes)
+	routes.maxRead = 3
+	for version := 2; version <= 40; version++ {
+		routes.put("config", strconv.Itoa(version))
+	}
+	service.CatchUp(t.Context(), "", TopicRoutes)
+	is.Equal(service.RoutesVersion(), 40)
+	is.Equal(decoded, 2)
+}
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -28,6 +28,8 @@
 	unavailable bool
 	// deleted makes reads fail with ErrRecordsDeleted until Newest is called.
 	deleted bool
+	// maxRead, if set, is the largest number of records in the answer to a read.
+	maxRead int
 	// hangReads makes every waiting read time out, as on a connection that has gone silent.
 	hangReads bool
 	calls     int
@@ -131,6 +133,13 @@
 	if from > len(s.records) {
 		return Batch{}, ErrRecordsDeleted
 	}
+	if s.maxRead > 0 && len(s.records)-from > s.maxRead {
+		return Batch{
+			Next: from,
+			More: true,
+			Era:  s.era,
+		}, nil
+	}
 	return Batch{
 		Records: append([]wire.FeedRecord{}, s.records[from:]...),
 		Next:    len(s.records),
--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -18,6 +18,8 @@
 	Records []wire.FeedRecord
 	// Next is the offset after the last record that the store has.
 	Next int
+	// More reports that a read from an offset would take several answers; Records is empty then.
+	More bool
 	// Era counts the restores of the store from an older copy, 0 if the store does not say.
 	Era int
 }
@@ -26,7 +28,7 @@
 type Source interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context) (Batch, error)
-	// Read returns the records from an offset on; if there are none, it waits for one for at most the given time.
+	// Read returns the records from an offset on, or sets More if they are too many; if there are none, it waits for one for at most the given time.
 	Read(ctx context.Context, from int, wait time.Duration) (Batch, error)
 	// Receiving reports whether records are being received, which takes a while if there are many and the link is slow.
 	Receiving() bool
