--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -212,11 +212,24 @@
 	if len(records) == 0 {
 		return
 	}
-	if err := f.copy.Save(ctx, records); err != nil {
+	err := f.copy.Save(ctx, records)
+	if errors.Is(err, ErrRefused) {
+		f.forgetUnsaved(records)
+		f.logger.Error().Err(err).Str("step", "save copy of "+f.topic.Name).Str("peer", "store").Int("records", len(records)).
+			Msg("copy can't hold these records; it stays as it was until they change")
+		return
+	}
+	if err != nil {
 		f.logger.Warn().Err(err).Str("step", "save copy of "+f.topic.Name).Str("peer", "store").
 			Msg("copy not saved; will retry")
 		return
 	}
+	f.forgetUnsaved(records)
+	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).Msg("copy saved")
+}
+
+// forgetUnsaved removes records from the unsaved ones, unless they have changed since.
+func (f *follower) forgetUnsaved(records []wire.FeedRecord) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, record := range records {
@@ -224,7 +237,6 @@
 			delete(f.unsaved, record.Key)
 		}
 	}
-	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).Msg("copy saved")
 }
 
 // loadCopy applies the copy if the topic itself could not be read since the start. The topic doesn't count as loaded
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -111,3 +111,21 @@
 	is.Equal(service.RoutesVersion(), 40)
 	is.Equal(decoded, 2)
 }
+
+// TestRefusedCopyIsSentOnce guards against a copy of large routes that was sent to the store every 1.6 s for ever.
+func TestRefusedCopyIsSentOnce(t *testing.T) {
+	runSite(t, func(s *site, routes, _ *fakeTopic) {
+		is := is.New(t)
+		routesCopy := s.services[0].RoutesCopy.(*fakeTopic)
+		routesCopy.set(func() {
+			routesCopy.refuses = true
+			routesCopy.saves = 0
+		})
+		routes.put("config", "2")
+		time.Sleep(20 * time.Second)
+		routesCopy.set(func() { is.Equal(routesCopy.saves, 1) })
+		routes.put("config", "3") // may fit again
+		time.Sleep(bound)
+		routesCopy.set(func() { is.Equal(routesCopy.saves, 2) })
+	})
+}
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -30,6 +30,9 @@
 	deleted bool
 	// maxRead, if set, is the largest number of records in the answer to a read.
 	maxRead int
+	// refuses makes Save refuse all records; saves counts the calls of it.
+	refuses bool
+	saves   int
 	// hangReads makes every waiting read time out, as on a connection that has gone silent.
 	hangReads bool
 	calls     int
@@ -62,6 +65,13 @@
 }
 
 func (s *fakeTopic) Save(_ context.Context, records []wire.FeedRecord) error {
+	s.mu.Lock()
+	s.saves++
+	refuses := s.refuses
+	s.mu.Unlock()
+	if refuses {
+		return ErrRefused
+	}
 	for _, record := range records {
 		s.put(record.Key, record.Value)
 	}
--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -13,6 +13,9 @@
 // them, or was restored from a copy that ends before the offset. The topic has to be read with Source.Newest.
 var ErrRecordsDeleted = eris.New("records were deleted")
 
+// ErrRefused is returned for a call that the store will never accept as it is, such as an append of too large a record.
+var ErrRefused = eris.New("store refuses the call for what it contains")
+
 // Batch is the result of one read of a topic.
 type Batch struct {
 	Records []wire.FeedRecord
@@ -39,6 +42,6 @@
 type Copy interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context) (Batch, error)
-	// Save appends records to the copy.
+	// Save appends records to the copy. It returns ErrRefused if the copy can't hold them.
 	Save(ctx context.Context, records []wire.FeedRecord) error
 }
