--- a/internal/state/route/level.go
+++ b/internal/state/route/level.go
@@ -39,15 +39,7 @@
 // assignLevels maps each possible priority to a level. If there are more priorities than levels, the levels are divided
 // evenly among the tiers, and the levels of a tier among its routes, so that a tier never ranks below a later one.
 func assignLevels(routes []*Route, teams []Team) map[priority]int {
-	var priorities []priority
-	for _, r := range routes {
-		priorities = append(priorities, priorityOf(r, nil))
-		for i := range teams {
-			priorities = append(priorities, priorityOf(r, &teams[i]))
-		}
-	}
-	slices.SortFunc(priorities, priority.compare)
-	priorities = slices.Compact(priorities)
+	priorities := distinctPriorities(routes, teams)
 	levels := map[priority]int{}
 	if len(priorities) <= PriorityLevels {
 		for level, p := range priorities {
@@ -65,6 +57,29 @@
 	return levels
 }
 
+// distinctPriorities returns each priority that a request may have once, sorted. Routes and teams are many, their tiers
+// few.
+func distinctPriorities(routes []*Route, teams []Team) []priority {
+	routeByTier, teamByTier := map[int]*Route{}, map[int]*Team{}
+	for _, r := range routes {
+		routeByTier[r.Tier()] = r
+	}
+	for i := range teams {
+		if tier := teams[i].Tier; tier != nil {
+			teamByTier[*tier] = &teams[i]
+		}
+	}
+	var priorities []priority
+	for _, r := range routeByTier {
+		priorities = append(priorities, priorityOf(r, nil))
+		for _, team := range teamByTier {
+			priorities = append(priorities, priorityOf(r, team))
+		}
+	}
+	slices.SortFunc(priorities, priority.compare)
+	return slices.Compact(priorities)
+}
+
 // groupByTier groups sorted priorities by their effective tier.
 func groupByTier(sorted []priority) (groups [][]priority) {
 	for _, p := range sorted {
