--- a/internal/transport/catalog/routes.go
+++ b/internal/transport/catalog/routes.go
@@ -43,6 +43,9 @@
 	if before != nil && before.Version() >= table.Version() {
 		return
 	}
+	if before != nil {
+		table = table.Sharing(before)
+	}
 	s.currentRoutes.Store(table)
 	s.Logger.Info().Str("decision", "routes").Int("version", table.Version()).Int("offset", record.Offset).
 		Msg("routes in force")
