--- /dev/null
+++ b/internal/transport/entryvm/bounds_test.go
@@ -0,0 +1,118 @@
+package entryvm_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// tightLimit is a memory limit in bytes that a few hundred connections or large bodies would exceed.
+const tightLimit = 4 << 20
+
+// startTight starts a process with a tight memory limit, and returns the address for callers.
+func startTight(t *testing.T, upstream string) string {
+	addresses := freeAddresses(t)
+	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
+	p.MemoryLimit = tightLimit
+	p.Prepare()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := p.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	eventually(t, "ready", func() bool {
+		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
+		return status == http.StatusOK
+	})
+	return addresses[0]
+}
+
+// exchangeOn sends one request and returns its answer, nil if the connection was closed without one.
+func exchangeOn(conn net.Conn, path, body string) *http.Response {
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\nContent-Length: %d\r\n\r\n%s",
+		path, len(body), body)
+	go func() { _, _ = io.WriteString(conn, request) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil
+	}
+	return response
+}
+
+// TestBodiesBeyondTheBudgetAreRefused guards against bodies of requests that together exceed the memory: those beyond
+// the budget are refused before they run, and the others are answered.
+func TestBodiesBeyondTheBudgetAreRefused(t *testing.T) {
+	is := is.New(t)
+	const requests = 20
+	gate, received := make(chan struct{}), make(chan struct{}, requests)
+	address := startTight(t, startUpstream(t, gate, received))
+	body := strings.Repeat("b", tightLimit/requests)
+	answers := make(chan *http.Response, requests)
+	refused, served := 0, 0
+	var group sync.WaitGroup
+	for range requests {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		group.Go(func() { answers <- exchangeOn(conn, "/x/1", body) })
+	}
+	for len(received)+len(answers) < requests {
+		time.Sleep(time.Millisecond)
+	}
+	refused = len(answers)
+	close(gate)
+	group.Wait()
+	close(answers)
+	for answer := range answers {
+		is.True(answer != nil) // refused with an answer
+		if answer.StatusCode == http.StatusServiceUnavailable {
+			is.True(answer.Header.Get("Retry-After") != "")
+			continue
+		}
+		is.Equal(answer.StatusCode, http.StatusOK)
+		served++
+	}
+	is.Equal(refused+served, requests) // what was refused was refused at once
+	is.True(served > 0)
+	is.True(served*len(body) <= tightLimit/4)
+}
+
+// TestConnectionsBeyondTheBoundAreRefused guards against callers' connections that together exceed the memory.
+func TestConnectionsBeyondTheBoundAreRefused(t *testing.T) {
+	is := is.New(t)
+	const connections = 300
+	address := startTight(t, "127.0.0.1:1")
+	kept, answered := 0, 0
+	for range connections {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		answer := exchangeOn(conn, "/none", "")
+		if answer == nil {
+			continue
+		}
+		answered++
+		if !answer.Close {
+			kept++
+		}
+	}
+	is.Equal(answered, connections) // none is closed unanswered while some are idle
+	is.True(kept > 0)
+	is.True(kept*16<<10 <= tightLimit/4)
+}
