Bound the header of an upstream's answer

An upstream that sent a status line, headers or interim answers without end filled the node's memory; the caller waited until its deadline (504). The header is read through a limit of 32 KB, which counts interim answers too; beyond it the connection is closed and the answer counts as lost: a safe request goes to another upstream, an unsafe one gets 502. Trailers and the lines of chunks were bounded already (TestEndlessTrailerIsBounded).

TestEndlessHeadOfAnUpstreamIsBounded: the upstream could write 4 MB before, at most 128 KB now; it failed before.

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +15,11 @@
 // upstream may respond before it has read the whole body.
 const backgroundWriteBytes = 16 << 10
 
+// MaxHeadBytes limits the header of a response, together with the interim responses before it.
+const MaxHeadBytes = 32 << 10
+
+var errHeadTooLong = eris.Errorf("header longer than %d bytes", MaxHeadBytes)
+
 // Request is one HTTP request to an upstream.
 type Request struct {
 	Method string
@@ -116,6 +122,8 @@
 // readHead reads the status line and the headers of the final response. It skips interim responses, which have a status
 // 1xx other than 101.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.source.limit(MaxHeadBytes)
+	defer c.source.unlimit()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -127,6 +135,30 @@
 	}
 }
 
+// limitedSource reads from a connection, and fails once a limit is exhausted.
+type limitedSource struct {
+	net.Conn
+	limited bool
+	// left is the number of bytes that may still be read while limited.
+	left int
+}
+
+func (l *limitedSource) limit(n int) { l.limited, l.left = true, n }
+
+func (l *limitedSource) unlimit() { l.limited = false }
+
+func (l *limitedSource) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // SetReadDeadline sets the time after which reads of the body fail.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.net.SetReadDeadline(t) }
 
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -52,7 +52,9 @@
 
 // Conn is one connection to an upstream; it belongs to one goroutine at a time.
 type Conn struct {
-	net    net.Conn
+	net net.Conn
+	// source is net with a limit on the bytes of a header; reader reads from it.
+	source *limitedSource
 	reader *bufio.Reader
 	// address is the address of the upstream.
 	address string
@@ -113,9 +115,11 @@
 		return nil, eris.Wrapf(err, "connect to upstream %s", address)
 	}
 	p.opened.Add(1)
+	source := &limitedSource{Conn: raw}
 	return &Conn{
 		net:     raw,
-		reader:  bufio.NewReaderSize(raw, readBufferBytes),
+		source:  source,
+		reader:  bufio.NewReaderSize(source, readBufferBytes),
 		address: address,
 	}, nil
 }
