Read at most 4 KB and 100 ms of a refusal's body

Up to 1 MB of the body of a refusal was kept, though nobody needs it, and one without an end held the request until its deadline: the caller got 503 though another upstream had room. The body is now thrown away as it is read, only so that the connection can be reused; a longer or slower one costs the connection, and the request goes on at once.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -249,14 +250,32 @@
 	}
 }
 
-// recordRefusal tells the dispatcher that the upstream did not run the request, and reads the answer's body so that the
-// connection can be reused. Status 421 means that another upstream has taken over the address.
+// recordRefusal tells the dispatcher that the upstream did not run the request, and ends the answer. Status 421 means
+// that another upstream has taken over the address.
 func (x *exchange) recordRefusal(s *upstreamSend) error {
 	if s.response.StatusCode == http.StatusMisdirectedRequest {
 		x.server.Dispatcher.Unreachable(s.upstream, time.Now())
 	} else {
 		x.server.Dispatcher.Refused(s.upstream, time.Now())
 	}
-	_, _, err := x.readAnswer(s)
-	return err
+	return x.skipBody(s)
+}
+
+const (
+	// maxRefusalBytes and refusalBodyWait limit how much of a refusal's body is read, and for how long it is waited for,
+	// so that its connection can be reused; beyond them the connection is closed.
+	maxRefusalBytes = 4 << 10
+	refusalBodyWait = 100 * time.Millisecond
+)
+
+// skipBody reads the body of a refusal, and releases or closes the connection.
+func (x *exchange) skipBody(s *upstreamSend) error {
+	s.response.SetReadDeadline(x.deadlineAfter(refusalBodyWait))
+	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxRefusalBytes))
+	if err != nil || n == maxRefusalBytes {
+		s.response.Discard()
+		return err
+	}
+	s.response.Release(x.server.Connections, s.reply.IdleTimeout)
+	return nil
 }
