Bound an unfinished event, and search each byte of it once

MaxEventBytes was not enforced: an event without an end filled the node's memory, and each chunk was searched again from the event's start. A stream with an event over 64 KB (the constant said 1 MB) now counts as broken: it is resumed elsewhere where the route allows that, else the caller sees an aborted answer or 502. The buffer of a long event is dropped after it.

TestLongEventsOfAnyChunkSize guards the searching.

--- a/internal/protocol/event/splitter.go
+++ b/internal/protocol/event/splitter.go
@@ -2,42 +2,67 @@
 
 import "bytes"
 
-// MaxEventBytes is the maximum length of an event in the streams of upstreams; Splitter does not enforce it.
-const MaxEventBytes = 1 << 20
+// MaxEventBytes is the maximum length of an event in the streams of upstreams. A stream with a longer one counts as
+// broken, see TooLong.
+const MaxEventBytes = 64 << 10
+
+// keptBytes is the size up to which an emptied buffer is kept for the next events.
+const keptBytes = 16 << 10
 
 // Splitter splits a stream after each complete event; the zero value is ready to use.
 type Splitter struct {
-	// buffer holds the bytes that were pending before the last Add, followed by those given to it.
-	buffer    []byte
-	lastID    string
-	completed int
-	// pending is the part of buffer after the last complete event.
-	pending []byte
+	// buffer holds the complete events that the last Add returned, followed by the pending bytes from begin on.
+	buffer []byte
+	begin  int
+	// line is where the unfinished line begins, which has no line break before searched.
+	line, searched int
+	lastID         string
+	completed      int
 }
 
 // Add appends the next bytes of the stream and returns the complete events so far; the result is valid until the next
 // call.
 func (s *Splitter) Add(data []byte) []byte {
-	s.buffer = append(s.buffer[:copy(s.buffer, s.pending)], data...)
-	s.pending = nil
+	s.dropCompleted()
+	s.buffer = append(s.buffer, data...)
 	s.completed = 0
-	end := 0
 	for {
-		size := eventLength(s.buffer[end:])
-		if size == 0 {
-			break
+		newline := bytes.IndexByte(s.buffer[s.searched:], '\n')
+		if newline < 0 {
+			s.searched = len(s.buffer)
+			return s.buffer[:s.begin]
 		}
-		s.readID(s.buffer[end : end+size])
-		end += size
-		s.completed++
+		next := s.searched + newline + 1
+		if s.line > s.begin && isBlank(s.buffer[s.line:next]) {
+			s.readID(s.buffer[s.begin:next])
+			s.begin = next
+			s.completed++
+		}
+		s.line, s.searched = next, next
+	}
+}
+
+// dropCompleted removes the events that the last Add returned from the buffer.
+func (s *Splitter) dropCompleted() {
+	if s.begin == 0 {
+		return
+	}
+	pending := s.buffer[s.begin:]
+	if cap(s.buffer) > keptBytes && len(pending) < keptBytes/2 {
+		s.buffer = append([]byte(nil), pending...)
+	} else {
+		s.buffer = s.buffer[:copy(s.buffer, pending)]
 	}
-	complete := s.buffer[:end]
-	s.pending = s.buffer[end:]
-	return complete
+	s.line -= s.begin
+	s.searched -= s.begin
+	s.begin = 0
 }
 
 // Buffered returns the number of bytes after the last complete event.
-func (s *Splitter) Buffered() int { return len(s.pending) }
+func (s *Splitter) Buffered() int { return len(s.buffer) - s.begin }
+
+// TooLong reports whether the unfinished event is longer than MaxEventBytes.
+func (s *Splitter) TooLong() bool { return s.Buffered() > MaxEventBytes }
 
 // LastID returns the ID of the last complete event that had one, or an empty string.
 func (s *Splitter) LastID() string { return s.lastID }
@@ -45,21 +70,7 @@
 // Completed returns the number of complete events in the result of the last Add.
 func (s *Splitter) Completed() int { return s.completed }
 
-// eventLength returns the length of the first event including the blank line that ends it, or 0 if it is incomplete.
-func eventLength(data []byte) int {
-	for start := 0; ; {
-		newline := bytes.IndexByte(data[start:], '\n')
-		if newline < 0 {
-			return 0
-		}
-		next := start + newline + 1
-		if isBlank(data[start:next]) && start > 0 {
-			return next
-		}
-		start = next
-	}
-}
-
+// isBlank reports whether a line, which includes its line break, ends an event.
 func isBlank(line []byte) bool {
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
 }
--- a/internal/protocol/event/splitter_test.go
+++ b/internal/protocol/event/splitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,6 +38,28 @@
 	is.Equal(s.LastID(), "2")
 }
 
+// TestLongEventsOfAnyChunkSize guards against an event that is searched again from its start with each chunk, or whose
+// buffer is kept after it.
+func TestLongEventsOfAnyChunkSize(t *testing.T) {
+	is := is.New(t)
+	long := "id: 9\ndata: " + strings.Repeat("x", MaxEventBytes-14) + "\n\n"
+	for _, size := range []int{1, 7, 8 << 10, len(long)} {
+		var s Splitter
+		completed := 0
+		for at := 0; at < len(long); at += size {
+			s.Add([]byte(long[at:min(at+size, len(long))]))
+			completed += s.Completed()
+			is.True(!s.TooLong())
+		}
+		is.Equal(completed, 1)
+		is.Equal(s.LastID(), "9")
+		s.Add([]byte("id: 10\n"))
+		is.True(cap(s.buffer) <= keptBytes)
+		s.Add(make([]byte, MaxEventBytes))
+		is.True(s.TooLong())
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte(stream), 3)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/dispatch"
+	"lagoongw/internal/protocol/event"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
@@ -18,6 +20,7 @@
 var (
 	errOtherRequest    = errors.New("answer to another request")
 	errTruncatedStream = errors.New("answer ended before its end")
+	errEventTooLong    = fmt.Errorf("event longer than %d bytes", event.MaxEventBytes)
 	errStreamStalled   = errors.New("no event for too long")
 	errCallerLeft      = errors.New("caller left")
 )
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -67,6 +67,8 @@
 			}
 		}
 		switch {
+		case splitter.TooLong():
+			return x.failStream(s, errEventTooLong)
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0:
 			return x.finishStream(s)
