Reserve the memory of requests before their bodies are read

Any number of requests were read whole at the same time, each body up to the operator's limit, doubled while it grew and copied once more for each send; 20 bodies of 200 KB were all accepted under a memory limit of 4 MB. A caller that stopped sending held its part for ever.

A request now reserves 32 KB, its header and its body from the budget: by its length, or block by block when it comes in chunks. Without room it is refused at once with 503 and Retry-After, before its body is read; a connection with a long unread body is closed after that. The blocks are sent as they are (writev). A body that has not come whole when the request's time is up gets 408 and is not forwarded; one that is cut gets 400 as before. A length over the operator's limit gets its 413 before the body is read. The held bytes in the log and the metrics are those of the budget.

--- a/internal/coordination/memory/budget.go
+++ b/internal/coordination/memory/budget.go
@@ -71,12 +71,16 @@
 // Reserve takes bytes for a use, and reports whether they were free. A refusal is counted and takes nothing.
 func (b *Budget) Reserve(use Use, bytes int64) bool {
 	a := &b.accounts[use]
-	if a.held.Add(bytes) <= a.limit {
-		return true
+	for {
+		held := a.held.Load()
+		if held+bytes > a.limit {
+			a.refused.Add(1)
+			return false
+		}
+		if a.held.CompareAndSwap(held, held+bytes) {
+			return true
+		}
 	}
-	a.held.Add(-bytes)
-	a.refused.Add(1)
-	return false
 }
 
 // Release returns bytes that were reserved.
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -27,7 +27,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is sent block by block.
+	Body [][]byte
 	// HeaderDeadline, if set, is when Send gives up waiting for the response's header.
 	HeaderDeadline time.Time
 }
@@ -52,11 +53,12 @@
 	}
 	stopWatching := context.AfterFunc(ctx, c.Close)
 	writeResult := make(chan error, 1)
-	head := encodeHead(request)
-	if len(request.Body) >= backgroundWriteBytes {
-		go func() { writeResult <- c.write(head, request.Body) }()
+	bodyBytes := request.bodyBytes()
+	message := append(net.Buffers{encodeHead(request, bodyBytes)}, request.Body...)
+	if bodyBytes >= backgroundWriteBytes {
+		go func() { writeResult <- c.write(message) }()
 	} else {
-		err = c.write(head, request.Body)
+		err = c.write(message)
 		writeResult <- err
 	}
 	if err != nil {
@@ -89,20 +91,24 @@
 	return err
 }
 
-func (c *Conn) write(head, body []byte) error {
-	if len(body) == 0 {
-		_, err := c.net.Write(head)
-		return err
-	}
-	_, err := c.net.Write(append(head, body...))
+func (c *Conn) write(message net.Buffers) error {
+	_, err := message.WriteTo(c.net)
 	return err
 }
 
+func (r *Request) bodyBytes() int {
+	size := 0
+	for _, block := range r.Body {
+		size += len(block)
+	}
+	return size
+}
+
 // encodeHead returns the request line and the headers, with a Content-Length so that the upstream knows where the body
 // ends.
-func encodeHead(request Request) []byte {
+func encodeHead(request Request, bodyBytes int) []byte {
 	var head bytes.Buffer
-	head.Grow(1024 + len(request.Body))
+	head.Grow(1024)
 	head.WriteString(request.Method)
 	head.WriteByte(' ')
 	head.WriteString(request.Target)
@@ -110,9 +116,9 @@
 	head.WriteString(request.Host)
 	head.WriteString("\r\n")
 	_ = request.Header.Write(&head)
-	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
+	if bodyBytes > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
 		head.WriteString("Content-Length: ")
-		head.WriteString(strconv.Itoa(len(request.Body)))
+		head.WriteString(strconv.Itoa(bodyBytes))
 		head.WriteString("\r\n")
 	}
 	head.WriteString("\r\n")
--- a/internal/transport/connection/pool_test.go
+++ b/internal/transport/connection/pool_test.go
@@ -202,7 +202,7 @@
 		Method: http.MethodPost,
 		Target: "/",
 		Host:   "h",
-		Body:   make([]byte, 64<<20),
+		Body:   [][]byte{make([]byte, 64<<20)},
 	})
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusRequestEntityTooLarge)
--- a/internal/transport/entryvm/memory.go
+++ b/internal/transport/entryvm/memory.go
@@ -6,6 +6,8 @@
 	"runtime/metrics"
 	"strconv"
 	"time"
+
+	"lagoongw/internal/coordination/memory"
 )
 
 const (
@@ -58,7 +60,7 @@
 		stacks:     int64(samples[1].Value.Uint64()),
 		unused:     int64(samples[2].Value.Uint64()),
 		goroutines: int64(samples[3].Value.Uint64()),
-		requests:   m.process.gateway.RequestBytes(),
+		requests:   m.process.memoryBudget.Held(memory.Requests),
 		answers:    m.process.gateway.AnswerBytes(),
 	}
 }
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -16,6 +16,7 @@
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/membership"
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
@@ -101,6 +102,7 @@
 	loadReporter loadReporter
 	memory       memoryReporter
 	outgoing     outgoing
+	memoryBudget *memory.Budget
 	budgetsMu    sync.Mutex
 	budgets      map[string]*retry.WindowBudget
 	drainer      shutdown.Drainer
@@ -154,6 +156,7 @@
 	p.Catalog.Prepare()
 	p.budgets = map[string]*retry.WindowBudget{}
 	p.memory.process = p
+	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
@@ -161,6 +164,7 @@
 		Connections: p.connections,
 		RetryBudget: p.budget,
 		Phase:       p.Phase,
+		Memory:      p.memoryBudget,
 		Metrics:     p.metrics(),
 		Logger:      p.Logger,
 	}
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -17,6 +17,8 @@
 	retryAfterStarting = 300 * time.Millisecond
 	// retryAfterRefused is the Retry-After where no upstream took the request, or where this node is draining.
 	retryAfterRefused = 200 * time.Millisecond
+	// retryAfterFull is the Retry-After of a node without memory for the request: about the time of one request.
+	retryAfterFull = 500 * time.Millisecond
 )
 
 // localAnswer is a final answer that comes from this node and not from an upstream. Status 0 means that an answer that
--- /dev/null
+++ b/internal/transport/gateway/body_test.go
@@ -0,0 +1,158 @@
+package gateway_test
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/state/route"
+	"lagoongw/platform"
+)
+
+// echoDigest answers with the length and the digest of the body that it has received.
+func echoDigest(conn net.Conn, r *http.Request) bool {
+	body, _ := io.ReadAll(r.Body)
+	return answer(200, fmt.Sprintf("%d %x", len(body), sha256.Sum256(body)))(conn, r)
+}
+
+// allowBodies lets bodies of a size through.
+func (g *testGateway) allowBodies(t *testing.T, size int) {
+	t.Helper()
+	text := strings.Replace(manifest, `"max_body_bytes": 100`, fmt.Sprintf(`"max_body_bytes": %d`, size), 1)
+	table, _, err := platform.ParseManifest([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.gateway.Routes = func() *route.Table { return table }
+}
+
+// sendRaw sends the text of a request and returns the status of the answer and its body, 0 if there is none.
+func (g *testGateway) sendRaw(t *testing.T, text string) (status int, body string) {
+	t.Helper()
+	conn, err := g.dialCaller(t.Context(), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = io.WriteString(conn, text) }()
+	defer func() { _ = conn.Close() }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, ""
+	}
+	content, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(content)
+}
+
+// TestBodiesArriveUnchanged sends bodies of sizes around those of the blocks in which they are read, with a length and
+// in chunks. All memory is free again afterwards.
+func TestBodiesArriveUnchanged(t *testing.T) {
+	const limit = 300_000
+	random := rand.NewChaCha8([32]byte{1})
+	for _, size := range []int{1, 4095, 4096, 4097, 12 << 10, 124 << 10, limit - 1, limit, limit + 1} {
+		body := make([]byte, size)
+		_, _ = random.Read(body)
+		framed := map[string]string{
+			"length":     fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body),
+			"one chunk":  "Transfer-Encoding: chunked\r\n\r\n" + chunk(string(body)) + "0\r\n\r\n",
+			"two chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunk(string(body[:1+size/3])) + chunk(string(body[1+size/3:])) + "0\r\n\r\n",
+		}
+		if size == 1 {
+			delete(framed, "two chunks") // the second one would be the end
+		}
+		for name, text := range framed {
+			t.Run(fmt.Sprintf("%d in %s", size, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					g := newTestGateway(t, map[string]script{"u1": echoDigest})
+					g.allowBodies(t, limit)
+					status, got := g.sendRaw(t, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n"+text)
+					synctest.Wait()
+					is.Equal(g.gateway.Memory.Held(memory.Requests), int64(0))
+					if size > limit {
+						is.Equal(status, http.StatusRequestEntityTooLarge)
+						is.Equal(len(g.receivedRequests()), 0)
+						return
+					}
+					is.Equal(status, http.StatusOK)
+					is.Equal(got, fmt.Sprintf("%d %x", size, sha256.Sum256(body)))
+				})
+			})
+		}
+	}
+}
+
+// TestBodyThatIsNotSentWholeIsNotForwarded guards against a body that stops: it must not hold memory for longer than
+// the request may last, nor be sent on as if it were whole.
+func TestBodyThatIsNotSentWholeIsNotForwarded(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "Content-Length: 50\r\n\r\nbody",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"chunk":  "Transfer-Encoding: chunked\r\n\r\n32\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+				began := time.Now()
+				status, _ := g.sendRaw(t, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n"+text)
+				is.Equal(status, http.StatusRequestTimeout)
+				is.Equal(time.Since(began), 1500*time.Millisecond) // the route's timeout
+				conn, err := g.dialCaller(t.Context(), "", "")
+				is.NoErr(err)
+				_, _ = io.WriteString(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-2\r\n"+text)
+				_ = conn.Close()
+				synctest.Wait()
+				is.Equal(g.gateway.Memory.Held(memory.Requests), int64(0))
+				is.Equal(len(g.receivedRequests()), 0)
+			})
+		})
+	}
+}
+
+// TestRequestBeyondTheBudgetIsRefusedUnread fills the budget: requests are refused at once, whether or not their bodies
+// have arrived, and one whose body is short can use its connection again.
+func TestRequestBeyondTheBudgetIsRefusedUnread(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		keep bool
+	}{
+		"short body":      {text: "Content-Length: 4\r\n\r\nbody", keep: true},
+		"long body":       {text: "Content-Length: 20000\r\n\r\nbody"},
+		"body in chunks":  {text: "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"},
+		"expects a go-on": {text: "Expect: 100-continue\r\nContent-Length: 20000\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+				g.allowBodies(t, 1<<20)
+				is.True(g.gateway.Memory.Reserve(memory.Requests, g.gateway.Memory.Limit(memory.Requests)))
+				conn, err := g.dialCaller(t.Context(), "", "")
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				go func() {
+					_, _ = io.WriteString(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n"+c.text)
+				}()
+				began := time.Now()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+				is.True(response.Header.Get("Retry-After") != "")
+				is.Equal(response.Close, !c.keep)
+				is.Equal(time.Since(began), time.Duration(0))
+				is.Equal(len(g.receivedRequests()), 0)
+			})
+		})
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/dispatch"
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/protocol/event"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -38,9 +39,10 @@
 	path     string
 	host     string
 	call     Call
-	body     []byte
-	table    *route.Table
-	route    *route.Route
+	// body holds the blocks of the request body.
+	body  [][]byte
+	table *route.Table
+	route *route.Route
 	// pool is the name of the pool that the route selects for this request.
 	pool string
 	// toEngine reports whether the upstreams of the pool are model engines.
@@ -60,6 +62,7 @@
 	sentStatus int
 	// closeConnection reports whether the caller's connection is closed after the answer.
 	closeConnection bool
+	requestMemory   memory.Reservation
 }
 
 // upstreamSend is one send of the request to an upstream.
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
@@ -132,6 +133,7 @@
 		Connections: pool,
 		RetryBudget: g.budget(),
 		Phase:       func() drain.Phase { return g.phase },
+		Memory:      memory.NewBudget(0),
 		Metrics:     gateway.NewMetrics(),
 		Logger:      zerolog.Nop(),
 	}
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,14 +12,12 @@
 
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
 )
 
-// defaultMaxBodyBytes limits a request's body if the routing table sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // Server forwards callers' requests to upstreams; its exported fields must be set before it serves.
 type Server struct {
 	// Codec translates between HTTP messages and the types of this package.
@@ -36,22 +32,20 @@
 	RetryBudget func(pool string) *retry.WindowBudget
 	// Phase returns the phase of this node's drain.
 	Phase func() drain.Phase
+	// Memory limits what is held for callers and upstreams.
+	Memory *memory.Budget
 	// Metrics counts requests, sends and answers.
 	Metrics *Metrics
 	// Logger receives one line for each decision.
 	Logger zerolog.Logger
 
-	inFlight     atomic.Int64
-	requestBytes atomic.Int64
-	answerBytes  atomic.Int64
+	inFlight    atomic.Int64
+	answerBytes atomic.Int64
 }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// RequestBytes returns the size of the request bodies that are held.
-func (s *Server) RequestBytes() int64 { return s.requestBytes.Load() }
-
 // AnswerBytes returns the size of the upstreams' answers that are held until they are complete.
 func (s *Server) AnswerBytes() int64 { return s.answerBytes.Load() }
 
@@ -70,13 +64,15 @@
 		// parser may find the end of such a request at the length (RFC 9112, section 6.3), so the connection is closed
 		// after it.
 		closeConnection: s.Phase() != drain.Serving || len(r.TransferEncoding) > 0,
+		requestMemory:   s.Memory.NewReservation(memory.Requests),
 	}
 	if x.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
 	x.path, _, _ = strings.Cut(x.target, "?")
-	defer x.releaseHeldBytes()
+	defer x.releaseMemory()
 	steps := []func(*http.Request) *localAnswer{
+		x.reserve,
 		x.decode,
 		x.matchRoute,
 		x.checkHeaderSize,
@@ -175,39 +171,6 @@
 	return nil
 }
 
-func (x *exchange) readBody(r *http.Request) *localAnswer {
-	limit := x.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return &localAnswer{
-			status: http.StatusRequestEntityTooLarge,
-			reason: "body longer than allowed",
-		}
-	case err != nil:
-		return &localAnswer{
-			status: http.StatusBadRequest,
-			reason: "body could not be read whole: " + err.Error(),
-		}
-	}
-	x.body = body
-	x.server.requestBytes.Add(int64(len(body)))
-	return nil
-}
-
-// releaseHeldBytes takes the bodies of an ended request out of the counts of those that are held.
-func (x *exchange) releaseHeldBytes() {
-	x.server.requestBytes.Add(-int64(len(x.body)))
-	x.setBuffered(nil)
-}
-
 // refuseWhileDraining refuses a request that might not finish before this node stops; other nodes can serve it at once.
 // In drain.Leaving, the first phase of a drain, requests are still accepted.
 func (x *exchange) refuseWhileDraining(*http.Request) *localAnswer {
@@ -223,11 +186,7 @@
 
 // begin sets the deadline from the caller's timeout and the route's, and prepares the attempts.
 func (x *exchange) begin(ctx context.Context) {
-	timeout := x.route.Timeout()
-	if x.call.Timeout > 0 {
-		timeout = min(timeout, x.call.Timeout)
-	}
-	x.deadline = x.started.Add(timeout)
+	x.deadline = x.started.Add(x.timeout())
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
 	x.pool = x.route.PoolFor(x.call.ID)
 	if pool, known := x.table.Pool(x.pool); known {
@@ -241,3 +200,11 @@
 	x.attempts.TakeRetryBudget = func() bool { return budget.Take(time.Now()) }
 	x.server.Metrics.countRequest(x.route, x.priorityLevel)
 }
+
+// timeout returns the caller's timeout or the route's, whichever is shorter.
+func (x *exchange) timeout() time.Duration {
+	if x.call.Timeout > 0 {
+		return min(x.route.Timeout(), x.call.Timeout)
+	}
+	return x.route.Timeout()
+}
