Bound the answers that are held until they are complete

Up to 1 MB of any number of answers was held at the same time. Answers now reserve their bytes from the budget, at most 256 KB each; what doesn't fit is passed on as it arrives, as longer ones were already, since it has run and must not be refused. A broken one is aborted, and the request is not sent again. Headers of answers are limited to 16 KB instead of 32 KB, and are part of what each request reserves.

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -16,7 +16,7 @@
 const backgroundWriteBytes = 16 << 10
 
 // MaxHeadBytes limits the header of a response, together with the interim responses before it.
-const MaxHeadBytes = 32 << 10
+const MaxHeadBytes = 16 << 10
 
 var errHeadTooLong = eris.Errorf("header longer than %d bytes", MaxHeadBytes)
 
--- a/internal/transport/entryvm/memory.go
+++ b/internal/transport/entryvm/memory.go
@@ -61,7 +61,7 @@
 		unused:     int64(samples[2].Value.Uint64()),
 		goroutines: int64(samples[3].Value.Uint64()),
 		requests:   m.process.memoryBudget.Held(memory.Requests),
-		answers:    m.process.gateway.AnswerBytes(),
+		answers:    m.process.memoryBudget.Held(memory.Answers),
 	}
 }
 
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -7,18 +7,20 @@
 	"net/http"
 	"os"
 	"time"
+
+	"lagoongw/internal/transport/connection"
 )
 
 const (
 	// defaultMaxBodyBytes limits a request's body if the routing table sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// requestBytes is what a request holds apart from its body and its header: stacks, buffers of the connection to the
-	// upstream, and what was decoded.
-	requestBytes = 32 << 10
-	// minBodyBlock and maxBodyBlock are the sizes of the first block and of the largest ones in which a body without a
-	// length is read.
-	minBodyBlock = 4 << 10
-	maxBodyBlock = 64 << 10
+	// upstream, the header of the answer, and what was decoded.
+	requestBytes = 32<<10 + connection.MaxHeadBytes
+	// minBlock and maxBlock are the sizes of the first block and of the largest ones in which a body without a length is
+	// read.
+	minBlock = 4 << 10
+	maxBlock = 64 << 10
 	// maxSkippedBytes is the length from which the connection is closed rather than the rest of a refused body read.
 	maxSkippedBytes = 16 << 10
 )
@@ -98,7 +100,7 @@
 // readBlocks reads a body that doesn't say its length.
 func (x *exchange) readBlocks(r *http.Request, limit int64) *localAnswer {
 	left := limit
-	for size := int64(minBodyBlock); ; size = min(2*size, maxBodyBlock) {
+	for size := int64(minBlock); ; size = min(2*size, maxBlock) {
 		block := min(size, left+1) // one byte more shows that the body is too long
 		if !x.requestMemory.Grow(block) {
 			return x.refuseForMemory(r)
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -156,3 +156,43 @@
 		})
 	}
 }
+
+// TestAnswersBeyondTheBudgetArePassedOn fills the budget for answers: they are not refused for that, since they have
+// run, but passed on as they arrive, and one that breaks off is aborted.
+func TestAnswersBeyondTheBudgetArePassedOn(t *testing.T) {
+	long := strings.Repeat("long ", 3000)
+	for name, c := range map[string]struct {
+		raw   string
+		whole bool
+	}{
+		"length": {
+			raw:   fmt.Sprintf("HTTP/1.1 200 X\r\n%sContent-Length: %d\r\n\r\n%s", answerHeaders, len(long), long),
+			whole: true,
+		},
+		"chunks":    {raw: "HTTP/1.1 200 X\r\n" + chunkedHeaders + chunk(long) + "0\r\n\r\n", whole: true},
+		"no length": {raw: "HTTP/1.1 200 X\r\n" + answerHeaders + "\r\n" + long, whole: true},
+		"cut length": {
+			raw: fmt.Sprintf("HTTP/1.1 200 X\r\n%sContent-Length: %d\r\n\r\n%s", answerHeaders, len(long)+1, long),
+		},
+		"cut chunks": {raw: "HTTP/1.1 200 X\r\n" + chunkedHeaders + chunk(long)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{
+					"u1": rawAnswer(c.raw),
+					"u2": answer(200, "good"),
+				})
+				filler := g.gateway.Memory.Limit(memory.Answers) - 6<<10 // leaves room for a first block
+				is.True(g.gateway.Memory.Reserve(memory.Answers, filler))
+				got := g.call(t.Context(), "/safe/x", "body", nil)
+				synctest.Wait()
+				is.Equal(got.status, http.StatusOK)
+				is.Equal(got.whole, c.whole)
+				is.Equal(got.body, long)
+				is.Equal(len(g.receivedRequests()), 1)
+				is.Equal(g.gateway.Memory.Held(memory.Answers), filler)
+			})
+		})
+	}
+}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -10,11 +11,12 @@
 
 	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
 )
 
 // maxBufferedAnswerBytes is the size from which an answer is sent to the caller as it arrives; shorter ones are read
-// completely first.
-const maxBufferedAnswerBytes = 1 << 20
+// completely first, if the memory allows.
+const maxBufferedAnswerBytes = 256 << 10
 
 // hopByHopHeaders concern a single connection (RFC 9110, section 7.6.1); Content-Length is set anew where it is known.
 var hopByHopHeaders = []string{
@@ -28,36 +30,82 @@
 	"Content-Length",
 }
 
-// readAnswer reads the body of an answer and releases the connection. If the body reaches maxBufferedAnswerBytes, more
-// is true and the rest is still to be read.
-func (x *exchange) readAnswer(s *upstreamSend) (body []byte, more bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(s.response.Body, maxBufferedAnswerBytes))
-	if err != nil {
-		s.response.Discard()
-		return nil, false, err
+// bufferedAnswer is an upstream's answer that the caller has not been sent yet.
+type bufferedAnswer struct {
+	status int
+	header http.Header
+	// body holds the blocks of the body.
+	body   [][]byte
+	memory memory.Reservation
+}
+
+// readAnswer reads the body of an answer and releases the connection. If the body is too long, or the memory doesn't
+// allow to hold all of it, more is true and the rest is still to be read.
+func (x *exchange) readAnswer(s *upstreamSend) (answer *bufferedAnswer, more bool, err error) {
+	answer = &bufferedAnswer{
+		status: s.response.StatusCode,
+		header: s.response.Header,
+		memory: x.server.Memory.NewReservation(memory.Answers),
 	}
-	if len(body) == maxBufferedAnswerBytes {
-		return body, true, nil
+	size := int64(minBlock)
+	if length := s.response.ContentLength; length >= 0 {
+		size = min(max(length, 1), maxBufferedAnswerBytes)
+	}
+	for ; ; size = min(2*size, maxBlock) {
+		size = min(size, maxBufferedAnswerBytes-answer.memory.Bytes())
+		if size == 0 || !answer.memory.Grow(size) {
+			return answer, true, nil
+		}
+		block := make([]byte, size)
+		n, err := fill(s.response.Body, block)
+		answer.body = append(answer.body, block[:n])
+		switch {
+		case errors.Is(err, io.EOF):
+			s.response.Release(x.server.Connections, s.reply.IdleTimeout)
+			return answer, false, nil
+		case err != nil:
+			s.response.Discard()
+			answer.release()
+			return nil, false, err
+		}
 	}
-	s.response.Release(x.server.Connections, s.reply.IdleTimeout)
-	return body, false, nil
 }
 
-// bufferedAnswer is an upstream's complete answer that the caller has not been sent yet.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+// release returns the memory of the body.
+func (b *bufferedAnswer) release() {
+	if b != nil {
+		b.body = nil
+		b.memory.Resize(0)
+	}
+}
+
+// length returns the length of the body.
+func (b *bufferedAnswer) length() int {
+	length := 0
+	for _, block := range b.body {
+		length += len(block)
+	}
+	return length
+}
+
+// writeBody writes the body to the caller.
+func (b *bufferedAnswer) writeBody(w io.Writer) error {
+	for _, block := range b.body {
+		if _, err := w.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // bufferAnswer reads an answer that is not a stream, and keeps it for finish; a long one is sent to the caller
 // directly.
 func (x *exchange) bufferAnswer(s *upstreamSend) (attempt.Result, error) {
-	body, more, err := x.readAnswer(s)
+	answer, more, err := x.readAnswer(s)
 	now := time.Now()
 	if err == nil && more {
 		x.setBuffered(nil)
-		err = x.streamLongAnswer(s, body)
+		err = x.passOnAnswer(s, answer)
 	}
 	if err != nil {
 		x.server.Dispatcher.Failed(s.upstream, now)
@@ -67,11 +115,7 @@
 		x.recordLongAnswer(s, now)
 		return attempt.Answered, nil
 	}
-	x.setBuffered(&bufferedAnswer{
-		status: s.response.StatusCode,
-		header: s.response.Header,
-		body:   body,
-	})
+	x.setBuffered(answer)
 	if s.response.StatusCode >= http.StatusInternalServerError {
 		x.server.Dispatcher.Failed(s.upstream, now)
 		return attempt.Failed, nil
@@ -82,18 +126,10 @@
 
 // setBuffered replaces the buffered answer; nil drops it.
 func (x *exchange) setBuffered(answer *bufferedAnswer) {
-	x.server.answerBytes.Add(answer.size() - x.buffered.size())
+	x.buffered.release()
 	x.buffered = answer
 }
 
-// size returns the size of the body, 0 if there is no answer.
-func (b *bufferedAnswer) size() int64 {
-	if b == nil {
-		return 0
-	}
-	return int64(len(b.body))
-}
-
 // recordLongAnswer tells the dispatcher whether an answer that was sent as it arrived was a server error.
 func (x *exchange) recordLongAnswer(s *upstreamSend, now time.Time) {
 	x.sentStatus = s.response.StatusCode
@@ -104,9 +140,9 @@
 	x.server.Dispatcher.Succeeded(s.upstream, 0, now)
 }
 
-// streamLongAnswer sends an answer that is too long to buffer to the caller as it arrives; from its first byte on, no
-// other answer can be given.
-func (x *exchange) streamLongAnswer(s *upstreamSend, body []byte) error {
+// passOnAnswer sends the caller an answer of which only the beginning could be buffered, as it arrives; from its first
+// byte on, no other answer can be given.
+func (x *exchange) passOnAnswer(s *upstreamSend, begun *bufferedAnswer) error {
 	x.copyHeader(s.response.Header)
 	if s.response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(s.response.ContentLength, 10))
@@ -115,7 +151,8 @@
 	x.progress.headWritten = true
 	x.attempts.MarkStreaming()
 	x.attempts.Repeatable = false // another answer can't continue the part already sent
-	_, err := x.w.Write(body)
+	err := begun.writeBody(x.w)
+	begun.release()
 	if err == nil {
 		_, err = io.Copy(x.w, s.response.Body)
 	}
@@ -130,10 +167,9 @@
 // writeBuffered sends the buffered answer to the caller.
 func (x *exchange) writeBuffered() error {
 	x.copyHeader(x.buffered.header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(x.buffered.body)))
+	x.w.Header().Set("Content-Length", strconv.Itoa(x.buffered.length()))
 	x.w.WriteHeader(x.buffered.status)
-	_, err := x.w.Write(x.buffered.body)
-	return err
+	return x.buffered.writeBody(x.w)
 }
 
 // copyHeader copies the upstream's headers, except those of its connection. A Content-Type or Date that the upstream
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -39,16 +39,12 @@
 	// Logger receives one line for each decision.
 	Logger zerolog.Logger
 
-	inFlight    atomic.Int64
-	answerBytes atomic.Int64
+	inFlight atomic.Int64
 }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// AnswerBytes returns the size of the upstreams' answers that are held until they are complete.
-func (s *Server) AnswerBytes() int64 { return s.answerBytes.Load() }
-
 // ServeHTTP forwards one request and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
