Bound the unfinished events of all streams together

Each stream may hold an event of 64 KB; hundreds of them had no bound in common. Beyond 8 KB an unfinished event reserves its bytes from the budget; without room the stream counts as broken and is resumed elsewhere where the route allows that.

--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -196,3 +196,36 @@
 		})
 	}
 }
+
+// TestLongEventsShareTheBudget fills the budget for events: short ones go on, and a stream with a long one is resumed
+// elsewhere.
+func TestLongEventsShareTheBudget(t *testing.T) {
+	longEvent := "id: 1\ndata: " + strings.Repeat("x", 40<<10) + "\n\n"
+	for name, c := range map[string]struct {
+		full     bool
+		requests int
+	}{
+		"room":    {requests: 1},
+		"no room": {full: true, requests: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{
+					"u1": rawAnswer("HTTP/1.1 200 X\r\n" + chunkedHeaders + chunk(longEvent) + "0\r\n\r\n"),
+					"u2": eventStream(0),
+				})
+				held := int64(0)
+				if c.full {
+					held = g.gateway.Memory.Limit(memory.Events)
+					is.True(g.gateway.Memory.Reserve(memory.Events, held))
+				}
+				got := g.call(t.Context(), "/resumable/x", "body", nil)
+				synctest.Wait()
+				is.True(got.whole)
+				is.Equal(len(g.receivedRequests()), c.requests)
+				is.Equal(g.gateway.Memory.Held(memory.Events), held)
+			})
+		})
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -22,6 +22,7 @@
 	errOtherRequest    = errors.New("answer to another request")
 	errTruncatedStream = errors.New("answer ended before its end")
 	errEventTooLong    = fmt.Errorf("event longer than %d bytes", event.MaxEventBytes)
+	errNoEventMemory   = errors.New("no memory left at this entry VM for a long event")
 	errStreamStalled   = errors.New("no event for too long")
 	errCallerLeft      = errors.New("caller left")
 )
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lagoongw/internal/coordination/attempt"
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/protocol/event"
 )
 
@@ -56,6 +57,8 @@
 // dropped.
 func (x *exchange) relayStream(s *upstreamSend) (attempt.Result, error) {
 	var splitter event.Splitter
+	unfinished := x.server.Memory.NewReservation(memory.Events)
+	defer unfinished.Resize(0)
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		s.response.SetReadDeadline(x.silenceDeadline(s.started, s.cost))
@@ -69,6 +72,8 @@
 		switch {
 		case splitter.TooLong():
 			return x.failStream(s, errEventTooLong)
+		case !unfinished.Resize(eventBytes(splitter.Buffered())):
+			return x.failStream(s, errNoEventMemory)
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0:
 			return x.finishStream(s)
@@ -82,6 +87,15 @@
 	}
 }
 
+// eventBytes returns what an unfinished event holds apart from what each request reserves. A buffer that grows holds
+// twice the bytes at most.
+func eventBytes(buffered int) int64 {
+	if buffered <= streamBufferBytes {
+		return 0
+	}
+	return 2 * int64(buffered)
+}
+
 // silenceDeadline returns when to give up an upstream that completes no further event; sent is when the request was sent
 // to it, and cost the Cost of the choice. Bytes that complete no event don't put it off. If no other upstream can resume
 // the stream, it is the request's deadline.
