Disconnect callers that don't read their answer

A caller that stopped reading held its request's memory until it closed its connection. Writes now fail 5 s after the request's deadline.

--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -36,6 +36,9 @@
 	// a lower limit for the headers of requests. Callers stop reusing an idle connection sooner than callerIdleTimeout.
 	headerTimeout     = 5 * time.Second
 	callerIdleTimeout = time.Minute
+	// writeTimeout limits the time to read a request and to write its answer; the gateway replaces it by the request's
+	// own deadline.
+	writeTimeout      = time.Minute
 	maxHeaderBytes    = 256 << 10
 	peerIdleTimeout   = 30 * time.Second
 	drainPollInterval = 50 * time.Millisecond
@@ -345,6 +348,7 @@
 			Handler:           endpoint.handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       callerIdleTimeout,
+			WriteTimeout:      writeTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		}
 		httpServers = append(httpServers, server)
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -229,3 +229,35 @@
 		})
 	}
 }
+
+// TestCallerThatDoesNotReadIsDisconnected guards against a caller that holds its request's memory for ever.
+func TestCallerThatDoesNotReadIsDisconnected(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		respond script
+		timeout time.Duration
+	}{
+		"held answer": {"/unsafe/x", answer(200, strings.Repeat("x", 100<<10)), 1500 * time.Millisecond},
+		"long answer": {"/unsafe/x", answer(200, strings.Repeat("x", 1<<20)), 1500 * time.Millisecond},
+		"stream":      {"/stream/x", eventStream(0), 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": c.respond})
+				conn, err := g.dialCaller(t.Context(), "", "")
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn,
+					"POST "+c.path+" HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n")
+				is.NoErr(err)
+				time.Sleep(c.timeout)
+				is.True(g.gateway.Memory.Held(memory.Requests) > 0)
+				time.Sleep(6 * time.Second)
+				is.Equal(g.gateway.Memory.Held(memory.Requests), int64(0))
+				is.Equal(g.gateway.Memory.Held(memory.Answers), int64(0))
+				is.Equal(g.gateway.InFlight(), 0)
+			})
+		})
+	}
+}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -141,7 +141,10 @@
 		conns:  make(chan net.Conn),
 		closed: make(chan struct{}),
 	}
-	g.server = &http.Server{Handler: g.gateway}
+	g.server = &http.Server{
+		Handler:      g.gateway,
+		WriteTimeout: time.Minute,
+	}
 	g.dialCaller = listener.dial
 	g.client = &http.Client{Transport: &http.Transport{DialContext: listener.dial}}
 	go func() { _ = g.server.Serve(listener) }()
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -18,6 +18,11 @@
 	"lagoongw/internal/transport/connection"
 )
 
+// slowReaderWait is how long after the deadline the rest of an answer is still written. A caller that has not read it by
+// then is disconnected, so that it doesn't hold memory for longer. The HTTP server must set a write timeout, which
+// clears the write deadline of the request before.
+const slowReaderWait = 5 * time.Second
+
 // Server forwards callers' requests to upstreams; its exported fields must be set before it serves.
 type Server struct {
 	// Codec translates between HTTP messages and the types of this package.
@@ -184,6 +189,7 @@
 func (x *exchange) begin(ctx context.Context) {
 	x.deadline = x.started.Add(x.timeout())
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(slowReaderWait))
 	x.pool = x.route.PoolFor(x.call.ID)
 	if pool, known := x.table.Pool(x.pool); known {
 		x.toEngine = pool.Engine != nil
