Bound callers' connections by memory and descriptors

Callers could open any number of connections, each with a header of up to 256 KB. Their number, for requests and the directory together, is now limited by the budget's share at 52 KB each (241 for the smallest VM) and by three eighths of the platform's descriptors. Beyond three quarters of it connections are served and closed after the answer, so that idle ones can't keep other callers out; beyond the limit they are closed before anything is read. Headers are limited to 32 KB before the operator's own limit. Readiness check and metrics have 16 connections each.

--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -161,6 +161,7 @@
 		},
 		DroppedLines: logWriter.Dropped,
 		MemoryLimit:  platformSettings.MemoryLimit,
+		Descriptors:  platformSettings.Descriptors,
 		Logger:       logger,
 	}
 }
--- /dev/null
+++ b/internal/transport/entryvm/callers.go
@@ -0,0 +1,90 @@
+package entryvm
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"lagoongw/internal/coordination/memory"
+)
+
+const (
+	// maxHeaderBytes limits a caller's header, which is read before the routing table's own limit applies; net/http allows
+	// 4 KB more.
+	maxHeaderBytes = 28 << 10
+	// connectionBytes is what a caller's connection holds at most while no request is served on it: its stack, buffers
+	// and a header that is being read.
+	connectionBytes = 20<<10 + maxHeaderBytes + 4<<10
+	// callerDescriptorsShare is the share of the descriptors that callers' connections may use. Each request in flight
+	// needs another one for its upstream; the rest is for idle connections to upstreams, peers, the store and listeners.
+	callerDescriptorsShare = 0.375
+	// keptConnectionsShare is the share of the connections that are kept open between requests. Connections beyond it
+	// are served and then closed, so that callers that hold idle ones can't keep others out.
+	keptConnectionsShare = 0.75
+	// minConnections is the number of connections that are always accepted.
+	minConnections = 32
+	// maxOperatorConnections limits the connections to the readiness check and to the metrics, each.
+	maxOperatorConnections = 16
+)
+
+// callerConnections bounds the connections of callers, to the gateway and to the directory together.
+type callerConnections struct {
+	limit   int64
+	open    atomic.Int64
+	refused atomic.Int64
+}
+
+// maxConnections returns how many callers' connections the memory and the descriptors allow, 0 descriptors if unknown.
+func maxConnections(budget *memory.Budget, descriptors int) int64 {
+	limit := budget.Limit(memory.Connections) / connectionBytes
+	if descriptors > 0 {
+		limit = min(limit, int64(callerDescriptorsShare*float64(descriptors)))
+	}
+	return max(limit, minConnections)
+}
+
+// crowded reports whether connections are to be closed after their next answer.
+func (c *callerConnections) crowded() bool {
+	return float64(c.open.Load()) > keptConnectionsShare*float64(c.limit)
+}
+
+// closeWhenCrowded has a handler close connections while too many are open.
+func (c *callerConnections) closeWhenCrowded(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.crowded() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// track counts the connections; it is the ConnState function of the HTTP server.
+func (c *callerConnections) track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// limitedListener closes the connections beyond the limit before anything is read from them.
+type limitedListener struct {
+	net.Listener
+	connections *callerConnections
+}
+
+// Accept waits for a connection within the limit.
+func (l limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.connections.open.Load() < l.connections.limit {
+			return conn, nil
+		}
+		l.connections.refused.Add(1)
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/transport/entryvm/callers_test.go
@@ -0,0 +1,73 @@
+package entryvm
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/coordination/memory"
+)
+
+func TestMaxConnectionsByMemoryAndDescriptors(t *testing.T) {
+	for name, c := range map[string]struct {
+		memory      int64
+		descriptors int
+		limit       int64
+	}{
+		"smallest VM":       {memory: 112 << 20, limit: 241},
+		"unknown memory":    {limit: 241},
+		"few descriptors":   {memory: 112 << 20, descriptors: 400, limit: 150},
+		"large VM":          {memory: 1 << 30, descriptors: 3900, limit: 1462},
+		"hardly any memory": {memory: 1 << 20, limit: 32},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(maxConnections(memory.NewBudget(c.memory), c.descriptors), c.limit)
+		})
+	}
+}
+
+// scriptedListener hands out connections from a list.
+type scriptedListener struct {
+	net.Listener
+	conns []net.Conn
+}
+
+func (s *scriptedListener) Accept() (net.Conn, error) {
+	if len(s.conns) == 0 {
+		return nil, net.ErrClosed
+	}
+	conn := s.conns[0]
+	s.conns = s.conns[1:]
+	return conn, nil
+}
+
+// TestListenerClosesConnectionsBeyondTheLimit opens more connections than are allowed, and closes one in between.
+func TestListenerClosesConnectionsBeyondTheLimit(t *testing.T) {
+	is := is.New(t)
+	connections := callerConnections{limit: 4}
+	source := &scriptedListener{}
+	listener := limitedListener{Listener: source, connections: &connections}
+	accept := func() bool {
+		_, conn := net.Pipe()
+		source.conns = []net.Conn{conn}
+		_, err := listener.Accept()
+		if err == nil {
+			connections.track(conn, http.StateNew)
+		}
+		return err == nil
+	}
+	for i := range 4 {
+		is.Equal(connections.crowded(), i > 3)
+		is.True(accept())
+	}
+	is.True(connections.crowded())
+	is.True(!accept())
+	is.Equal(connections.refused.Load(), int64(1))
+	connections.track(nil, http.StateActive)
+	connections.track(nil, http.StateClosed)
+	is.True(!connections.crowded())
+	is.True(accept())
+}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -32,14 +32,13 @@
 )
 
 const (
-	// headerTimeout, callerIdleTimeout and maxHeaderBytes limit the clients of all HTTP listeners; the routing table sets
-	// a lower limit for the headers of requests. Callers stop reusing an idle connection sooner than callerIdleTimeout.
+	// headerTimeout and callerIdleTimeout limit the clients of all HTTP listeners. Callers stop reusing an idle connection
+	// sooner than callerIdleTimeout.
 	headerTimeout     = 5 * time.Second
 	callerIdleTimeout = time.Minute
 	// writeTimeout limits the time to read a request and to write its answer; the gateway replaces it by the request's
 	// own deadline.
 	writeTimeout      = time.Minute
-	maxHeaderBytes    = 256 << 10
 	peerIdleTimeout   = 30 * time.Second
 	drainPollInterval = 50 * time.Millisecond
 	// refuseAfterShare is the share of the grace period in which a leaving node still accepts requests: longer than most
@@ -90,6 +89,8 @@
 	DroppedLines func() int64
 	// MemoryLimit is the memory in bytes above which the platform kills the process, 0 for none.
 	MemoryLimit int64
+	// Descriptors is how many sockets the process may have open, 0 if unknown.
+	Descriptors int
 	// Logger receives the log lines of the process.
 	Logger zerolog.Logger
 
@@ -106,6 +107,7 @@
 	memory       memoryReporter
 	outgoing     outgoing
 	memoryBudget *memory.Budget
+	callers      callerConnections
 	budgetsMu    sync.Mutex
 	budgets      map[string]*retry.WindowBudget
 	drainer      shutdown.Drainer
@@ -160,6 +162,7 @@
 	p.budgets = map[string]*retry.WindowBudget{}
 	p.memory.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
+	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
@@ -168,6 +171,7 @@
 		RetryBudget: p.budget,
 		Phase:       p.Phase,
 		Memory:      p.memoryBudget,
+		Crowded:     p.callers.crowded,
 		Metrics:     p.metrics(),
 		Logger:      p.Logger,
 	}
@@ -320,39 +324,55 @@
 	go func() { _ = p.server.Run(peers) }()
 	var httpServers []*http.Server
 	for _, endpoint := range []struct {
-		address string
-		handler http.Handler
+		address     string
+		handler     http.Handler
+		connections *callerConnections
 	}{
 		{
-			address: p.Listen.Ready,
-			handler: ready,
+			address:     p.Listen.Ready,
+			handler:     ready,
+			connections: &callerConnections{limit: maxOperatorConnections},
 		},
 		{
-			address: p.Listen.Directory,
-			handler: directory,
+			address:     p.Listen.Directory,
+			handler:     p.callers.closeWhenCrowded(directory),
+			connections: &p.callers,
 		},
 		{
-			address: p.Listen.Metrics,
-			handler: p.gateway.Metrics.Handler(),
+			address:     p.Listen.Metrics,
+			handler:     p.gateway.Metrics.Handler(),
+			connections: &callerConnections{limit: maxOperatorConnections},
 		},
 		{
-			address: p.Listen.Callers,
-			handler: p.gateway,
+			address:     p.Listen.Callers,
+			handler:     p.gateway,
+			connections: &p.callers,
 		},
 	} {
 		socket, err := listenConfig.Listen(ctx, "tcp", endpoint.address)
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", endpoint.address)
 		}
-		server := &http.Server{
-			Handler:           endpoint.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       callerIdleTimeout,
-			WriteTimeout:      writeTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		}
-		httpServers = append(httpServers, server)
-		go func() { _ = server.Serve(socket) }()
+		httpServers = append(httpServers, serveHTTP(socket, endpoint.handler, endpoint.connections))
 	}
 	return httpServers, nil
 }
+
+// serveHTTP starts to serve HTTP on a socket within a limit of connections.
+func serveHTTP(socket net.Listener, handler http.Handler, connections *callerConnections) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connections.track,
+	}
+	go func() {
+		_ = server.Serve(limitedListener{
+			Listener:    socket,
+			connections: connections,
+		})
+	}()
+	return server
+}
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -39,6 +39,8 @@
 	Phase func() drain.Phase
 	// Memory limits what is held for callers and upstreams.
 	Memory *memory.Budget
+	// Crowded, if set, reports whether callers' connections are to be closed after their answer, since too many are open.
+	Crowded func() bool
 	// Metrics counts requests, sends and answers.
 	Metrics *Metrics
 	// Logger receives one line for each decision.
@@ -64,7 +66,7 @@
 		// net/http accepts a chunked request that has a Content-Length as well, and doesn't report the length. Another HTTP
 		// parser may find the end of such a request at the length (RFC 9112, section 6.3), so the connection is closed
 		// after it.
-		closeConnection: s.Phase() != drain.Serving || len(r.TransferEncoding) > 0,
+		closeConnection: s.Phase() != drain.Serving || len(r.TransferEncoding) > 0 || s.crowded(),
 		requestMemory:   s.Memory.NewReservation(memory.Requests),
 	}
 	if x.closeConnection {
@@ -92,6 +94,8 @@
 	x.run()
 }
 
+func (s *Server) crowded() bool { return s.Crowded != nil && s.Crowded() }
+
 // requestTarget returns the path and query as the caller wrote them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
