Refuse a request for a whole topic sooner if several wait

Trial: 60 nodes that ask one node for routes of 737 KB again and again over one link of 10 Mbit/s, on one core. Most requests waited longer for their turn than the 0.8 s in which a peer has to send something, and began again, where a refusal would have sent them to the store at once.

Two requests wait behind the one in work instead of seven, and one whose connection has ended meanwhile isn't worked on.

--- a/internal/transport/peer/limits.go
+++ b/internal/transport/peer/limits.go
@@ -27,7 +27,7 @@
 	maxInWorkPerConnection = 8
 	// maxAlone is the largest number of requests of a method in Server.OneAtATime of which one is in work and the others
 	// wait.
-	maxAlone = 8
+	maxAlone = 3
 	// maxCoding is the largest number of frames that are being encoded or decoded at once.
 	maxCoding = 2
 	// uncountedBytes is the size up to which a frame isn't counted: MaxConnections of them take 2 MiB.
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -198,6 +198,9 @@
 			return nil
 		}
 		defer func() { <-alone.inWork }()
+		if ctx.Err() != nil { // the peer has gone while the request waited
+			return nil
+		}
 	}
 	result, err := s.answer(ctx, request.Method, params)
 	if err != nil {
