Forget the oldest tombstones of a topic

A topic kept a tombstone of each removed upstream for ever, and a node that isn't the reader another one for the copy: some 300 bytes for each replaced engine.

A topic keeps the 4,096 newest, up to twice as many before it forgets the oldest. An update that ends before a forgotten one is ignored, since it could bring the key back.

Without the change TestTombstonesAreBounded fails, as the records grow with each replaced upstream.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -30,8 +31,15 @@
 	// have been restored from a copy that is older than what the nodes know.
 	freshFrom int
 	loaded    bool
+	// tombstones is the number of tombstones among the records.
+	tombstones int
+	// forgottenBefore is the offset before which tombstones may have been forgotten, 0 if none were.
+	forgottenBefore int
 }
 
+// MaxTombstones is the number of tombstones that a topic keeps; it has up to twice as many before it forgets the oldest.
+const MaxTombstones = 4096
+
 // Loaded reports whether the whole topic was read or received.
 func (t *Topic) Loaded() bool { return t.loaded }
 
@@ -70,6 +78,10 @@
 	case update.Era < t.era:
 		return t.mergeEarlierEra(update), false
 	}
+	if update.Next <= t.forgottenBefore && t.forgottenBefore > 0 {
+		// It may repeat records whose tombstones were forgotten.
+		return nil, false
+	}
 	t.freshFrom = min(t.freshFrom, update.FreshFrom)
 	for _, record := range update.Records {
 		if t.replaces(record) {
@@ -81,6 +93,7 @@
 		changed = append(changed, t.removeMissing(update)...)
 		t.loaded = true
 	}
+	t.forgetTombstones()
 	if !t.loaded || !update.Whole && update.From > t.next {
 		return changed, true
 	}
@@ -93,6 +106,7 @@
 func (t *Topic) beginEra(update wire.FeedUpdate) {
 	t.era = update.Era
 	t.next = 0
+	t.forgottenBefore = 0
 	t.freshFrom = update.FreshFrom
 	for key, record := range t.records {
 		record.Offset = restoredOffset
@@ -119,10 +133,43 @@
 }
 
 func (t *Topic) put(record wire.FeedRecord) {
+	if before, known := t.records[record.Key]; known && before.Value == "" {
+		t.tombstones--
+	}
+	if record.Value == "" {
+		t.tombstones++
+	}
 	t.records[record.Key] = record
 	delete(t.ranks, record.Key)
 }
 
+// Has reports whether the topic has a record or a tombstone of a key.
+func (t *Topic) Has(key string) bool {
+	_, known := t.records[key]
+	return known
+}
+
+// forgetTombstones removes the oldest tombstones if there are too many. Updates that end before the newest of them are
+// ignored from then on: they could bring its key back. Where the rank decides, keys are few and none is forgotten.
+func (t *Topic) forgetTombstones() {
+	if t.RankFirst || t.tombstones <= 2*MaxTombstones {
+		return
+	}
+	var tombstones []wire.FeedRecord
+	for _, record := range t.records {
+		if record.Value == "" {
+			tombstones = append(tombstones, record)
+		}
+	}
+	slices.SortFunc(tombstones, func(a, b wire.FeedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	for _, record := range tombstones[:len(tombstones)-MaxTombstones] {
+		delete(t.records, record.Key)
+		delete(t.ranks, record.Key)
+		t.tombstones--
+		t.forgottenBefore = max(t.forgottenBefore, record.Offset+1)
+	}
+}
+
 // appendChange appends a changed record. Where the rank decides, it takes the place of the one before of its key, which
 // nobody has to decode any more.
 func (t *Topic) appendChange(changed []wire.FeedRecord, record wire.FeedRecord) []wire.FeedRecord {
--- a/internal/coordination/feed/topic_test.go
+++ b/internal/coordination/feed/topic_test.go
@@ -106,3 +106,33 @@
 		is.True(count <= 2 || value == "") // when it comes, and when the next one does
 	}
 }
+
+// TestTombstonesAreBounded replaces one upstream after the other: a topic kept a tombstone of each for ever. It checks as
+// well that a late update doesn't bring back what was forgotten.
+func TestTombstonesAreBounded(t *testing.T) {
+	is := is.New(t)
+	topic := Topic{Rank: func(wire.FeedRecord) Rank { return Rank{} }}
+	topic.Apply(wire.FeedUpdate{Whole: true})
+	next := 0
+	write := func(key, value string) wire.FeedUpdate {
+		next++
+		return wire.FeedUpdate{From: next - 1, Next: next, Records: []wire.FeedRecord{put(key, value, next-1)}}
+	}
+	topic.Apply(write("stays", "1"))
+	var late wire.FeedUpdate
+	for i := range 20_000 {
+		update := write(fmt.Sprint(i), "1")
+		if i == 100 {
+			late = update
+		}
+		topic.Apply(update)
+		topic.Apply(write(fmt.Sprint(i), ""))
+		is.True(len(topic.records) <= 2*MaxTombstones+2)
+	}
+	is.True(!topic.Has("100"))
+	_, gap := topic.Apply(late)
+	is.True(!gap)
+	is.Equal(len(topic.Records()), 1)
+	_, _ = topic.Apply(write("100", "2")) // it registers again
+	is.Equal(len(topic.Records()), 2)
+}
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -183,6 +184,7 @@
 	if !gap && update.Era == f.topic.Era() {
 		f.readSchedule.MarkCurrent(now)
 	}
+	f.forgetTombstones()
 	for offset := range f.changes {
 		if offset < f.topic.Next()-changeHistoryOffsets {
 			delete(f.changes, offset)
@@ -191,6 +193,17 @@
 	return gap
 }
 
+// forgetTombstones removes the unsaved tombstones that the topic has forgotten. A node that isn't the reader saves none.
+// The caller must hold the lock.
+func (f *follower) forgetTombstones() {
+	if len(f.unsaved) <= feed.MaxTombstones {
+		return
+	}
+	maps.DeleteFunc(f.unsaved, func(key string, record wire.FeedRecord) bool {
+		return record.Value == "" && !f.topic.Has(key)
+	})
+}
+
 // handleRestore treats the restore as an outage that has just ended: what the others wrote since the copy was made is
 // written again within the same time. The caller must hold the lock.
 func (f *follower) handleRestore() {
