--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -129,3 +129,16 @@
 		routesCopy.set(func() { is.Equal(routesCopy.saves, 2) })
 	})
 }
+
+// TestErrorsOfRemovedUpstreamsAreForgotten guards against an error kept for each upstream that ever had an invalid entry.
+func TestErrorsOfRemovedUpstreamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	service := newNode(&countingPeers{}, newTopic(), newTopic())
+	service.Prepare()
+	for i := range 10 {
+		service.applyUpstreams([]wire.FeedRecord{{Key: strconv.Itoa(i), Value: "asleep"}})
+		is.Equal(len(service.decodeErrors), 1)
+		service.applyUpstreams([]wire.FeedRecord{{Key: strconv.Itoa(i)}})
+	}
+	is.Equal(len(service.decodeErrors), 0)
+}
--- a/internal/transport/catalog/upstreams.go
+++ b/internal/transport/catalog/upstreams.go
@@ -72,6 +72,7 @@
 // invalid is removed; each error is logged once.
 func (s *Service) applyUpstream(record wire.FeedRecord, now time.Time) bool {
 	if record.Value == "" {
+		delete(s.decodeErrors, record.Key)
 		return s.roster.Remove(record.Key, now)
 	}
 	row, err := s.DecodeUpstream(record.Key, []byte(record.Value))
