Fetch from the reader only what is still missing

Routes that are too large to push are read from the store by all nodes at once.

The fetch is left out if the topic has advanced during the read.

TestCatchUpFetchesOnlyWhatIsStillMissing failed before: one fetch instead of none.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -305,6 +305,21 @@
 	return f.topic.Era()
 }
 
+// position is how far a topic has come.
+type position struct {
+	era  int
+	next int
+}
+
+func (f *follower) position() position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return position{
+		era:  f.topic.Era(),
+		next: f.topic.Next(),
+	}
+}
+
 func (f *follower) age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -142,3 +142,45 @@
 	}
 	is.Equal(len(service.decodeErrors), 0)
 }
+
+// TestCatchUpFetchesOnlyWhatIsStillMissing has a peer supply the routes while the store doesn't answer: they were fetched
+// once more from the reader, by all nodes at once.
+func TestCatchUpFetchesOnlyWhatIsStillMissing(t *testing.T) {
+	for name, c := range map[string]struct {
+		supplied bool
+		fetches  int
+	}{
+		"supplied": {supplied: true},
+		"missing":  {fetches: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			routes := newTopic()
+			routes.unavailable = true
+			peers := &countingPeers{err: errStoreUnavailable}
+			service := newNode(peers, routes, newTopic())
+			service.Routes = readHook{
+				fakeTopic: routes,
+				before: func() {
+					if c.supplied {
+						service.HandleUpdate(wire.FeedUpdate{Topic: TopicRoutes, Whole: true, Next: 2})
+					}
+				},
+			}
+			service.Prepare()
+			service.CatchUp(t.Context(), "", TopicRoutes)
+			is.Equal(peers.calls, c.fetches)
+		})
+	}
+}
+
+// readHook calls a function before each read of the newest records.
+type readHook struct {
+	*fakeTopic
+	before func()
+}
+
+func (h readHook) Newest(ctx context.Context) (Batch, error) {
+	h.before()
+	return h.fakeTopic.Newest(ctx)
+}
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -252,14 +252,15 @@
 }
 
 // CatchUp reads the records that a peer's update left out from the store, or fetches the whole topic from the peer at an
-// address if the store can't be read.
+// address if the store can't be read and no other peer has supplied them meanwhile.
 func (s *Service) CatchUp(ctx context.Context, address, topic string) {
 	f := s.follower(topic)
 	if f == nil || !f.beginCatchUp() {
 		return
 	}
 	defer f.endCatchUp()
-	if f.readAlone(ctx) != nil {
+	before := f.position()
+	if f.readAlone(ctx) != nil && f.position() == before {
 		s.Refetch(ctx, address, topic)
 	}
 }
