Bound the idle connections to upstreams

The pool kept every connection for its idle time, whatever their number. TestIdleConnectionsAreBounded guards it.

--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -24,6 +24,8 @@
 	// DefaultUnackedTimeout is how long the upstream's VM may leave sent bytes unacknowledged; it covers a few
 	// retransmissions on a lossy link.
 	DefaultUnackedTimeout = 2 * time.Second
+	// DefaultMaxIdle is how many idle connections are kept in all.
+	DefaultMaxIdle = 128
 	// keepAliveInterval is the shortest interval between keep-alive probes that the kernel accepts.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
@@ -41,13 +43,17 @@
 	IdleTimeout time.Duration
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	UnackedTimeout time.Duration
+	// MaxIdle limits the idle connections of all addresses; further ones are closed.
+	MaxIdle int
 	// Dial, if set, opens connections instead of the default dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	idle   map[string][]*Conn
-	opened atomic.Int64
-	reused atomic.Int64
+	mu   sync.Mutex
+	idle map[string][]*Conn
+	// idleCount is the number of idle connections.
+	idleCount int
+	opened    atomic.Int64
+	reused    atomic.Int64
 }
 
 // Conn is one connection to an upstream; it belongs to one goroutine at a time.
@@ -68,6 +74,7 @@
 		DialTimeout:    DefaultDialTimeout,
 		IdleTimeout:    DefaultIdleTimeout,
 		UnackedTimeout: DefaultUnackedTimeout,
+		MaxIdle:        DefaultMaxIdle,
 		idle:           map[string][]*Conn{},
 	}
 }
@@ -99,7 +106,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	list[len(list)-1] = nil
 	p.idle[address] = list[:len(list)-1]
+	p.idleCount--
 	return c
 }
 
@@ -154,7 +163,7 @@
 }
 
 // Put returns a connection to the pool; idle is the upstream's own idle timeout, 0 if it announced none. A connection
-// with unread bytes is closed.
+// with unread bytes, or beyond MaxIdle, is closed.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
 	if idle <= 0 {
 		idle = p.IdleTimeout
@@ -168,7 +177,12 @@
 	c.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.idleCount >= p.MaxIdle {
+		c.Close()
+		return
+	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idleCount++
 }
 
 // CloseIdle closes the connections whose idle timeout has passed.
@@ -182,8 +196,10 @@
 				kept = append(kept, c)
 			} else {
 				c.Close()
+				p.idleCount--
 			}
 		}
+		clear(list[len(kept):])
 		p.idle[address] = kept
 		if len(kept) == 0 {
 			delete(p.idle, address)
--- a/internal/transport/connection/pool_test.go
+++ b/internal/transport/connection/pool_test.go
@@ -232,3 +232,34 @@
 	is.True(err != nil)
 	is.True(!sent) // nothing is sent after the context has ended
 }
+
+// TestIdleConnectionsAreBounded guards against idle connections to many upstreams that fill memory and descriptors.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	p.MaxIdle = 3
+	p.Dial = func(context.Context, string) (net.Conn, error) {
+		near, _ := net.Pipe()
+		return near, nil
+	}
+	open := make([]*Conn, 5)
+	for range 2 { // the count must be right after connections were reused and closed
+		for i := range open {
+			c, err := p.Get(t.Context(), string(rune('a'+i)))
+			is.NoErr(err)
+			open[i] = c
+		}
+		for i, c := range open {
+			p.Put(c, 0)
+			err := c.net.SetDeadline(time.Time{}) // fails once it is closed
+			is.Equal(err == nil, i < p.MaxIdle)
+		}
+		is.Equal(p.idleCount, p.MaxIdle)
+	}
+	p.CloseIdle(time.Now().Add(time.Hour))
+	is.Equal(p.idleCount, 0)
+	is.Equal(len(p.idle), 0)
+	opened, reused := p.Counts()
+	is.Equal(opened, int64(7))
+	is.Equal(reused, int64(3))
+}
--- a/internal/transport/entryvm/callers.go
+++ b/internal/transport/entryvm/callers.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/transport/connection"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// callerDescriptorsShare is the share of the descriptors that callers' connections may use. Each request in flight
 	// needs another one for its upstream; the rest is for idle connections to upstreams, peers, the store and listeners.
 	callerDescriptorsShare = 0.375
+	// idleDescriptorsShare is the share of the descriptors that idle connections to upstreams may use.
+	idleDescriptorsShare = 0.125
 	// keptConnectionsShare is the share of the connections that are kept open between requests. Connections beyond it
 	// are served and then closed, so that callers that hold idle ones can't keep others out.
 	keptConnectionsShare = 0.75
@@ -43,6 +46,14 @@
 	return max(limit, minConnections)
 }
 
+// maxIdleConnections returns how many idle connections to upstreams are kept.
+func maxIdleConnections(descriptors int) int {
+	if descriptors > 0 {
+		return min(connection.DefaultMaxIdle, int(idleDescriptorsShare*float64(descriptors)))
+	}
+	return connection.DefaultMaxIdle
+}
+
 // crowded reports whether connections are to be closed after their next answer.
 func (c *callerConnections) crowded() bool {
 	return float64(c.open.Load()) > keptConnectionsShare*float64(c.limit)
