Sum the bounds of memory, and show them as metrics

Limits, refusals and held bytes of the budget are gauges by use, as are callers' connections and those refused. A test sums all bounds on the side of callers and upstreams for a VM of 112 MB: less than a third.

--- a/internal/coordination/dispatch/parts.go
+++ b/internal/coordination/dispatch/parts.go
@@ -9,9 +9,9 @@
 const (
 	// partLifetime is how long an engine is expected to cache a prompt part that is not used again.
 	partLifetime = 30 * time.Second
-	// maxPartRecords limits the records of a part at an upstream. Beyond it the parts that were not used for longest are
+	// MaxPartRecords limits the records of a part at an upstream. Beyond it the parts that were not used for longest are
 	// forgotten before partLifetime.
-	maxPartRecords = 8 << 10
+	MaxPartRecords = 8 << 10
 )
 
 // partIndex records which upstreams were sent which prompt parts, as an estimate of what they have in the cache. The
@@ -28,7 +28,7 @@
 // add records that an upstream was sent a prompt.
 func (p *partIndex) add(to *upstreamState, sent prompt.Prompt, now time.Time) {
 	for _, part := range sent {
-		if p.sentAt == nil || p.records >= maxPartRecords/2 {
+		if p.sentAt == nil || p.records >= MaxPartRecords/2 {
 			p.older, p.sentAt, p.records = p.sentAt, map[uint64]map[*upstreamState]time.Time{}, 0
 		}
 		holders := p.renew(part.ID)
--- a/internal/coordination/dispatch/parts_test.go
+++ b/internal/coordination/dispatch/parts_test.go
@@ -16,7 +16,7 @@
 	var index partIndex
 	engines := []*upstreamState{{}, {}, {}}
 	shared := prompt.Part{ID: 1, Tokens: 10}
-	for i := range uint64(5 * maxPartRecords) {
+	for i := range uint64(5 * MaxPartRecords) {
 		at := start.Add(time.Duration(i) * time.Millisecond / 10)
 		own := prompt.Part{ID: 100 + i, Tokens: 1}
 		index.add(engines[i%3], prompt.Prompt{shared, own}, at)
@@ -35,7 +35,7 @@
 		for _, holders := range index.older {
 			records += len(holders)
 		}
-		is.True(records <= maxPartRecords+len(engines))
+		is.True(records <= MaxPartRecords+len(engines))
 	}
 	is.True(!index.holds(engines[0], prompt.Part{ID: 100}, start)) // forgotten, though not expired
 }
--- a/internal/transport/entryvm/callers_test.go
+++ b/internal/transport/entryvm/callers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/memory"
 )
 
@@ -71,3 +72,25 @@
 	is.True(!connections.crowded())
 	is.True(accept())
 }
+
+// TestBoundsFitTheSmallestVM sums what callers and upstreams can make the smallest VM hold at most: the shares of the
+// budget, idle connections to upstreams, the other listeners, and the index of prompt parts. Together they take less
+// than a third of its memory; the rest is for the program, the routes, peers and garbage.
+func TestBoundsFitTheSmallestVM(t *testing.T) {
+	is := is.New(t)
+	const (
+		limit               = 112 << 20
+		idleConnectionBytes = 8 << 10 // its reader and its structures
+		partRecordBytes     = 512     // a map entry with a map of its own
+	)
+	budget, sum := memory.NewBudget(limit), int64(0)
+	for use := range memory.Uses {
+		sum += budget.Limit(use)
+	}
+	is.True(sum <= limit/4)
+	is.True(maxConnections(budget, 0)*connectionBytes <= budget.Limit(memory.Connections))
+	sum += int64(maxIdleConnections(0)) * idleConnectionBytes
+	sum += 2 * maxOperatorConnections * connectionBytes
+	sum += dispatch.MaxPartRecords * partRecordBytes
+	is.True(sum <= limit/3)
+}
--- a/internal/transport/entryvm/memory.go
+++ b/internal/transport/entryvm/memory.go
@@ -101,7 +101,7 @@
 		Int64("stacks-kb", use.stacks>>10).
 		Int64("goroutines", use.goroutines).
 		Int("requests", p.gateway.InFlight()).
-		Int64("request-bodies-kb", use.requests>>10).
+		Int64("requests-kb", use.requests>>10).
 		Int64("answers-kb", use.answers>>10).
 		Int64("peer-calls", p.outgoing.calls.Load()).
 		Int("routes", p.Catalog.RoutesVersion()).
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/transport/gateway"
 )
 
@@ -27,9 +28,28 @@
 		return float64(p.DroppedLines())
 	})
 	p.registerMemoryGauges(m)
+	p.registerBudgetGauges(m)
 	return m
 }
 
+// registerBudgetGauges adds gauges of the memory budget by use.
+func (p *Process) registerBudgetGauges(m *gateway.Metrics) {
+	for use := range memory.Uses {
+		m.RegisterGauge("memory_"+use.String()+"_limit_bytes", "Share of the memory for "+use.String()+".",
+			func() float64 { return float64(p.memoryBudget.Limit(use)) })
+		m.RegisterGauge("memory_"+use.String()+"_refused", "How often there was no memory left for "+use.String()+".",
+			func() float64 { return float64(p.memoryBudget.Refused(use)) })
+	}
+	m.RegisterGauge("memory_events_bytes", "Unfinished events of streams that are held.",
+		func() float64 { return float64(p.memoryBudget.Held(memory.Events)) })
+	m.RegisterGauge("caller_connections", "Callers' connections, idle or not.",
+		func() float64 { return float64(p.callers.open.Load()) })
+	m.RegisterGauge("caller_connections_limit", "Callers' connections that are accepted.",
+		func() float64 { return float64(p.callers.limit) })
+	m.RegisterGauge("caller_connections_refused", "Callers' connections closed because too many were open.",
+		func() float64 { return float64(p.callers.refused.Load()) })
+}
+
 // registerMemoryGauges adds gauges of what holds the memory of the process.
 func (p *Process) registerMemoryGauges(m *gateway.Metrics) {
 	m.RegisterGauge("memory_limit_bytes", "Memory above which the platform kills the process, 0 if unknown.",
@@ -59,8 +79,8 @@
 			read: func(use memoryUse) int64 { return use.stacks },
 		},
 		{
-			name: "memory_request_bodies_bytes",
-			help: "Bodies of callers' requests that are held until they are answered.",
+			name: "memory_requests_bytes",
+			help: "Requests in flight, with their bodies.",
 			read: func(use memoryUse) int64 { return use.requests },
 		},
 		{
