Collect garbage more often near the memory limit of the VM

The Go runtime is given a soft limit, 0.3 of the VM's. No effect where the VM's limit isn't known. Bounds of what is live come apart from this: with live data above the soft limit the process collects garbage up to half of its time.

--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	limitGoMemory(platformSettings.MemoryLimit)
 	ignoreFurtherSignals()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
