Bound the log's buffers by the process's memory limit

The pending lines of the log could take 1 MiB, as many could be being written, and both buffers kept the size of the largest burst for good, also in a process with 112 MB.

The pending lines take at most a 256th of the memory limit, 448 KiB there; a written buffer above 64 KiB is given back. Lines beyond that are dropped and counted, as before. TestBuffersFollowTheMemoryLimit failed with either half of the change left out.

--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -71,7 +71,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	logWriter := logwriter.New(os.Stdout)
+	logWriter := logwriter.New(os.Stdout, platformSettings.MemoryLimit)
 	defer logWriter.Close()
 	p := newProcess(settings, platformSettings, logWriter)
 	p.Prepare()
--- a/internal/transport/logwriter/writer.go
+++ b/internal/transport/logwriter/writer.go
@@ -11,6 +11,11 @@
 const (
 	// maxPendingBytes bounds the pending lines; it holds some seconds of lines at the highest load that a node serves.
 	maxPendingBytes = 1 << 20
+	// pendingShare is the part of the process's memory limit that the pending lines may take, if that is less. As many may
+	// be being written.
+	pendingShare = 256
+	// maxSpareBytes is the size above which a written buffer is not kept for the next lines.
+	maxSpareBytes = 64 << 10
 	// flushDelay is the time between the first pending line and the write, so that a busy node writes many lines at once.
 	flushDelay = 100 * time.Millisecond
 )
@@ -18,10 +23,12 @@
 // Writer writes whole lines in the background. Lines that don't fit into its buffer are dropped; their number is
 // written in a line of its own with the next write.
 type Writer struct {
-	out     io.Writer
+	out io.Writer
+	// limit bounds the bytes of pending.
+	limit   int
 	mu      sync.Mutex
 	pending []byte
-	// spare is the buffer of the last write, which becomes the next pending buffer.
+	// spare is the buffer of the last write, which becomes the next pending buffer; it is nil if that was large.
 	spare []byte
 	// unreported and dropped are the numbers of lines dropped since the last write and since the start.
 	unreported int64
@@ -32,10 +39,16 @@
 	exited  chan struct{}
 }
 
-// New returns a Writer to out and starts its goroutine, which Close stops.
-func New(out io.Writer) *Writer {
+// New returns a Writer to out and starts its goroutine, which Close stops. The memory limit is that of the process in
+// bytes, 0 if it isn't known.
+func New(out io.Writer, memoryLimit int64) *Writer {
+	limit := maxPendingBytes
+	if memoryLimit > 0 {
+		limit = min(limit, int(memoryLimit/pendingShare))
+	}
 	w := &Writer{
 		out:     out,
+		limit:   limit,
 		wake:    make(chan struct{}, 1),
 		closing: make(chan struct{}),
 		exited:  make(chan struct{}),
@@ -50,7 +63,7 @@
 // Write buffers one line, or drops it if the buffer is full; it never blocks and never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	if len(w.pending)+len(line) > maxPendingBytes {
+	if len(w.pending)+len(line) > w.limit {
 		w.unreported++
 		w.mu.Unlock()
 		w.dropped.Add(1)
@@ -99,5 +112,8 @@
 	}
 	// A failed write of the log can't be reported anywhere.
 	_, _ = w.out.Write(lines)
-	w.spare = lines
+	w.spare = nil
+	if cap(lines) <= maxSpareBytes {
+		w.spare = lines
+	}
 }
--- a/internal/transport/logwriter/writer_test.go
+++ b/internal/transport/logwriter/writer_test.go
@@ -25,7 +25,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		out := &blockedOutput{open: make(chan struct{})}
-		w := New(out)
+		w := New(out, 0)
 		line := []byte(strings.Repeat("x", 1<<10) + "\n")
 		start := time.Now()
 		for range 5000 {
@@ -48,7 +48,7 @@
 		is := is.New(t)
 		out := &blockedOutput{open: make(chan struct{})}
 		close(out.open)
-		w := New(out)
+		w := New(out, 0)
 		_, _ = w.Write([]byte("a\n"))
 		_, _ = w.Write([]byte("b\n"))
 		time.Sleep(2 * flushDelay)
@@ -59,3 +59,22 @@
 		is.Equal(out.lines.String(), "a\nb\nc\n")
 	})
 }
+
+// The buffers had the same size in a process with little memory, and kept the size of the largest burst of lines.
+func TestBuffersFollowTheMemoryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blockedOutput{open: make(chan struct{})}
+		const memoryLimit = 112 << 20
+		w := New(out, memoryLimit)
+		line := []byte(strings.Repeat("x", 1<<10) + "\n")
+		for range 2000 {
+			_, _ = w.Write(line)
+		}
+		is.True(len(w.pending) <= memoryLimit/pendingShare)
+		is.True(len(w.pending) > memoryLimit/pendingShare-len(line))
+		close(out.open)
+		w.Close()
+		is.True(cap(w.spare) <= maxSpareBytes && cap(w.pending) <= maxSpareBytes)
+	})
+}
