Bound the unread bytes of connections

What a process's sockets have received and it hasn't read counts as its memory, and the kernel lets each socket hold hundreds of kilobytes: in a trial with all other bounds, 200 bodies of 1 MB that arrive at once left 21 MB unread, and 60 answers without an end whose callers read nothing 25 MB.

The kernel's receive buffers of the listeners and of the connections to upstreams follow the memory limit: a 4096th, 28 KiB at the smallest VM. The sender waits while one is full. Where the limit is unknown the kernel chooses, as before.

--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -45,6 +45,8 @@
 	UnackedTimeout time.Duration
 	// MaxIdle limits the idle connections of all addresses; further ones are closed.
 	MaxIdle int
+	// ReceiveBuffer limits the unread bytes of each connection.
+	ReceiveBuffer ReceiveBuffer
 	// Dial, if set, opens connections instead of the default dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -134,7 +136,15 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	return NewDialer(p.DialTimeout, p.UnackedTimeout).DialContext(ctx, "tcp4", address)
+	dialer := NewDialer(p.DialTimeout, p.UnackedTimeout)
+	setOptions := dialer.Control
+	dialer.Control = func(network, address string, raw syscall.RawConn) error {
+		if err := p.ReceiveBuffer.Control(network, address, raw); err != nil {
+			return err
+		}
+		return setOptions(network, address, raw)
+	}
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // NewDialer returns a dialer with a dial timeout. Its connections fail when the other VM stops responding: after
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -146,6 +146,7 @@
 	p.table = replica.NewTable()
 	p.connections = connection.NewPool()
 	p.connections.MaxIdle = maxIdleConnections(p.Descriptors)
+	p.connections.ReceiveBuffer = connection.ReceiveBufferFor(p.MemoryLimit)
 	p.dispatcher = &dispatch.Dispatcher{
 		AvailabilityZone: p.AvailabilityZone,
 		Region:           p.Region,
@@ -316,7 +317,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "build directory routes")
 	}
-	var listenConfig net.ListenConfig
+	listenConfig := net.ListenConfig{Control: connection.ReceiveBufferFor(p.MemoryLimit).Control}
 	peers, err := listenConfig.Listen(ctx, "tcp", p.Listen.Peers)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for peers on %s", p.Listen.Peers)
