Reset the connection of an HTTP/1.0 caller whose answer breaks off

An answer that broke off on the way was ended by closing the caller's connection. A caller of HTTP/1.0, which knows no chunks, took the part for the whole. Its connection is now reset.

--- a/internal/transport/entryvm/bounds_test.go
+++ b/internal/transport/entryvm/bounds_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -116,3 +117,31 @@
 	is.True(kept > 0)
 	is.True(kept*16<<10 <= tightLimit/4)
 }
+
+// TestBrokenAnswerIsResetForOldCallers guards against an answer that breaks off and looks complete to a caller of
+// HTTP/1.0, which knows no chunks: for it the connection must be reset.
+func TestBrokenAnswerIsResetForOldCallers(t *testing.T) {
+	is := is.New(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Lagoongw-Attempt-Id", r.Header.Get("X-Lagoongw-Attempt-Id"))
+		for range 100 {
+			_, _ = w.Write(make([]byte, 8<<10)) // more than is held until it is complete
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer upstream.Close()
+	address := startTight(t, strings.TrimPrefix(upstream.URL, "http://"))
+	for _, version := range []string{"1.0", "1.1"} {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		_, err = io.WriteString(conn, "GET /x/1 HTTP/"+version+"\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n\r\n")
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.True(err != nil)
+	}
+}
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -93,7 +94,7 @@
 func (x *exchange) sendLocalAnswer(answer localAnswer) {
 	x.recordAnswer(answer.status, answer.reason)
 	if x.progress.headWritten {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	header := x.w.Header()
 	if answer.retryAfter > 0 {
@@ -106,6 +107,21 @@
 	_, _ = x.w.Write([]byte(body))
 }
 
+// abort ends an answer that was begun by closing the connection. A caller of HTTP/1.0 takes that for the answer's end,
+// unless the connection is reset.
+func (x *exchange) abort() {
+	if x.oldCaller {
+		conn, _, err := http.NewResponseController(x.w).Hijack()
+		if err == nil {
+			if socket, ok := conn.(*net.TCPConn); ok {
+				_ = socket.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // abandon logs that the caller has disconnected, and aborts the handler.
 func (x *exchange) abandon(upstream *replica.Replica, cause error) {
 	reason := "caller left"
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -63,7 +63,9 @@
 	sentStatus int
 	// closeConnection reports whether the caller's connection is closed after the answer.
 	closeConnection bool
-	requestMemory   memory.Reservation
+	// oldCaller reports whether the caller speaks HTTP/1.0, which has no chunks.
+	oldCaller     bool
+	requestMemory memory.Reservation
 }
 
 // upstreamSend is one send of the request to an upstream.
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -67,6 +67,7 @@
 		// parser may find the end of such a request at the length (RFC 9112, section 6.3), so the connection is closed
 		// after it.
 		closeConnection: s.Phase() != drain.Serving || len(r.TransferEncoding) > 0 || s.crowded(),
+		oldCaller:       !r.ProtoAtLeast(1, 1),
 		requestMemory:   s.Memory.NewReservation(memory.Requests),
 	}
 	if x.closeConnection {
