--- /dev/null
+++ b/internal/transport/gateway/quarantine_test.go
@@ -0,0 +1,293 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/dispatch"
+	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+	"lagoongw/internal/state/route"
+	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/gateway"
+	"lagoongw/platform"
+)
+
+const (
+	siteNodes   = 5
+	siteEngines = 8
+	// crashDelay is how long an engine runs a request with the bad part before it crashes, crashDowntime how long it
+	// is down.
+	crashDelay    = 60 * time.Millisecond
+	crashDowntime = 3 * time.Second
+	// contactTime is the time from the fifth crash on after which all nodes must have learned the bad part.
+	contactTime = 4 * time.Second
+)
+
+// Prompts; the last part is one of a request's own.
+const (
+	badPrompt   = "a:800,b:400,bad:90,%x:20"
+	soundPrompt = "a:800,b:400,%x:20"
+)
+
+// crashSite is several gateways that share engines; a request with the part "bad" crashes the engine that begins to
+// answer it, and with it all other answers of that engine.
+type crashSite struct {
+	nodes    []*testGateway
+	mu       sync.Mutex
+	conns    map[string]map[net.Conn]bool
+	downTill map[string]time.Time
+	crashes  []time.Time
+	badSends []time.Time
+}
+
+func newCrashSite(t *testing.T) *crashSite {
+	t.Helper()
+	site := &crashSite{
+		conns:    map[string]map[net.Conn]bool{},
+		downTill: map[string]time.Time{},
+	}
+	table, _, err := platform.ParseManifest([]byte(manifest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range siteNodes {
+		site.nodes = append(site.nodes, site.newNode(t, table))
+	}
+	go site.exchangeDigests(t.Context())
+	return site
+}
+
+func (c *crashSite) newNode(t *testing.T, table *route.Table) *testGateway {
+	t.Helper()
+	upstreams := replica.NewTable()
+	var rows []wire.Machine
+	for i := range siteEngines {
+		name := fmt.Sprintf("e%d", i)
+		rows = append(rows, wire.Machine{
+			Name:    name,
+			Kind:    replica.KindService,
+			Pool:    "s",
+			Address: name,
+			Region:  "near",
+			Slots:   8,
+		})
+	}
+	upstreams.Update(rows)
+	g := &testGateway{}
+	pool := connection.NewPool()
+	pool.Dial = c.dial
+	g.gateway = &gateway.Server{
+		Codec:  platform.Headers{},
+		Routes: func() *route.Table { return table },
+		Dispatcher: &dispatch.Dispatcher{
+			Region: "near",
+			Table:  upstreams,
+			Pool:   table.Pool,
+			Nodes:  func() int { return siteNodes },
+		},
+		Connections: pool,
+		RetryBudget: g.budget(),
+		Phase:       func() drain.Phase { return drain.Serving },
+		Memory:      memory.NewBudget(0),
+		Metrics:     gateway.NewMetrics(),
+		Logger:      zerolog.Nop(),
+	}
+	listener := &pipeListener{
+		conns:  make(chan net.Conn),
+		closed: make(chan struct{}),
+	}
+	g.server = &http.Server{Handler: g.gateway}
+	g.client = &http.Client{Transport: &http.Transport{DialContext: listener.dial}}
+	go func() { _ = g.server.Serve(listener) }()
+	t.Cleanup(func() {
+		g.client.CloseIdleConnections()
+		_ = g.server.Close()
+		pool.CloseIdle(time.Now().Add(time.Hour))
+		time.Sleep(time.Minute)
+	})
+	return g
+}
+
+// exchangeDigests sends each node's digest to all others, as nodes of a small site do.
+func (c *crashSite) exchangeDigests(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(250 * time.Millisecond)
+		now := time.Now()
+		for i, from := range c.nodes {
+			for j, to := range c.nodes {
+				if i != j {
+					to.gateway.Dispatcher.ReceiveDigest(fmt.Sprint(i), from.gateway.Dispatcher.Advertise(now), now)
+				}
+			}
+		}
+	}
+}
+
+func (c *crashSite) dial(_ context.Context, engine string) (net.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downTill[engine]) {
+		return nil, syscall.ECONNREFUSED
+	}
+	gatewaySide, engineSide := net.Pipe()
+	if c.conns[engine] == nil {
+		c.conns[engine] = map[net.Conn]bool{}
+	}
+	c.conns[engine][engineSide] = true
+	go c.serve(engine, engineSide)
+	return gatewaySide, nil
+}
+
+func (c *crashSite) serve(engine string, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Header.Get("X-Test-Bad") != "" {
+			c.mu.Lock()
+			c.badSends = append(c.badSends, time.Now())
+			c.mu.Unlock()
+			writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+			time.Sleep(crashDelay)
+			c.crash(engine)
+			return
+		}
+		if !longStream(conn, r) {
+			return
+		}
+	}
+}
+
+func (c *crashSite) crash(engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, time.Now())
+	c.downTill[engine] = time.Now().Add(crashDowntime)
+	for conn := range c.conns[engine] {
+		_ = conn.Close()
+	}
+	delete(c.conns, engine)
+}
+
+// longStream streams events for 800 ms.
+func longStream(conn net.Conn, r *http.Request) bool {
+	writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+	for i := 1; i <= 20; i++ {
+		time.Sleep(40 * time.Millisecond)
+		if _, err := io.WriteString(conn, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))); err != nil {
+			return false
+		}
+	}
+	writeAnswer(conn, r, "0\r\n\r\n")
+	return true
+}
+
+// call sends one request and returns the caller's answer.
+func (c *crashSite) call(ctx context.Context, number int, shared string) callResult {
+	headers := map[string]string{"X-Lagoongw-Prompt-Prefix": fmt.Sprintf(shared, 1000+number)}
+	if shared == badPrompt {
+		headers["X-Test-Bad"] = "1"
+	}
+	return c.nodes[number%siteNodes].call(ctx, "/resumable/x", "{}", headers)
+}
+
+// load sends requests at an interval until a time; answered is called with each answer and the time of the request.
+func (c *crashSite) load(
+	t *testing.T, shared string, every time.Duration, until time.Time, answered func(at time.Time, r callResult),
+) {
+	var group sync.WaitGroup
+	for i := 0; time.Now().Before(until); i++ {
+		at := time.Now()
+		group.Go(func() {
+			r := c.call(t.Context(), i, shared)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			answered(at, r)
+		})
+		time.Sleep(every)
+	}
+	group.Wait()
+}
+
+// learnedBy returns when all nodes must have learned the bad part: contactTime after the fifth crash, or after the last.
+func (c *crashSite) learnedBy(is *is.I) time.Time {
+	is.Helper()
+	is.True(len(c.crashes) > 0)
+	return c.crashes[min(len(c.crashes), 5)-1].Add(contactTime)
+}
+
+// TestPartThatCrashesEnginesIsSentNoMoreAfterTheFifthCrash guards against each node finding out anew, at one engine after
+// the other, that requests with one part of the prompt crash them.
+func TestPartThatCrashesEnginesIsSentNoMoreAfterTheFifthCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		end := time.Now().Add(30 * time.Second)
+		go site.load(t, soundPrompt, 100*time.Millisecond, end, func(time.Time, callResult) {})
+		time.Sleep(2 * time.Second)
+		statuses := map[int]int{}
+		site.load(t, badPrompt, 330*time.Millisecond, end, func(_ time.Time, r callResult) { statuses[r.status]++ })
+		time.Sleep(2 * time.Second)
+		learned, late := site.learnedBy(is), 0
+		for _, at := range site.badSends {
+			if at.After(learned) {
+				late++
+			}
+		}
+		t.Logf("%d crashes, %d late sends, answers by status: %v", len(site.crashes), late, statuses)
+		is.True(late <= 3)
+		is.True(len(site.crashes) <= 7)
+	})
+}
+
+// TestSoundRequestsOfTheSameFirstPartGoOn guards against sound requests that share a key and parts with those that crash
+// engines being refused, or finding no engine that is up.
+func TestSoundRequestsOfTheSameFirstPartGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		end := time.Now().Add(30 * time.Second)
+		go site.load(t, badPrompt, 330*time.Millisecond, end, func(time.Time, callResult) {})
+		var whole, broken []time.Time
+		site.load(t, soundPrompt, 100*time.Millisecond, end, func(at time.Time, r callResult) {
+			if r.status == http.StatusOK && r.whole {
+				whole = append(whole, at)
+			} else {
+				broken = append(broken, at)
+			}
+		})
+		time.Sleep(2 * time.Second)
+		learned := site.learnedBy(is)
+		after := func(times []time.Time) (count int) {
+			for _, at := range times {
+				if at.After(learned) {
+					count++
+				}
+			}
+			return count
+		}
+		t.Logf("%d whole and %d broken, %d and %d of them late", len(whole), len(broken), after(whole), after(broken))
+		is.True(after(whole) >= 20)
+		is.True(after(broken)*20 <= after(whole))
+		is.True(len(broken)*5 <= len(whole))
+	})
+}
