Package quarantine: learn which parts of prompts crash upstreams

Nothing told a part of a prompt that crashes each upstream from the parts of the requests that ran beside it.

A node notes the crashes of upstreams that had just begun to answer a prompt, by shared part, and when an answer to a prompt with the part goes on for longer than one that crashes its upstream. Two crashes quarantine a part whose answers never went well, three one whose answers did, unless an answer went well since; a crash that a likelier part explains does not count against the others. Nodes exchange the evidence as rows whose merging is commutative and idempotent. After thirty seconds single nodes, more with each window, send one probe: a crash renews the quarantine for twice as long, a good answer ends it everywhere.

A seeded model has 3 to 195 nodes with a full mesh or relays, lost digests, restarts of nodes, one and two bad parts, a rare one, a part that is cured, and crashes of other causes.

--- /dev/null
+++ b/internal/coordination/quarantine/evidence.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// sameCrashTime is the time within which two reports about an upstream are about the same crash; a crashed upstream
+	// is down for longer.
+	sameCrashTime = time.Second
+	// burstTime is the time within which crashes count as one, since upstreams that fail together fail for a reason of
+	// their own.
+	burstTime = 100 * time.Millisecond
+	// minCrashes is the number of crashes after which a part is quarantined, minCrashesOfPassed the same for a part whose
+	// answers have gone well before.
+	minCrashes         = 2
+	minCrashesOfPassed = 3
+	// baseLength is the length of the first quarantine of a part; it doubles with each failed probe up to maxLength.
+	baseLength = 30 * time.Second
+	maxLength  = 5 * time.Minute
+	// paroleTime is how long after a quarantine requests with the part are sent as probes only.
+	paroleTime = maxLength
+	// suspicionTime is how long a crash counts that has led to no quarantine.
+	suspicionTime = time.Minute
+	// maxCrashes is the number of crashes kept for one part, the newest ones.
+	maxCrashes = 6
+)
+
+// Part identifies a shared part of the prompts to one pool.
+type Part struct {
+	Pool string
+	ID   uint64
+}
+
+// Crash is the crash of an upstream that had just begun to answer a prompt with the part.
+type Crash struct {
+	Upstream string
+	Age      time.Duration
+	// Cleared reports that an answer to a prompt with the part went well later.
+	Cleared bool
+}
+
+// Row is the evidence about one part that nodes exchange. Merging rows is commutative and idempotent.
+type Row struct {
+	Part Part
+	// Passed reports that an answer to a prompt with the part went well, before the crashes or after them.
+	Passed  bool
+	Crashes []Crash
+}
+
+// crash is a Crash with its time.
+type crash struct {
+	upstream string
+	at       time.Time
+	cleared  bool
+}
+
+// same reports whether two reports are about the same crash.
+func (c *crash) same(other *crash) bool {
+	return c.upstream == other.upstream && c.at.Sub(other.at).Abs() < sameCrashTime
+}
+
+// evidence is what is known about one part.
+type evidence struct {
+	passed bool
+	// crashes is in the order of time.
+	crashes []crash
+	// sentence is derived from the crashes that count, hold from all.
+	sentence sentence
+	hold     sentence
+	// probedAt is when this node last sent a probe.
+	probedAt time.Time
+}
+
+// sentence is a quarantine; it is zero for none.
+type sentence struct {
+	crashes int
+	until   time.Time
+	length  time.Duration
+}
+
+// end is when the part is forgotten unless a probe decides before.
+func (s sentence) end() time.Time { return s.until.Add(paroleTime) }
+
+// add merges a report of a crash, and reports whether it changed anything.
+func (e *evidence) add(reported crash) (changed bool) {
+	for i := range e.crashes {
+		known := &e.crashes[i]
+		if !known.same(&reported) {
+			continue
+		}
+		changed = reported.cleared && !known.cleared
+		known.cleared = known.cleared || reported.cleared
+		if reported.at.Before(known.at) {
+			known.at = reported.at
+		}
+		return changed
+	}
+	if len(e.crashes) == maxCrashes && reported.at.Before(e.crashes[0].at) {
+		return false
+	}
+	e.crashes = append(e.crashes, reported)
+	slices.SortFunc(e.crashes, func(a, b crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.upstream, b.upstream))
+	})
+	if len(e.crashes) > maxCrashes {
+		e.crashes = slices.Delete(e.crashes, 0, len(e.crashes)-maxCrashes)
+	}
+	return true
+}
+
+// clear marks the crashes up to a time as cleared, and reports whether it changed anything.
+func (e *evidence) clear(upTo time.Time) (changed bool) {
+	e.passed = true
+	for i := range e.crashes {
+		if c := &e.crashes[i]; !c.cleared && !c.at.After(upTo) {
+			c.cleared = true
+			changed = true
+		}
+	}
+	return changed
+}
+
+// expired reports whether the evidence is to be forgotten. It depends on no clearing, so that all nodes forget at the
+// same time.
+func (e *evidence) expired(now time.Time) bool {
+	if e.hold != (sentence{}) {
+		return !now.Before(e.hold.end())
+	}
+	return len(e.crashes) == 0 || now.Sub(e.newest()) >= suspicionTime
+}
+
+// newest returns the time of the last crash.
+func (e *evidence) newest() time.Time { return e.crashes[len(e.crashes)-1].at }
+
+// judge returns the quarantine that follows from crashes in the order of time. A crash before the end of the quarantine
+// is that of a request sent earlier; a later one is that of a probe.
+func judge(times []time.Time, needed int) (s sentence) {
+	var last time.Time
+	for _, at := range times {
+		if s.crashes > 0 && at.Sub(last) < burstTime {
+			continue
+		}
+		if s.crashes < needed && at.Sub(last) >= suspicionTime {
+			s.crashes = 0
+		}
+		last = at
+		s.crashes++
+		switch {
+		case s.crashes < needed:
+			continue
+		case s.crashes == needed:
+			s.length = baseLength
+		case !at.Before(s.until):
+			s.length = min(2*s.length, maxLength)
+		}
+		s.until = at.Add(s.length)
+	}
+	if s.crashes < needed {
+		return sentence{}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/coordination/quarantine/judgement.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// judgeAll derives the quarantines from the evidence. A crash that a part with more crashes explains does not count
+// against the other parts of the request, and of requests that ran beside it.
+func (r *Registry) judgeAll() {
+	for _, e := range r.parts {
+		e.hold = judge(e.times(func(crash) bool { return true }), minCrashes)
+		e.sentence = judge(e.times(crash.counts), e.needed())
+	}
+	var quarantined []*evidence
+	for _, e := range r.parts {
+		if e.sentence != (sentence{}) {
+			quarantined = append(quarantined, e)
+		}
+	}
+	judged := make([]sentence, len(quarantined))
+	for i, e := range quarantined {
+		judged[i] = judge(e.times(func(c crash) bool { return c.counts() && !explained(c, e, quarantined) }), e.needed())
+	}
+	for i, e := range quarantined {
+		e.sentence = judged[i]
+	}
+}
+
+// explained reports whether a part that is the likelier cause had begun to be answered at the same crash: one whose
+// answers never went well rather than one whose answers did, then one with more crashes.
+func explained(c crash, by *evidence, quarantined []*evidence) bool {
+	return slices.ContainsFunc(quarantined, func(other *evidence) bool {
+		likelier := other.sentence.crashes > by.sentence.crashes
+		if other.passed != by.passed {
+			likelier = by.passed
+		}
+		return likelier &&
+			slices.ContainsFunc(other.crashes, func(theirs crash) bool { return theirs.counts() && theirs.same(&c) })
+	})
+}
+
+// counts reports whether no answer to a prompt with the part has gone well since the crash.
+func (c crash) counts() bool { return !c.cleared }
+
+// needed returns how many crashes quarantine the part.
+func (e *evidence) needed() int {
+	if e.passed {
+		return minCrashesOfPassed
+	}
+	return minCrashes
+}
+
+// times returns the times of the crashes that are included.
+func (e *evidence) times(include func(crash) bool) []time.Time {
+	times := make([]time.Time, 0, len(e.crashes))
+	for _, c := range e.crashes {
+		if include(c) {
+			times = append(times, c.at)
+		}
+	}
+	return times
+}
--- /dev/null
+++ b/internal/coordination/quarantine/model_test.go
@@ -0,0 +1,453 @@
+package quarantine
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"lagoongw/internal/state/prompt"
+	"lagoongw/internal/state/rendezvous"
+)
+
+// Properties of the model's engines and requests.
+const (
+	modelPool       = "p"
+	modelWindow     = 400 * time.Millisecond
+	modelContact    = 4 * time.Second
+	modelMaxBad     = 3 // requests with a bad part that may be sent later than modelContact after the fifth crash
+	firstPart       = 1
+	hotParts        = 10 // and the following ones
+	hotPartCount    = 6
+	rareParts       = 100 // and the following ones
+	rarePartCount   = 40
+	badParts        = 1000
+	fullMeshNodes   = 16
+	nodesPerZone    = 10
+	meshInterval    = 250 * time.Millisecond
+	relayInterval   = 500 * time.Millisecond
+	modelMaxUnjust  = 35 * time.Second
+	modelMaxRefused = 0.04 // share of the sound requests after the contact time
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// run is a request at an engine.
+type run struct {
+	node      int
+	prompt    prompt.Prompt
+	bad       bool
+	attempts  int
+	answering time.Time
+	ended     bool
+}
+
+type engine struct {
+	name   string
+	downTo time.Time
+	runs   []*run
+}
+
+// model is a site whose engines crash under bad parts and for reasons of their own.
+type model struct {
+	random  *rand.Rand
+	now     time.Time
+	queue   eventQueue
+	nodes   []*Registry
+	names   []string
+	engines []*engine
+	lossy   float64
+	cured   bool
+
+	crashes    map[uint64][]time.Time
+	badSends   map[uint64][]time.Time
+	sound      int
+	refused    map[uint64][]time.Time // of sound requests
+	badRefused int
+}
+
+func newModel(seed uint64, nodes, engines int) *model {
+	m := &model{
+		random:   rand.New(rand.NewPCG(seed, 26)),
+		now:      time.Unix(1_700_000_000, 0),
+		crashes:  map[uint64][]time.Time{},
+		badSends: map[uint64][]time.Time{},
+		refused:  map[uint64][]time.Time{},
+	}
+	for i := range nodes {
+		m.nodes = append(m.nodes, &Registry{})
+		m.names = append(m.names, fmt.Sprint("node-", i))
+	}
+	for i := range engines {
+		m.engines = append(m.engines, &engine{name: fmt.Sprint("engine-", i)})
+	}
+	for i := range nodes {
+		m.after(time.Duration(m.random.Int64N(int64(meshInterval))), func() { m.tellOthers(i) })
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	heap.Push(&m.queue, event{
+		at:  m.now.Add(d),
+		run: do,
+	})
+}
+
+func (m *model) runFor(d time.Duration) {
+	end := m.now.Add(d)
+	for len(m.queue) > 0 && m.queue[0].at.Before(end) {
+		next := heap.Pop(&m.queue).(event)
+		m.now = next.at
+		next.run()
+	}
+	m.now = end
+}
+
+// uniform returns a random duration.
+func (m *model) uniform(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(m.random.Int64N(int64(longest-shortest)))
+}
+
+// tellOthers sends the evidence of a node to all, or on a large site to its relay, which answers with its own; the
+// relays exchange theirs.
+func (m *model) tellOthers(node int) {
+	rows := m.nodes[node].Rows(m.now)
+	send := func(to int) {
+		if m.random.Float64() < m.lossy {
+			return
+		}
+		m.after(m.uniform(time.Millisecond, 60*time.Millisecond), func() { m.nodes[to].Merge(rows, m.now) })
+	}
+	interval := meshInterval
+	if len(m.nodes) > fullMeshNodes {
+		interval = relayInterval
+		relay := node - node%nodesPerZone
+		if node != relay {
+			send(relay)
+		} else {
+			for other := 0; other < len(m.nodes); other += nodesPerZone {
+				send(other)
+			}
+			for other := relay; other < min(relay+nodesPerZone, len(m.nodes)); other++ {
+				send(other)
+			}
+		}
+	} else {
+		for other := range m.nodes {
+			send(other)
+		}
+	}
+	m.after(interval, func() { m.tellOthers(node) })
+}
+
+func (m *model) rank(node int) func(string) int {
+	return func(key string) int { return slices.Index(rendezvous.Rank(key, m.names), m.names[node]) }
+}
+
+// every calls do at random intervals with a mean.
+func (m *model) every(mean time.Duration, until time.Time, do func()) {
+	m.after(time.Duration(m.random.ExpFloat64()*float64(mean)), func() {
+		if m.now.Before(until) {
+			do()
+			m.every(mean, until, do)
+		}
+	})
+}
+
+// request sends a request with the given shared parts to a random node.
+func (m *model) request(bad bool, shared ...uint64) {
+	var p prompt.Prompt
+	for _, id := range append(shared, m.random.Uint64()) {
+		p = append(p, prompt.Part{ID: id})
+	}
+	r := &run{
+		node:   m.random.IntN(len(m.nodes)),
+		prompt: p,
+		bad:    bad,
+	}
+	if !bad {
+		m.sound++
+	}
+	m.send(r)
+}
+
+func (m *model) send(r *run) {
+	registry := m.nodes[r.node]
+	if refused := registry.Check(modelPool, r.prompt, m.rank(r.node), m.now); refused != nil {
+		switch {
+		case r.bad:
+			m.badRefused++
+		case r.attempts == 0:
+			m.refused[refused.Part.ID] = append(m.refused[refused.Part.ID], m.now)
+		}
+		return
+	}
+	registry.Sent(modelPool, r.prompt, m.now)
+	e := m.home(r.prompt)
+	if e == nil {
+		return
+	}
+	r.attempts++
+	if r.bad {
+		for _, part := range shared(r.prompt) {
+			m.badSends[part.ID] = append(m.badSends[part.ID], m.now)
+		}
+	}
+	attempt := r.attempts
+	r.answering = time.Time{}
+	e.runs = append(e.runs, r)
+	ends := func(d time.Duration, do func()) {
+		m.after(d, func() {
+			if !r.ended && r.attempts == attempt {
+				do()
+			}
+		})
+	}
+	ends(m.uniform(time.Millisecond, 600*time.Millisecond), func() {
+		r.answering = m.now
+		if r.bad && !m.cured {
+			ends(m.uniform(16*time.Millisecond, 110*time.Millisecond), func() {
+				for _, part := range shared(r.prompt) {
+					m.crashes[part.ID] = append(m.crashes[part.ID], m.now)
+				}
+				m.crash(e)
+			})
+			return
+		}
+		ends(m.uniform(modelWindow, 2*time.Second), func() { m.nodes[r.node].Passed(modelPool, r.prompt, m.now) })
+		ends(m.uniform(2*time.Second, 6*time.Second), func() { m.end(e, r) })
+	})
+}
+
+// home returns one of the first engines that are up in the order of a prompt's last shared part, nil if there is none.
+func (m *model) home(p prompt.Prompt) *engine {
+	var up []string
+	byName := map[string]*engine{}
+	for _, e := range m.engines {
+		if !m.now.Before(e.downTo) {
+			up = append(up, e.name)
+			byName[e.name] = e
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	ranked := rendezvous.Rank(fmt.Sprint(p.AffinityKey()), up)
+	return byName[ranked[m.random.IntN(min(len(ranked), 3))]]
+}
+
+func (m *model) end(e *engine, r *run) {
+	r.ended = true
+	e.runs = slices.DeleteFunc(e.runs, func(other *run) bool { return other == r })
+}
+
+// crash ends an engine and all its runs; each node suspects those of its own that had just begun.
+func (m *model) crash(e *engine) {
+	if m.now.Before(e.downTo) {
+		return
+	}
+	e.downTo = m.now.Add(m.uniform(3*time.Second, 8*time.Second))
+	runs, at := e.runs, m.now
+	e.runs = nil
+	for _, r := range runs {
+		if !r.answering.IsZero() && m.now.Sub(r.answering) < modelWindow {
+			m.after(50*time.Millisecond, func() { m.nodes[r.node].Crashed(modelPool, r.prompt, e.name, at) })
+		}
+		r.answering = time.Time{}
+		if r.attempts++; r.attempts == 2 {
+			r.attempts--
+			m.send(r)
+		}
+	}
+}
+
+// soundLoad sends sound requests: most with a hot part, some with a rare one.
+func (m *model) soundLoad(until time.Time) {
+	m.every(50*time.Millisecond, until, func() {
+		if m.random.IntN(5) > 0 {
+			m.request(false, firstPart, hotParts+m.random.Uint64N(hotPartCount))
+			return
+		}
+		m.request(false, firstPart, hotParts+m.random.Uint64N(hotPartCount), rareParts+m.random.Uint64N(rarePartCount))
+	})
+}
+
+// badLoad sends requests with a bad part, some of them with a rare one as well.
+func (m *model) badLoad(bad uint64, mean time.Duration, until time.Time) {
+	m.every(mean, until, func() {
+		shared := []uint64{firstPart, hotParts + m.random.Uint64N(hotPartCount)}
+		if m.random.IntN(2) == 0 {
+			shared = append(shared, rareParts+m.random.Uint64N(rarePartCount))
+		}
+		m.request(true, append(shared, bad)...)
+	})
+}
+
+// lateBad returns how many requests with a bad part were sent later than the contact time after its fifth crash.
+func (m *model) lateBad(bad uint64) (late int) {
+	if len(m.crashes[bad]) < 5 {
+		return 0
+	}
+	contact := modelContact
+	if len(m.nodes) > fullMeshNodes {
+		contact += time.Second
+	}
+	for _, at := range m.badSends[bad] {
+		if at.After(m.crashes[bad][4].Add(contact)) {
+			late++
+		}
+	}
+	return late
+}
+
+// refusedSound returns the number of sound requests that were refused, and the longest time from the first to the last
+// refusal because of one part.
+func (m *model) refusedSound() (count int, longest time.Duration) {
+	for _, times := range m.refused {
+		count += len(times)
+		longest = max(longest, times[len(times)-1].Sub(times[0]))
+	}
+	return count, longest
+}
+
+// modelCase is a site and the days that the model has it go through.
+type modelCase struct {
+	nodes, engines, badParts, seeds int
+	// mean is the mean time between two requests with a bad part, lossy the share of digests that are lost.
+	mean     time.Duration
+	lossy    float64
+	restarts bool
+}
+
+// newModelOf returns a model after ten seconds of sound requests, which go on until end.
+func newModelOf(c modelCase, seed uint64, length time.Duration) (m *model, end time.Time) {
+	m = newModel(seed, c.nodes, c.engines)
+	m.lossy = c.lossy
+	end = m.now.Add(length)
+	m.soundLoad(end)
+	m.runFor(10 * time.Second)
+	for i := range c.badParts {
+		m.badLoad(badParts+uint64(i), c.mean, end)
+	}
+	if c.restarts {
+		m.every(3*time.Second, end, func() { *m.nodes[m.random.IntN(len(m.nodes))] = Registry{} })
+	}
+	return m, end
+}
+
+// TestBadPartsAreLearnedAndSoundOnesServed guards against requests with parts that crash engines being sent on and on, and
+// against sound requests being refused beside them.
+func TestBadPartsAreLearnedAndSoundOnesServed(t *testing.T) {
+	for name, c := range map[string]modelCase{
+		"one part":           {nodes: 9, engines: 12, badParts: 1, seeds: 20, mean: 500 * time.Millisecond},
+		"two parts":          {nodes: 9, engines: 12, badParts: 2, seeds: 10, mean: 700 * time.Millisecond},
+		"a rare part":        {nodes: 9, engines: 12, badParts: 1, seeds: 10, mean: 8 * time.Second},
+		"digests lost":       {nodes: 9, engines: 12, badParts: 1, seeds: 10, mean: 500 * time.Millisecond, lossy: 0.3},
+		"nodes restart":      {nodes: 9, engines: 12, badParts: 1, seeds: 10, mean: 500 * time.Millisecond, restarts: true},
+		"relays, much lost":  {nodes: 60, engines: 60, badParts: 1, seeds: 3, mean: 500 * time.Millisecond, lossy: 0.2},
+		"relays, two parts":  {nodes: 195, engines: 140, badParts: 2, seeds: 1, mean: 500 * time.Millisecond},
+		"few, small engines": {nodes: 3, engines: 4, badParts: 1, seeds: 20, mean: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(c.seeds) {
+				m, end := newModelOf(c, seed, 50*time.Second)
+				m.runFor(end.Sub(m.now))
+				refused, longest := m.refusedSound()
+				t.Logf("seed %d: %d of %d sound refused, longest %v", seed, refused, m.sound, longest)
+				if float64(refused) > modelMaxRefused*float64(m.sound) {
+					t.Errorf("seed %d: too many sound requests refused", seed)
+				}
+				for i := range c.badParts {
+					bad := badParts + uint64(i)
+					t.Logf("seed %d, part %d: %d crashes, %d late", seed, bad, len(m.crashes[bad]), m.lateBad(bad))
+					if m.lateBad(bad) > modelMaxBad {
+						t.Errorf("seed %d: bad part sent too often", seed)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestCrashesOfOtherCausesQuarantineNoPartForLong guards against parts being taken for the cause of crashes that they
+// merely saw.
+func TestCrashesOfOtherCausesQuarantineNoPartForLong(t *testing.T) {
+	for name, crash := range map[string]func(m *model, end time.Time){
+		"a quarter of the pool at once, three times": func(m *model, _ time.Time) {
+			for i := range 3 {
+				m.after(time.Duration(i)*12*time.Second, func() {
+					for _, e := range m.engines[:len(m.engines)/4] {
+						m.crash(e)
+					}
+				})
+			}
+		},
+		"one after the other": func(m *model, _ time.Time) {
+			for i, e := range m.engines {
+				m.after(time.Duration(i)*time.Second, func() { m.crash(e) })
+			}
+		},
+		"again and again": func(m *model, end time.Time) {
+			m.every(500*time.Millisecond, end, func() { m.crash(m.engines[m.random.IntN(len(m.engines))]) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				m, end := newModelOf(modelCase{
+					nodes:   9,
+					engines: 12,
+				}, seed, 50*time.Second)
+				crash(m, end)
+				m.runFor(end.Sub(m.now))
+				refused, longest := m.refusedSound()
+				t.Logf("seed %d: %d of %d sound refused, longest %v", seed, refused, m.sound, longest)
+				if float64(refused) > modelMaxRefused*float64(m.sound) || longest > modelMaxUnjust {
+					t.Errorf("seed %d: sound requests refused for too long", seed)
+				}
+			}
+		})
+	}
+}
+
+// TestPartThatIsSoundAgainIsServedAtAllNodes guards against a part staying quarantined, at some nodes or at all, after
+// its cause is gone.
+func TestPartThatIsSoundAgainIsServedAtAllNodes(t *testing.T) {
+	for name, c := range map[string]modelCase{
+		"full mesh": {nodes: 9, engines: 12, badParts: 1, seeds: 8, mean: 500 * time.Millisecond, lossy: 0.1},
+		"relays":    {nodes: 60, engines: 60, badParts: 1, seeds: 1, mean: 500 * time.Millisecond, lossy: 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(c.seeds) {
+				m, end := newModelOf(c, seed, 110*time.Second)
+				m.runFor(10 * time.Second)
+				m.cured = true
+				m.runFor(baseLength + 10*time.Second)
+				before := m.badRefused
+				m.runFor(end.Sub(m.now))
+				if len(m.crashes[badParts]) < minCrashes || m.badRefused > before {
+					t.Errorf("seed %d: %d requests refused after the cure, %d crashes", seed, m.badRefused-before,
+						len(m.crashes[badParts]))
+				}
+			}
+		})
+	}
+}
