Refuse requests whose prompt has a part that crashes upstreams

Ruled out: a version of the engines, since the cut requests without the part went on well elsewhere; repeats, which at most double it.

An answer that is cut within 400 ms and eight events of its head is suspected if the upstream refuses connections 50 ms later; an upstream that lives on, is leaving, times out or is cut off counts for nothing. A request with a quarantined part is refused at once with 503, its time as Retry-After, and a log line; one that may have run is not sent again, and takes nothing from the retry budget. A crash also starts the backoff from the upstream that a refused connection starts.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoongw/internal/coordination/calibration"
+	"lagoongw/internal/coordination/quarantine"
 	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -79,6 +80,8 @@
 	Pool func(name string) (route.Pool, bool)
 	// Nodes returns the number of nodes that send requests to the upstreams, including this one.
 	Nodes func() int
+	// Rank, if set, returns this node's rank for a key among the live nodes, 0 for the first.
+	Rank func(key string) int
 	// OnSplitChange, if set, is called when the number of engines that are reserved for interactive requests changes,
 	// with that number and the number of all engines of the pool. It must not block.
 	OnSplitChange func(pool string, interactive, engines int)
@@ -97,6 +100,8 @@
 	peers map[string]peerDigest
 	// peerLoads is the sum of the peers' loads by upstream.
 	peerLoads map[string]*Load
+	// quarantine holds the evidence about parts of prompts that crash upstreams, of all nodes.
+	quarantine quarantine.Registry
 }
 
 // upstreamState is what this node knows about one upstream.
--- a/internal/coordination/dispatch/forecast.go
+++ b/internal/coordination/dispatch/forecast.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 )
 
@@ -102,6 +103,11 @@
 	events      int
 	lastEventAt time.Time
 	ended       bool
+	// prompt is the prompt, answeringAt when the upstream began to answer it, and passed whether the answer has gone on
+	// for longer than one that crashes its upstream.
+	prompt      prompt.Prompt
+	answeringAt time.Time
+	passed      bool
 }
 
 // Begin records that a request is sent to an upstream; choice is the result of Choose for it.
@@ -114,6 +120,7 @@
 		uncached:   choice.Uncached,
 		predicted:  choice.Predicted,
 		sent:       now,
+		prompt:     request.Prompt,
 	}
 	r.Begin()
 	d.mu.Lock()
@@ -153,6 +160,7 @@
 	}
 	a.events += count
 	a.lastEventAt = now
+	a.checkPassed(now)
 }
 
 func (a *Assignment) firstEvent(upstream *upstreamState, now time.Time) {
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoongw/internal/coordination/calibration"
+	"lagoongw/internal/coordination/quarantine"
 )
 
 // peerDigestLifetime is how long a digest received from another node is valid.
@@ -56,6 +57,9 @@
 	Evidence map[string]calibration.Evidence
 	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
 	Leaving map[string]int
+	// Suspects is the evidence about parts of prompts that crash upstreams. A node repeats what it was told, so that it
+	// passes through relays.
+	Suspects []quarantine.Row
 }
 
 // peerDigest is the last digest received from a peer.
@@ -136,6 +140,7 @@
 			digest.Loads[r.Name()] = load
 		}
 	}
+	digest.Suspects = d.quarantine.Rows(now)
 	for pool := range d.splits {
 		digest.EngineDemands[pool] = d.demand(pool, now)
 	}
--- /dev/null
+++ b/internal/coordination/dispatch/quarantine.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"time"
+
+	"lagoongw/internal/coordination/quarantine"
+	"lagoongw/internal/state/prompt"
+	"lagoongw/internal/state/replica"
+)
+
+const (
+	// crashWindow is how soon after the beginning of an answer an upstream crashes that can't run the prompt.
+	crashWindow = 400 * time.Millisecond
+	// maxCrashEvents is the largest number of events that such an answer has.
+	maxCrashEvents = 8
+)
+
+// Answering records that the upstream has begun to answer.
+func (a *Assignment) Answering(now time.Time) { a.answeringAt = now }
+
+// Completed records that the answer has arrived whole.
+func (a *Assignment) Completed(now time.Time) {
+	a.dispatcher.mu.Lock()
+	defer a.dispatcher.mu.Unlock()
+	a.pass(now)
+}
+
+// checkPassed records that the answer has gone on for longer than one that crashes its upstream; the lock must be held.
+func (a *Assignment) checkPassed(now time.Time) {
+	if a.events > maxCrashEvents && now.Sub(a.answeringAt) >= crashWindow {
+		a.pass(now)
+	}
+}
+
+// pass records that the upstream can run the prompt; the lock must be held.
+func (a *Assignment) pass(now time.Time) {
+	if a.passed || a.answeringAt.IsZero() {
+		return
+	}
+	a.passed = true
+	a.dispatcher.quarantine.Passed(a.replica.Pool(), a.prompt, now)
+}
+
+// MayHaveCrashed reports whether the upstream, if it has crashed now, may have done so because of this request, whose
+// answer had just begun.
+func (a *Assignment) MayHaveCrashed(now time.Time) bool {
+	return len(a.prompt) > 1 && !a.passed && !a.answeringAt.IsZero() && now.Sub(a.answeringAt) < crashWindow &&
+		a.events <= maxCrashEvents
+}
+
+// Crashed records that an upstream crashed at a time and listens no more; suspects are the prompts of the requests that
+// may have crashed it.
+func (d *Dispatcher) Crashed(r *replica.Replica, suspects []prompt.Prompt, at, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state(r).health.recordUnreachable(now)
+	for _, p := range suspects {
+		d.quarantine.Crashed(r.Pool(), p, r.Name(), at)
+	}
+}
+
+// Quarantined returns why a request may not be sent now, nil if it may.
+func (d *Dispatcher) Quarantined(request Request, now time.Time) *quarantine.Quarantine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.quarantine.Check(request.Pool, request.Prompt, d.rank, now)
+}
+
+// Admit is Quarantined for a request that is sent if it may; probe reports that its answer decides whether a part is
+// still quarantined, so that it may be sent to further upstreams until one runs it.
+func (d *Dispatcher) Admit(request Request, now time.Time) (refused *quarantine.Quarantine, probe bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if refused = d.quarantine.Check(request.Pool, request.Prompt, d.rank, now); refused != nil {
+		return refused, false
+	}
+	return nil, d.quarantine.Sent(request.Pool, request.Prompt, now)
+}
+
+// rank returns this node's rank for a key among the live nodes, 0 if it knows of no others.
+func (d *Dispatcher) rank(key string) int {
+	if d.Rank == nil {
+		return 0
+	}
+	return d.Rank(key)
+}
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -115,6 +115,7 @@
 	}
 	d.addPeerLoads(digest.Loads, 1)
 	d.markLeaving(digest.Leaving)
+	d.quarantine.Merge(digest.Suspects, now)
 }
 
 // markLeaving marks the boots of upstreams that said so to another node as leaving; the lock must be held. This node's
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -66,6 +66,8 @@
 	// oldCaller reports whether the caller speaks HTTP/1.0, which has no chunks.
 	oldCaller     bool
 	requestMemory memory.Reservation
+	// probe reports that the answer decides whether a part of the prompt is still quarantined.
+	probe bool
 }
 
 // upstreamSend is one send of the request to an upstream.
@@ -115,6 +117,9 @@
 
 // choose picks an upstream, or returns the final answer if none is left.
 func (x *exchange) choose() (dispatch.Choice, *localAnswer) {
+	if refused := x.quarantined(); refused != nil {
+		return dispatch.Choice{}, refused
+	}
 	x.tries++
 	if x.tries > maxTries {
 		return dispatch.Choice{}, x.noUpstream("too many upstreams failed")
@@ -231,6 +236,7 @@
 	if s.reply.NotRun {
 		return attempt.NotRun, x.recordRefusal(s)
 	}
+	s.assignment.Answering(time.Now())
 	if x.route.Kind() == route.Stream && s.response.StatusCode == http.StatusOK {
 		x.setBuffered(nil)
 		return x.relayStream(s)
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -25,6 +25,7 @@
 	answers           *prometheus.CounterVec
 	firstEventSeconds *prometheus.HistogramVec
 	answerSeconds     *prometheus.HistogramVec
+	quarantined       *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered in a registry of their own.
@@ -36,8 +37,10 @@
 		answers:           newCounter("answers_total", "Final answers by status; 0 is a broken one.", "status"),
 		firstEventSeconds: newHistogram("first_event_seconds", "Time to a stream's first event."),
 		answerSeconds:     newHistogram("answer_seconds", "Time to the end of the answer."),
+		quarantined: newCounter("quarantined_requests_total",
+			"Requests not sent because a part of their prompt crashes upstreams.", "sent"),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.answers, m.firstEventSeconds, m.answerSeconds)
+	m.registry.MustRegister(m.requests, m.sends, m.answers, m.firstEventSeconds, m.answerSeconds, m.quarantined)
 	return m
 }
 
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -109,12 +109,14 @@
 	}
 	if err != nil {
 		x.server.Dispatcher.Failed(s.upstream, now)
+		x.suspectCrash(s, err)
 		return attempt.Lost, err
 	}
 	if more {
 		x.recordLongAnswer(s, now)
 		return attempt.Answered, nil
 	}
+	x.recordWhole(s)
 	x.setBuffered(answer)
 	if s.response.StatusCode >= http.StatusInternalServerError {
 		x.server.Dispatcher.Failed(s.upstream, now)
--- /dev/null
+++ b/internal/transport/gateway/quarantine.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lagoongw/internal/coordination/quarantine"
+	"lagoongw/internal/state/prompt"
+	"lagoongw/internal/state/replica"
+)
+
+const (
+	// crashCheckDelay is how long after the end of a connection the upstream is checked, so that a process that ends has
+	// closed its listener.
+	crashCheckDelay = 50 * time.Millisecond
+	// maxSuspects is the number of requests that are suspected of one crash.
+	maxSuspects = 16
+)
+
+// crashChecks holds, by upstream, the prompts whose answers were cut just after they had begun, until it is known whether
+// the upstream has crashed.
+type crashChecks struct {
+	mu       sync.Mutex
+	suspects map[*replica.Replica][]prompt.Prompt
+}
+
+// add adds a suspect of a possible crash, and reports whether it is the first.
+func (c *crashChecks) add(upstream *replica.Replica, p prompt.Prompt) (first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspects == nil {
+		c.suspects = map[*replica.Replica][]prompt.Prompt{}
+	}
+	known := c.suspects[upstream]
+	if len(known) < maxSuspects {
+		c.suspects[upstream] = append(known, p)
+	}
+	return len(known) == 0
+}
+
+// take removes and returns the suspects of a possible crash.
+func (c *crashChecks) take(upstream *replica.Replica) []prompt.Prompt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer delete(c.suspects, upstream)
+	return c.suspects[upstream]
+}
+
+// recordWhole records that an answer has come to its end, which shows that the upstream can run the prompt. The end of an
+// answer that ends with its connection may be that of the upstream.
+func (x *exchange) recordWhole(s *upstreamSend) {
+	switch {
+	case s.response.ContentLength < 0 && len(s.response.TransferEncoding) == 0:
+		x.suspectCrash(s, io.EOF)
+	case s.response.StatusCode < http.StatusMultipleChoices:
+		s.assignment.Completed(time.Now())
+	}
+}
+
+// suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
+// leave.
+func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
+	now := time.Now()
+	if !connectionEnded(cause) || !s.assignment.MayHaveCrashed(now) || s.upstream.Leaving() {
+		return
+	}
+	if x.server.crashes.add(s.upstream, x.call.Prompt) {
+		go x.server.checkCrash(s.upstream, now)
+	}
+}
+
+// connectionEnded reports whether an answer broke off because the upstream's connection ended.
+func connectionEnded(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedStream, syscall.ECONNRESET} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCrash tells the dispatcher of a crash if the upstream refuses connections.
+func (s *Server) checkCrash(upstream *replica.Replica, at time.Time) {
+	time.Sleep(crashCheckDelay)
+	suspects := s.crashes.take(upstream)
+	err := s.Connections.Probe(context.Background(), upstream.Address())
+	if !errors.Is(err, syscall.ECONNREFUSED) || upstream.Leaving() {
+		return
+	}
+	s.Dispatcher.Crashed(upstream, suspects, at, time.Now())
+	s.Logger.Warn().
+		Str("decision", "quarantine").
+		Str("upstream", upstream.Name()).
+		Strs("parts", partIDs(suspects)).
+		Msg("upstream crashed just after it had begun to answer; the parts of those prompts are suspected")
+}
+
+// partIDs returns the IDs of the shared parts of prompts.
+func partIDs(prompts []prompt.Prompt) (ids []string) {
+	seen := map[uint64]bool{}
+	for _, p := range prompts {
+		for _, part := range p[:max(len(p)-1, 0)] {
+			if !seen[part.ID] {
+				seen[part.ID] = true
+				ids = append(ids, formatPart(part.ID))
+			}
+		}
+	}
+	return ids
+}
+
+func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
+
+// quarantined returns the final answer to a request that may not be sent because a part of its prompt crashes upstreams,
+// else nil. A probe may be sent until an upstream has run it.
+func (x *exchange) quarantined() *localAnswer {
+	if x.probe && !x.attempts.MayHaveRun() {
+		return nil
+	}
+	now := time.Now()
+	refused, probe := x.server.Dispatcher.Admit(x.dispatchRequest(), now)
+	x.probe = probe
+	if refused == nil {
+		return nil
+	}
+	x.logQuarantine(refused, now)
+	answer := x.localAnswerFor(x.attempts.Final(now))
+	if answer.retryAfter > 0 {
+		answer.reason = "part " + formatPart(refused.Part.ID) + " of the prompt crashes upstreams; the request has not run"
+		answer.retryAfter = refused.Until.Sub(now)
+	}
+	return &answer
+}
+
+// repeatQuarantined reports whether the request may not be sent again because a part of its prompt crashes upstreams.
+func (x *exchange) repeatQuarantined() bool {
+	if x.probe && !x.attempts.MayHaveRun() {
+		return false
+	}
+	now := time.Now()
+	refused := x.server.Dispatcher.Quarantined(x.dispatchRequest(), now)
+	if refused == nil {
+		return false
+	}
+	x.logQuarantine(refused, now)
+	return true
+}
+
+// logQuarantine counts and logs that a request is not sent.
+func (x *exchange) logQuarantine(refused *quarantine.Quarantine, now time.Time) {
+	x.server.Metrics.quarantined.WithLabelValues(strconv.FormatBool(x.attempts.Sends() > 0)).Inc()
+	x.server.Logger.Warn().
+		Str("decision", "quarantine").
+		Str("request-id", x.call.ID).
+		Str("pool", refused.Part.Pool).
+		Str("part", formatPart(refused.Part.ID)).
+		Int("crashes", refused.Crashes).
+		Str("upstreams", strings.Join(refused.Upstreams, " ")).
+		Dur("until-ms", refused.Until.Sub(now)).
+		Int("sends", x.attempts.Sends()).
+		Msg("upstreams crashed as they began to answer prompts with this part; not sent until then, ask the caller to leave it out")
+}
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -47,6 +47,7 @@
 	Logger zerolog.Logger
 
 	inFlight atomic.Int64
+	crashes  crashChecks
 }
 
 // InFlight returns the number of requests that are being served.
@@ -204,7 +205,7 @@
 	x.attempts.Repeatable = x.route.Repeatable()
 	x.attempts.MaxAttempts = x.route.MaxAttempts()
 	x.attempts.Deadline = x.deadline
-	x.attempts.TakeRetryBudget = func() bool { return budget.Take(time.Now()) }
+	x.attempts.TakeRetryBudget = func() bool { return !x.repeatQuarantined() && budget.Take(time.Now()) }
 	x.server.Metrics.countRequest(x.route, x.priorityLevel)
 }
 
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -151,6 +151,7 @@
 	s.response.Release(x.server.Connections, s.reply.IdleTimeout)
 	now := time.Now()
 	x.server.Dispatcher.Succeeded(s.upstream, 0, now)
+	x.recordWhole(s)
 	if !x.progress.headWritten {
 		x.copyHeader(s.response.Header)
 		x.w.WriteHeader(http.StatusOK)
@@ -162,5 +163,6 @@
 func (x *exchange) failStream(s *upstreamSend, err error) (attempt.Result, error) {
 	s.response.Discard()
 	x.server.Dispatcher.Failed(s.upstream, time.Now())
+	x.suspectCrash(s, err)
 	return attempt.Lost, err
 }
