Tell other nodes which parts of prompts are suspected

A node that had seen no crash itself would have had to learn the part from crashes of its own.

The nodes that may send a probe are ranked by the part among the live ones.

--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -33,6 +33,7 @@
 	others.Nodes = max(sum.nodes()-1, 1)
 	others.add(sum, 1)
 	others.add(own, -1)
+	others.Suspects = sum.Suspects
 	for name := range d.peers {
 		d.dropPeer(name)
 	}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -441,6 +441,9 @@
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []UpstreamLoad `json:"rows,omitempty,omitzero"`
 
+	// Suspects corresponds to the JSON schema field "suspects".
+	Suspects []SuspectPart `json:"suspects,omitempty,omitzero"`
+
 	// Work corresponds to the JSON schema field "work".
 	Work []PoolWork `json:"work,omitempty,omitzero"`
 }
@@ -600,6 +603,19 @@
 	Weight float64 `json:"weight"`
 }
 
+// PartCrash is the crash of an upstream that had just begun to answer a prompt
+// with a part.
+type PartCrash struct {
+	// AgeMs corresponds to the JSON schema field "age-ms".
+	AgeMs int `json:"age-ms,omitempty,omitzero"`
+
+	// Cleared reports that an answer went well since then.
+	Cleared bool `json:"cleared,omitempty,omitzero"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
@@ -887,6 +903,22 @@
 	ID string `json:"id"`
 }
 
+// SuspectPart is the evidence that a part of the prompts to a pool crashes
+// upstreams.
+type SuspectPart struct {
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes []PartCrash `json:"crashes,omitempty,omitzero"`
+
+	// Part is the ID of the part in hexadecimal digits.
+	Part string `json:"part"`
+
+	// Passed reports that an answer to a prompt with the part has ever gone well.
+	Passed bool `json:"passed,omitempty,omitzero"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+}
+
 // UpstreamLoad is the load of one node on one upstream, in requests past their
 // first event and in prompt tokens not yet read, and the number of nodes that
 // avoid it.
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -205,6 +205,7 @@
 			Boot:     boot,
 		})
 	}
+	message.Suspects = encodeSuspects(digest.Suspects)
 	for pool, evidence := range digest.Evidence {
 		demand := digest.EngineDemands[pool]
 		work := wire.PoolWork{
@@ -232,6 +233,7 @@
 		EngineDemands: make(map[string]dispatch.EngineDemand, len(message.Work)),
 		Evidence:      make(map[string]calibration.Evidence, len(message.Work)),
 		Leaving:       make(map[string]int, len(message.Leaving)),
+		Suspects:      decodeSuspects(message.Suspects),
 	}
 	for _, row := range message.Rows {
 		digest.Loads[row.Upstream] = dispatch.Load{
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -153,6 +153,7 @@
 		Table:            p.table,
 		Pool:             p.lookupPool,
 		Nodes:            func() int { return p.members.LiveCount() },
+		Rank:             p.rank,
 		OnSplitChange:    p.logSplitChange,
 		OnProfileChange:  p.logProfileChange,
 	}
--- /dev/null
+++ b/internal/transport/entryvm/suspects.go
@@ -0,0 +1,70 @@
+package entryvm
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"lagoongw/internal/coordination/quarantine"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
+)
+
+const partBase = 16
+
+func encodeSuspects(rows []quarantine.Row) []wire.SuspectPart {
+	encoded := make([]wire.SuspectPart, 0, len(rows))
+	for _, row := range rows {
+		part := wire.SuspectPart{
+			Pool:   row.Part.Pool,
+			Part:   strconv.FormatUint(row.Part.ID, partBase),
+			Passed: row.Passed,
+		}
+		for _, crash := range row.Crashes {
+			part.Crashes = append(part.Crashes, wire.PartCrash{
+				Upstream: crash.Upstream,
+				AgeMs:    int(crash.Age.Milliseconds()),
+				Cleared:  crash.Cleared,
+			})
+		}
+		encoded = append(encoded, part)
+	}
+	return encoded
+}
+
+// decodeSuspects decodes the evidence about parts of prompts; a row whose part is no hexadecimal number is left out.
+func decodeSuspects(encoded []wire.SuspectPart) []quarantine.Row {
+	var rows []quarantine.Row
+	for _, part := range encoded {
+		id, err := strconv.ParseUint(part.Part, partBase, 64)
+		if err != nil {
+			continue
+		}
+		row := quarantine.Row{
+			Part: quarantine.Part{
+				Pool: part.Pool,
+				ID:   id,
+			},
+			Passed: part.Passed,
+		}
+		for _, crash := range part.Crashes {
+			row.Crashes = append(row.Crashes, quarantine.Crash{
+				Upstream: crash.Upstream,
+				Age:      time.Duration(crash.AgeMs) * time.Millisecond,
+				Cleared:  crash.Cleared,
+			})
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// rank returns this node's rank for a key among the live nodes, 0 for the first; a node that is not among them comes
+// last.
+func (p *Process) rank(key string) int {
+	names := p.members.LiveNames("")
+	if rank := slices.Index(rendezvous.Rank(key, names), p.Name); rank >= 0 {
+		return rank
+	}
+	return len(names)
+}
