Repeat no request before its crash is understood

A request with a part that was suspected after one crash already was sent to the next upstream at once, before it was known that the second one had crashed as well, and ended a third one.

Other requests are sent again at once as before.

--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -66,6 +66,13 @@
 	return d.quarantine.Check(request.Pool, request.Prompt, d.rank, now)
 }
 
+// Suspected reports whether a part of the prompt is suspected of a crash and is not known to have ever gone well.
+func (d *Dispatcher) Suspected(request Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.quarantine.Suspected(request.Pool, request.Prompt)
+}
+
 // Admit is Quarantined for a request that is sent if it may; probe reports that its answer decides whether a part is
 // still quarantined, so that it may be sent to further upstreams until one runs it.
 func (d *Dispatcher) Admit(request Request, now time.Time) (refused *quarantine.Quarantine, probe bool) {
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -162,6 +162,17 @@
 	return longest
 }
 
+// Suspected reports whether a shared part of a prompt has seen a crash and is not known to have ever gone well.
+func (r *Registry) Suspected(pool string, p prompt.Prompt) bool {
+	return slices.ContainsFunc(shared(p), func(part prompt.Part) bool {
+		e := r.parts[Part{
+			Pool: pool,
+			ID:   part.ID,
+		}]
+		return e != nil && !e.passed
+	})
+}
+
 // Sent records that a request is sent that Check allowed, and reports whether it is a probe of a quarantined part.
 func (r *Registry) Sent(pool string, p prompt.Prompt, now time.Time) (probe bool) {
 	if len(r.parts) == 0 {
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -24,33 +24,45 @@
 	maxSuspects = 16
 )
 
-// crashChecks holds, by upstream, the prompts whose answers were cut just after they had begun, until it is known whether
-// the upstream has crashed.
+// crashCheck holds the prompts whose answers were cut just after they had begun, until it is known whether the upstream
+// has crashed.
+type crashCheck struct {
+	suspects []prompt.Prompt
+	// done is closed when it is known.
+	done chan struct{}
+}
+
+// crashChecks holds the checks that are under way by upstream.
 type crashChecks struct {
-	mu       sync.Mutex
-	suspects map[*replica.Replica][]prompt.Prompt
+	mu         sync.Mutex
+	byUpstream map[*replica.Replica]*crashCheck
 }
 
 // add adds a suspect of a possible crash, and reports whether it is the first.
-func (c *crashChecks) add(upstream *replica.Replica, p prompt.Prompt) (first bool) {
+func (c *crashChecks) add(upstream *replica.Replica, p prompt.Prompt) (check *crashCheck, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.suspects == nil {
-		c.suspects = map[*replica.Replica][]prompt.Prompt{}
+	check = c.byUpstream[upstream]
+	if check == nil {
+		if c.byUpstream == nil {
+			c.byUpstream = map[*replica.Replica]*crashCheck{}
+		}
+		check = &crashCheck{done: make(chan struct{})}
+		c.byUpstream[upstream] = check
+		first = true
 	}
-	known := c.suspects[upstream]
-	if len(known) < maxSuspects {
-		c.suspects[upstream] = append(known, p)
+	if len(check.suspects) < maxSuspects {
+		check.suspects = append(check.suspects, p)
 	}
-	return len(known) == 0
+	return check, first
 }
 
-// take removes and returns the suspects of a possible crash.
+// take removes a check and returns its suspects.
 func (c *crashChecks) take(upstream *replica.Replica) []prompt.Prompt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer delete(c.suspects, upstream)
-	return c.suspects[upstream]
+	defer delete(c.byUpstream, upstream)
+	return c.byUpstream[upstream].suspects
 }
 
 // recordWhole records that an answer has come to its end, which shows that the upstream can run the prompt. The end of an
@@ -65,14 +77,25 @@
 }
 
 // suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
-// leave.
+// leave. A request that might be repeated although a part of its prompt was suspected before waits for the result.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
 	now := time.Now()
 	if !connectionEnded(cause) || !s.assignment.MayHaveCrashed(now) || s.upstream.Leaving() {
 		return
 	}
-	if x.server.crashes.add(s.upstream, x.call.Prompt) {
-		go x.server.checkCrash(s.upstream, now)
+	check, first := x.server.crashes.add(s.upstream, x.call.Prompt)
+	if first {
+		go func() {
+			defer close(check.done)
+			x.server.checkCrash(s.upstream, now)
+		}()
+	}
+	if !x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest()) {
+		return
+	}
+	select {
+	case <-check.done:
+	case <-x.ctx.Done():
 	}
 }
 
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -291,3 +292,27 @@
 		is.True(len(broken)*5 <= len(whole))
 	})
 }
+
+// TestRequestIsNotRepeatedBeforeItsCrashIsUnderstood guards against a request crashing another engine although the part
+// was suspected before: the repeat must wait until it is known that the first engine has crashed.
+func TestRequestIsNotRepeatedBeforeItsCrashIsUnderstood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		headers := map[string]string{
+			"X-Lagoongw-Prompt-Prefix": fmt.Sprintf(badPrompt, 1),
+			"X-Test-Bad":               "1",
+		}
+		is.Equal(site.nodes[0].call(t.Context(), "/stream/x", "{}", headers).status, http.StatusBadGateway)
+		time.Sleep(time.Second)
+		is.Equal(site.nodes[1].call(t.Context(), "/resumable/x", "{}", headers).status, http.StatusBadGateway)
+		time.Sleep(time.Second)
+		is.Equal(len(site.crashes), 2)
+		refused := site.nodes[2].call(t.Context(), "/resumable/x", "{}", headers)
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds > 28 && seconds <= 30) // what is left of the quarantine
+		is.Equal(len(site.crashes), 2)
+	})
+}
