Tell callers the time at which their node may try a part again

After a quarantine a node that is not the first to send a probe told callers to return at the end of the current window, when it would refuse them again. It now says when its own rank allows a probe. A digest's evidence is merged and dropped instead of kept with the digest, at most eight rows of one are read, and merging gives the same whether or not a part was known before: a report that a crash is cleared was ignored if it came first.

Found by reading; TestMergingIsCommutativeAndIdempotent guards the order of cleared reports and was not run on the code before; TestQuarantineEndsWithAProbe and TestEvidenceIsBounded cover the rest.

--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -110,13 +110,14 @@
 		d.peers = map[string]peerDigest{}
 	}
 	d.dropPeer(peer)
+	d.quarantine.Merge(digest.Suspects, now)
+	digest.Suspects = nil
 	d.peers[peer] = peerDigest{
 		Digest:     digest,
 		receivedAt: now,
 	}
 	d.addPeerLoads(digest.Loads, 1)
 	d.markLeaving(digest.Leaving)
-	d.quarantine.Merge(digest.Suspects, now)
 }
 
 // markLeaving marks the boots of upstreams that said so to another node as leaving; the lock must be held. This node's
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"strconv"
 	"time"
@@ -79,7 +80,7 @@
 // Merge adds the evidence of another node.
 func (r *Registry) Merge(rows []Row, now time.Time) {
 	changed := false
-	for _, row := range rows {
+	for _, row := range rows[:min(len(rows), maxRows)] {
 		if r.mergeRow(row, now) {
 			changed = true
 		}
@@ -93,7 +94,7 @@
 	passedAt, passed := r.passedAt(row.Part)
 	e := r.parts[row.Part]
 	for _, c := range row.Crashes[:min(len(row.Crashes), maxCrashes)] {
-		if c.Age < 0 || c.Age >= maxLength+paroleTime || e == nil && c.Cleared {
+		if c.Age < 0 || c.Age >= maxLength+paroleTime {
 			continue
 		}
 		if e == nil {
@@ -196,11 +197,12 @@
 	if now.Before(e.sentence.until) {
 		return e.sentence.until
 	}
-	window := now.Sub(e.sentence.until) / probeWindow
-	if rank(key) < 1<<min(window, 30) && now.Sub(e.probedAt) >= probeWindow {
-		return now
+	window := bits.Len(uint(rank(key)))
+	from := e.sentence.until.Add(time.Duration(window) * probeWindow)
+	if next := e.probedAt.Add(probeWindow); next.After(from) {
+		return next
 	}
-	return e.sentence.until.Add((window + 1) * probeWindow)
+	return from
 }
 
 // quarantined reports whether requests with the part are restricted.
--- /dev/null
+++ b/internal/coordination/quarantine/registry_test.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/state/prompt"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func firstRank(string) int { return 0 }
+
+func newPrompt(ids ...uint64) (p prompt.Prompt) {
+	for _, id := range ids {
+		p = append(p, prompt.Part{ID: id})
+	}
+	return p
+}
+
+// newCondemned returns a registry in which part 7 is quarantined for baseLength from start on.
+func newCondemned() *Registry {
+	r := &Registry{}
+	r.Crashed(modelPool, newPrompt(7, 100), "e1", start.Add(-time.Second))
+	r.Crashed(modelPool, newPrompt(7, 101), "e2", start)
+	return r
+}
+
+// TestQuarantineEndsWithAProbe guards against a part staying quarantined for good, and against each node trying it anew.
+func TestQuarantineEndsWithAProbe(t *testing.T) {
+	is := is.New(t)
+	r, p, end := newCondemned(), newPrompt(7, 102), start.Add(baseLength)
+	is.Equal(r.Check(modelPool, p, firstRank, start).Until, end)
+	is.Equal(r.Check("other", p, firstRank, start), nil)
+	is.Equal(r.Check(modelPool, newPrompt(8, 7), firstRank, start), nil) // the last part is one of the request's own
+	second := func(string) int { return 1 }
+	is.Equal(r.Check(modelPool, p, second, end).Until, end.Add(probeWindow))
+	is.Equal(r.Check(modelPool, p, firstRank, end), nil)
+	is.True(r.Sent(modelPool, p, end))
+	is.Equal(r.Check(modelPool, p, firstRank, end.Add(time.Second)).Until, end.Add(probeWindow))
+	failed := end.Add(2 * time.Second)
+	r.Crashed(modelPool, p, "e3", failed)
+	is.Equal(r.Check(modelPool, p, firstRank, failed).Until, failed.Add(2*baseLength))
+	r.Passed(modelPool, p, failed.Add(2*baseLength))
+	is.Equal(r.Check(modelPool, p, firstRank, failed.Add(time.Second)), nil)
+	other := newCondemned()
+	other.Merge(r.Rows(failed), failed)
+	is.Equal(other.Check(modelPool, p, firstRank, failed), nil)
+}
+
+// TestMergingIsCommutativeAndIdempotent guards against nodes that disagree for good, whatever the order of digests.
+func TestMergingIsCommutativeAndIdempotent(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(26, 1))
+	for range 200 {
+		var rows []Row
+		for range 5 {
+			row := Row{
+				Part:   Part{ID: 7},
+				Passed: random.IntN(4) == 0,
+			}
+			for range 1 + random.IntN(2) {
+				row.Crashes = append(row.Crashes, Crash{
+					Upstream: fmt.Sprint("e", random.IntN(4)),
+					Age:      time.Duration(random.IntN(3)) * 10 * time.Second,
+					Cleared:  random.IntN(3) == 0,
+				})
+			}
+			rows = append(rows, row)
+		}
+		merged := func(order []int) string {
+			r := &Registry{}
+			for _, i := range order {
+				r.Merge(rows[i:i+1], start)
+			}
+			return fmt.Sprint(r.Rows(start))
+		}
+		order := random.Perm(len(rows))
+		is.Equal(merged(order), merged(append(random.Perm(len(rows)), order...)))
+	}
+}
+
+// TestEvidenceIsBounded guards against a node's memory growing with the number of parts that it has seen.
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := newCondemned()
+	for i := range uint64(5_000) {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		r.Crashed(modelPool, newPrompt(1000+i, 1), fmt.Sprint("e", i), at)
+		r.Passed(modelPool, newPrompt(1000+i, 1), at)
+	}
+	is.True(len(r.parts) <= maxParts)
+	is.True(len(r.passed)+len(r.passedBefore) <= 2*maxPassed)
+	is.Equal(len(r.Rows(start)), maxRows)
+	is.True(r.Check(modelPool, newPrompt(7, 1), firstRank, start) != nil) // what is quarantined is kept
+	r.Rows(start.Add(time.Hour))
+	is.Equal(len(r.parts), 0)
+}
