Resume streams that ran well despite a quarantine

A sound stream whose engine ended was broken off if a part of its prompt had been quarantined while it ran, rightly or not.

A request whose answer has gone on for longer than one that crashes its upstream can't be the cause; it is sent again as if there were no quarantine.

TestStreamThatRanWellIsResumedDespiteAQuarantine failed before: the stream came to the caller without its end.

--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -48,6 +48,9 @@
 		a.events <= maxCrashEvents
 }
 
+// RanWell reports whether the answer has gone on for longer than one that crashes its upstream.
+func (a *Assignment) RanWell() bool { return a.passed }
+
 // Crashed records that an upstream crashed at a time and listens no more; suspects are the prompts of the requests that
 // may have crashed it.
 func (d *Dispatcher) Crashed(r *replica.Replica, suspects []prompt.Prompt, at, now time.Time) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -68,6 +68,8 @@
 	requestMemory memory.Reservation
 	// probe reports that the answer decides whether a part of the prompt is still quarantined.
 	probe bool
+	// ranWell reports that an upstream answered for longer than one that the prompt crashes.
+	ranWell bool
 }
 
 // upstreamSend is one send of the request to an upstream.
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -79,6 +79,7 @@
 // suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
 // leave. A request that might be repeated although a part of its prompt was suspected before waits for the result.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
+	x.ranWell = x.ranWell || s.assignment.RanWell()
 	now := time.Now()
 	if !connectionEnded(cause) || !s.assignment.MayHaveCrashed(now) || s.upstream.Leaving() {
 		return
@@ -141,10 +142,14 @@
 
 func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
 
+// exempt reports whether a quarantine does not concern the request: a probe until an upstream has run it, and one that is
+// known to have run well.
+func (x *exchange) exempt() bool { return x.ranWell || x.probe && !x.attempts.MayHaveRun() }
+
 // quarantined returns the final answer to a request that may not be sent because a part of its prompt crashes upstreams,
-// else nil. A probe may be sent until an upstream has run it.
+// else nil.
 func (x *exchange) quarantined() *localAnswer {
-	if x.probe && !x.attempts.MayHaveRun() {
+	if x.exempt() {
 		return nil
 	}
 	now := time.Now()
@@ -164,7 +169,7 @@
 
 // repeatQuarantined reports whether the request may not be sent again because a part of its prompt crashes upstreams.
 func (x *exchange) repeatQuarantined() bool {
-	if x.probe && !x.attempts.MayHaveRun() {
+	if x.exempt() {
 		return false
 	}
 	now := time.Now()
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -21,6 +23,7 @@
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
@@ -54,6 +57,8 @@
 	downTill map[string]time.Time
 	crashes  []time.Time
 	badSends []time.Time
+	// answer answers a sound request; it returns false to close the connection.
+	answer func(engine string, conn net.Conn, r *http.Request) bool
 }
 
 func newCrashSite(t *testing.T) *crashSite {
@@ -61,6 +66,7 @@
 	site := &crashSite{
 		conns:    map[string]map[net.Conn]bool{},
 		downTill: map[string]time.Time{},
+		answer:   func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
 	}
 	table, _, err := platform.ParseManifest([]byte(manifest))
 	if err != nil {
@@ -172,7 +178,7 @@
 			c.crash(engine)
 			return
 		}
-		if !longStream(conn, r) {
+		if !c.answer(engine, conn, r) {
 			return
 		}
 	}
@@ -229,6 +235,15 @@
 	group.Wait()
 }
 
+// suspect tells the first node of crashes of engines that had begun to answer soundPrompt.
+func (c *crashSite) suspect(crashes int) {
+	node := c.nodes[0].gateway.Dispatcher
+	for i := range crashes {
+		at := time.Now().Add(time.Duration(i) * 110 * time.Millisecond)
+		node.Crashed(node.Lookup(fmt.Sprintf("e%d", i)), []prompt.Prompt{{{ID: 0xa}, {ID: 0xb}, {ID: 1}}}, at, time.Now())
+	}
+}
+
 // learnedBy returns when all nodes must have learned the bad part: contactTime after the fifth crash, or after the last.
 func (c *crashSite) learnedBy(is *is.I) time.Time {
 	is.Helper()
@@ -316,3 +331,25 @@
 		is.Equal(len(site.crashes), 2)
 	})
 }
+
+// TestStreamThatRanWellIsResumedDespiteAQuarantine guards against a sound stream being broken off because a part of its
+// prompt was quarantined while it ran.
+func TestStreamThatRanWellIsResumedDespiteAQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		done := make(chan callResult)
+		go func() { done <- site.call(t.Context(), 0, soundPrompt) }()
+		time.Sleep(500 * time.Millisecond)
+		site.suspect(4)
+		is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusServiceUnavailable)
+		site.mu.Lock()
+		running := slices.Collect(maps.Keys(site.conns))
+		site.mu.Unlock()
+		is.Equal(len(running), 1)
+		site.crash(running[0])
+		result := <-done
+		is.Equal(result.status, http.StatusOK)
+		is.True(result.whole)
+	})
+}
