Tell a short answer that ends with its connection from a crash

A prompt whose answers are short and tell no length could never clear a part: such an end looks like that of the upstream, so a sound part stayed quarantined for minutes after one mistake, one request at a time.

An answer that ends with its connection, just after its head, counts as whole if the upstream accepts a connection after it, and as cut if it refuses one. One that ends later counts as whole at once.

TestShortAnswersThatEndWithTheirConnectionDecide failed before where the engine lives on.

--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -51,6 +51,13 @@
 // RanWell reports whether the answer has gone on for longer than one that crashes its upstream.
 func (a *Assignment) RanWell() bool { return a.passed }
 
+// RanWell records that an upstream can run a prompt.
+func (d *Dispatcher) RanWell(r *replica.Replica, p prompt.Prompt, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quarantine.Passed(r.Pool(), p, now)
+}
+
 // Crashed records that an upstream crashed at a time and listens no more; suspects are the prompts of the requests that
 // may have crashed it.
 func (d *Dispatcher) Crashed(r *replica.Replica, suspects []prompt.Prompt, at, now time.Time) {
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -24,10 +24,15 @@
 	maxSuspects = 16
 )
 
-// crashCheck holds the prompts whose answers were cut just after they had begun, until it is known whether the upstream
-// has crashed.
+// suspect is a prompt whose answer ended just after it had begun; whole reports that it may have come to its end.
+type suspect struct {
+	prompt prompt.Prompt
+	whole  bool
+}
+
+// crashCheck holds the suspects of a crash until it is known whether the upstream has crashed.
 type crashCheck struct {
-	suspects []prompt.Prompt
+	suspects []suspect
 	// done is closed when it is known.
 	done chan struct{}
 }
@@ -39,7 +44,7 @@
 }
 
 // add adds a suspect of a possible crash, and reports whether it is the first.
-func (c *crashChecks) add(upstream *replica.Replica, p prompt.Prompt) (check *crashCheck, first bool) {
+func (c *crashChecks) add(upstream *replica.Replica, s suspect) (check *crashCheck, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check = c.byUpstream[upstream]
@@ -52,13 +57,13 @@
 		first = true
 	}
 	if len(check.suspects) < maxSuspects {
-		check.suspects = append(check.suspects, p)
+		check.suspects = append(check.suspects, s)
 	}
 	return check, first
 }
 
 // take removes a check and returns its suspects.
-func (c *crashChecks) take(upstream *replica.Replica) []prompt.Prompt {
+func (c *crashChecks) take(upstream *replica.Replica) []suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer delete(c.byUpstream, upstream)
@@ -68,30 +73,41 @@
 // recordWhole records that an answer has come to its end, which shows that the upstream can run the prompt. The end of an
 // answer that ends with its connection may be that of the upstream.
 func (x *exchange) recordWhole(s *upstreamSend) {
-	switch {
-	case s.response.ContentLength < 0 && len(s.response.TransferEncoding) == 0:
-		x.suspectCrash(s, io.EOF)
-	case s.response.StatusCode < http.StatusMultipleChoices:
-		s.assignment.Completed(time.Now())
+	if s.response.StatusCode >= http.StatusMultipleChoices {
+		return
 	}
+	endsWithConnection := s.response.ContentLength < 0 && len(s.response.TransferEncoding) == 0
+	if endsWithConnection && s.assignment.MayHaveCrashed(time.Now()) {
+		x.checkCrash(s, true)
+		return
+	}
+	s.assignment.Completed(time.Now())
 }
 
 // suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
 // leave. A request that might be repeated although a part of its prompt was suspected before waits for the result.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
 	x.ranWell = x.ranWell || s.assignment.RanWell()
-	now := time.Now()
-	if !connectionEnded(cause) || !s.assignment.MayHaveCrashed(now) || s.upstream.Leaving() {
-		return
+	if connectionEnded(cause) && s.assignment.MayHaveCrashed(time.Now()) && !s.upstream.Leaving() {
+		x.checkCrash(s, false)
 	}
-	check, first := x.server.crashes.add(s.upstream, x.call.Prompt)
+}
+
+// checkCrash has the upstream checked because of an answer that has just ended; whole reports that it may have come to its
+// end.
+func (x *exchange) checkCrash(s *upstreamSend, whole bool) {
+	now := time.Now()
+	check, first := x.server.crashes.add(s.upstream, suspect{
+		prompt: x.call.Prompt,
+		whole:  whole,
+	})
 	if first {
 		go func() {
 			defer close(check.done)
 			x.server.checkCrash(s.upstream, now)
 		}()
 	}
-	if !x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest()) {
+	if whole || !x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest()) {
 		return
 	}
 	select {
@@ -110,19 +126,27 @@
 	return false
 }
 
-// checkCrash tells the dispatcher of a crash if the upstream refuses connections.
+// checkCrash tells the dispatcher of a crash if the upstream refuses connections. If it accepts one, answers that may have
+// come to their end did.
 func (s *Server) checkCrash(upstream *replica.Replica, at time.Time) {
 	time.Sleep(crashCheckDelay)
 	suspects := s.crashes.take(upstream)
 	err := s.Connections.Probe(context.Background(), upstream.Address())
+	var crashed []prompt.Prompt
+	for _, suspect := range suspects {
+		crashed = append(crashed, suspect.prompt)
+		if err == nil && suspect.whole {
+			s.Dispatcher.RanWell(upstream, suspect.prompt, time.Now())
+		}
+	}
 	if !errors.Is(err, syscall.ECONNREFUSED) || upstream.Leaving() {
 		return
 	}
-	s.Dispatcher.Crashed(upstream, suspects, at, time.Now())
+	s.Dispatcher.Crashed(upstream, crashed, at, time.Now())
 	s.Logger.Warn().
 		Str("decision", "quarantine").
 		Str("upstream", upstream.Name()).
-		Strs("parts", partIDs(suspects)).
+		Strs("parts", partIDs(crashed)).
 		Msg("upstream crashed just after it had begun to answer; the parts of those prompts are suspected")
 }
 
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -353,3 +353,35 @@
 		is.True(result.whole)
 	})
 }
+
+// TestShortAnswersThatEndWithTheirConnectionDecide guards against a sound part staying quarantined because its answers are
+// short and tell no length, and against the end of a crashed engine being taken for that of an answer.
+func TestShortAnswersThatEndWithTheirConnectionDecide(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes bool
+		next    int
+	}{
+		"engine lives on": {next: http.StatusOK},
+		"engine crashes":  {crashes: true, next: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				site := newCrashSite(t)
+				site.answer = func(engine string, conn net.Conn, r *http.Request) bool {
+					rawAnswer("HTTP/1.1 200 X\r\n"+answerHeaders+"\r\nid: 1\ndata: 1\n\n")(conn, r)
+					if c.crashes {
+						site.crash(engine)
+					}
+					return false
+				}
+				site.suspect(2)
+				is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusServiceUnavailable)
+				time.Sleep(31 * time.Second)
+				is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusOK) // the probe
+				time.Sleep(time.Second)
+				is.Equal(site.call(t.Context(), 0, soundPrompt).status, c.next)
+			})
+		})
+	}
+}
