admission: count a start before a preemption once

A request that starts beyond the slots and then preempts a stream was started a second time: the lower tiers got the credit of two starts for their share, so more of them than one start in twenty went ahead of the first tier, and a trickle start, which is to displace nobody, could preempt and lost its mark.

Arrive still preempts for a request that has just started: the limit is overcommitted, and such a request would queue at the engine.

--- a/internal/coordination/admission/preempt.go
+++ b/internal/coordination/admission/preempt.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// preempt starts an arriving request in place of a running, resumable one of a lower tier if it would otherwise get
-// its first token late.
+// preempt gives an arriving request the slot of a running, resumable one of a lower tier if it would otherwise get its
+// first token late. The arriving one may wait, or may have started beyond the slots; a trickle start displaces none.
 func (q *Queue) preempt(item Item, now time.Time) []Preemption {
-	if !q.saturated() || !q.wouldMissDue(item, now) {
+	own := q.running[item.ID]
+	if own != nil && own.boosted || !q.saturated() || !q.wouldMissDue(item, now) {
 		return nil
 	}
 	victim := q.selectVictim(item.Tier)
@@ -13,7 +14,9 @@
 		return nil
 	}
 	victim.preempted = true
-	q.startNow(item, now)
+	if own == nil {
+		q.startNow(item, now)
+	}
 	return []Preemption{{
 		Victim:    victim.item.ID,
 		Preemptor: item.ID,
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -190,6 +190,25 @@
 	}
 }
 
+// TestStartBeforePreemptionCountsOnce guards against a second trickle credit for a request that started beyond the slots
+// and then preempted another.
+func TestStartBeforePreemptionCountsOnce(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	q.SetLimit(5, testStart)
+	for id := range uint64(4) {
+		stream := item(id, 5)
+		stream.Resumable = true
+		q.Arrive(stream, testStart)
+		q.MarkProducing(id)
+	}
+	q.insert(waitingItem{item: item(50, 6)})
+	urgent := item(100, 0)
+	urgent.Due = testStart
+	is.Equal(len(q.Arrive(urgent, testStart).Preempt), 1)
+	is.Equal(q.trickleCredit, q.TrickleShare)
+}
+
 // TestStoppedStreamIsNeitherExpiredNorShed checks that a preempted stream is resumed in the end, even past its
 // deadline and with the queue full.
 func TestStoppedStreamIsNeitherExpiredNorShed(t *testing.T) {
