admission: a preemptor keeps its tier when its victim is gone

The tier at which an upstream serves a request that preempted another was set only while the other's permit was known; otherwise it stayed 0, the highest, and the request went ahead of better ones at the engine.

The test failed on the old code (tier 0, expected 3).

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -129,9 +129,9 @@
 	victim, preemptor := g.permits[preemption.Victim], g.permits[preemption.Preemptor]
 	if preemptor != nil {
 		g.started++
+		preemptor.tier = preemption.Tier
 		if victim != nil {
 			preemptor.preferred = victim.upstream
-			preemptor.tier = preemption.Tier
 		}
 		preemptor.decision <- Refusal{}
 	}
