admission: tiers that are out of use no longer count for the floor

The floor starts from the lowest tier that a request or a peer ever named. After one request of a very low tier, an overloaded pool tightened its floor second by second through tiers that nobody used, excluding nobody, and peers that admitted such a tier kept this node from shedding.

A tier now counts as in use for a minute, twice the longest Retry-After, so that a tier whose callers were told to wait still counts.

--- a/internal/coordination/admission/floor.go
+++ b/internal/coordination/admission/floor.go
@@ -5,6 +5,9 @@
 const (
 	floorStepInterval = time.Second
 	peerFloorTTL      = 15 * time.Second
+	// tierUseTTL is how long a tier counts as in use after a request or a peer's floor; it exceeds the longest Retry-After,
+	// so that a tier whose requests are refused still counts.
+	tierUseTTL = 2 * maxRetryAfter
 )
 
 type peerFloor struct {
@@ -17,11 +20,11 @@
 // and less strict, if its number is larger.
 type Floor struct {
 	local int
-	// lowestSeen is the lowest tier, the one with the largest number, among those of all requests and peers' floors so
-	// far. Peers' floors that admit every tier do not count.
-	lowestSeen int
-	changedAt  time.Time
-	peers      map[string]peerFloor
+	// seenAt holds when each tier was last that of a request or a peer's floor. Peers' floors that admit every tier do not
+	// count.
+	seenAt    [Tiers]time.Time
+	changedAt time.Time
+	peers     map[string]peerFloor
 }
 
 // NewFloor returns a floor that admits every tier.
@@ -49,7 +52,9 @@
 
 // UpdatePeer records the effective and the local floor that a peer reported.
 func (f *Floor) UpdatePeer(peer string, effective, local int, now time.Time) {
-	f.lowestSeen = max(f.lowestSeen, boundedTier(effective, f.lowestSeen))
+	if effective >= 0 && effective < LowestTier {
+		f.observeTier(effective, now)
+	}
 	f.peers[peer] = peerFloor{
 		effective: effective,
 		local:     local,
@@ -66,7 +71,7 @@
 // within peerFloorTTL admits a lower tier.
 func (f *Floor) MayShed(tier int, now time.Time) bool {
 	for _, p := range f.peers {
-		if now.Sub(p.updatedAt) < peerFloorTTL && min(p.effective, f.lowestSeen) > tier {
+		if now.Sub(p.updatedAt) < peerFloorTTL && min(p.effective, f.lowestInUse(now)) > tier {
 			return false
 		}
 	}
@@ -79,7 +84,7 @@
 	if now.Sub(f.changedAt) < floorStepInterval {
 		return
 	}
-	next := min(f.local, f.lowestSeen) - 1
+	next := min(f.local, f.lowestInUse(now)) - 1
 	if next < tier-1 || next < 0 {
 		return
 	}
@@ -93,7 +98,7 @@
 		return
 	}
 	f.local++
-	if f.local >= f.lowestSeen {
+	if f.local >= f.lowestInUse(now) {
 		f.local = LowestTier
 	}
 	f.changedAt = now
@@ -101,14 +106,14 @@
 
 // observeTier records that a tier is in use. Tighten starts from the lowest tier in use, so that its first step
 // already excludes requests.
-func (f *Floor) observeTier(tier int) {
-	f.lowestSeen = max(f.lowestSeen, tier)
-}
+func (f *Floor) observeTier(tier int, now time.Time) { f.seenAt[tier] = now }
 
-// boundedTier returns a floor unchanged if it is valid and excludes at least one tier, and otherwise fallback.
-func boundedTier(tier, fallback int) int {
-	if tier < 0 || tier >= LowestTier {
-		return fallback
+// lowestInUse returns the lowest tier in use, the one with the largest number, or 0 if none is.
+func (f *Floor) lowestInUse(now time.Time) int {
+	for tier := LowestTier; tier > 0; tier-- {
+		if seen := f.seenAt[tier]; !seen.IsZero() && now.Sub(seen) < tierUseTTL {
+			return tier
+		}
 	}
-	return tier
+	return 0
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -72,7 +72,7 @@
 // Arrive adds a request, which is started, queued or refused; others may be shed or preempted for it.
 func (q *Queue) Arrive(item Item, now time.Time) Actions {
 	item.Tier = min(max(item.Tier, 0), LowestTier)
-	q.Floor.observeTier(item.Tier)
+	q.Floor.observeTier(item.Tier, now)
 	q.offered.add(item.Tier, item.ServiceTime, now)
 	if refusal, refused := q.checkAdmission(item, now); refused {
 		return Actions{Refuse: []Refusal{refusal}}
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -88,7 +88,7 @@
 func TestFloorMovesOneTierAtATimeAndComesBack(t *testing.T) {
 	is := is.New(t)
 	f := NewFloor()
-	f.observeTier(6)
+	f.observeTier(6, testStart)
 	now := testStart
 	f.Tighten(4, now)
 	is.Equal(f.Local(), 5)
@@ -105,6 +105,24 @@
 	is.Equal(f.Local(), LowestTier)
 }
 
+// TestFloorForgetsTiersOutOfUse guards against a floor that takes one step for each tier above one that was in use long
+// ago before it excludes any request.
+func TestFloorForgetsTiersOutOfUse(t *testing.T) {
+	is := is.New(t)
+	q := queueWithOneRunning(0)
+	q.MaxWaiting = 1
+	q.Reserve = 0
+	q.Arrive(item(2, 14), testStart)
+	q.Cancel(2, testStart)
+	q.Floor.UpdatePeer("entry-2", 12, LowestTier, testStart)
+	q.Floor.RemovePeer("entry-2")
+	later := testStart.Add(tierUseTTL)
+	for id := uint64(3); id < 5; id++ {
+		q.Arrive(item(id, 2), later)
+	}
+	is.Equal(q.Floor.Local(), 1)
+}
+
 func TestFloorOfAnUnreachablePeerExpires(t *testing.T) {
 	is := is.New(t)
 	f := NewFloor()
