rollout: don't skip publishes that were dropped before the state was known

A node that read more than 4,096 publishes before it knew the state that they build on dropped the newest ones. It then took any state from a peer, applied what it had kept and went on after it: the dropped publishes were skipped, so it stayed on an old rule file. A checkpoint could never make it ready again.

Now the oldest pending records are dropped, and a state or checkpoint is installed only if it covers all that were dropped.

The test failed on the old code in all four cases: an old state of a peer was installed, and newer checkpoints were not.

--- a/internal/coordination/rollout/fold.go
+++ b/internal/coordination/rollout/fold.go
@@ -31,8 +31,10 @@
 	verdicts verdicts
 	// recent holds the newest accepted records, in log order.
 	recent []wire.LogRecord
-	// pending holds the publish records that were read before the fold was ready.
-	pending []wire.LogRecord
+	// pending holds the newest publish records that were read before the fold was ready, and lastDropped the offset of the
+	// newest one that was dropped.
+	pending     []wire.LogRecord
+	lastDropped int
 	// oldest is the oldest offset that the log retained when reading began.
 	oldest int
 }
@@ -40,11 +42,12 @@
 // NewFold returns a fold that has read no records.
 func NewFold(sealer record.Sealer) *Fold {
 	return &Fold{
-		Sealer:   sealer,
-		revision: noOffset,
-		asOf:     noOffset,
-		verdicts: newVerdicts(),
-		oldest:   noOffset,
+		Sealer:      sealer,
+		revision:    noOffset,
+		asOf:        noOffset,
+		verdicts:    newVerdicts(),
+		lastDropped: noOffset,
+		oldest:      noOffset,
 	}
 }
 
@@ -100,17 +103,13 @@
 }
 
 // applyBeforeReady keeps publish records as pending until a checkpoint gives the state that they build on. A checkpoint
-// is usable only if it covers all records before the oldest one read and the pending records are below their limit,
-// since records beyond it are dropped.
+// is usable only if it covers all records before the oldest one read.
 func (f *Fold) applyBeforeReady(entry wire.LogRecord, r wire.RuleRecord) bool {
 	if r.Type == wire.RuleRecordTypePublish {
-		if len(f.pending) < maxPendingRecords {
-			f.pending = append(f.pending, entry)
-		}
+		f.keepPending(entry)
 		return false
 	}
-	complete := f.oldest != noOffset && r.AsOf+1 >= f.oldest && len(f.pending) < maxPendingRecords
-	if !complete {
+	if f.oldest == noOffset || r.AsOf+1 < f.oldest {
 		return false
 	}
 	return f.install(wire.RuleState{
@@ -122,9 +121,22 @@
 	}, entry.Offset)
 }
 
+// keepPending adds a publish record to the pending ones, and drops the oldest if there are too many.
+func (f *Fold) keepPending(entry wire.LogRecord) {
+	f.pending = append(f.pending, entry)
+	if len(f.pending) > maxPendingRecords {
+		f.lastDropped = f.pending[0].Offset
+		f.pending = f.pending[1:]
+	}
+}
+
 // install sets the state and applies the pending records after it; upTo is the last offset that was read. It returns
-// false if the text of the state is no valid rule file or differs from its hash.
+// false if a record after the state was dropped, or if the text of the state is no valid rule file or differs from its
+// hash.
 func (f *Fold) install(state wire.RuleState, upTo int) bool {
+	if !f.ready && state.AsOf < f.lastDropped {
+		return false
+	}
 	var file *rule.File
 	if state.Revision != noOffset {
 		parsed, err := rule.Parse(state.Text)
--- a/internal/coordination/rollout/fold_test.go
+++ b/internal/coordination/rollout/fold_test.go
@@ -227,6 +227,44 @@
 	is.Equal(f.Text(), fileText(2))
 }
 
+// TestStateBeforeDroppedPublishesIsNotInstalled guards against a node that skips publishes: it had read more of them than
+// it keeps before it knew the state that they build on, and then took an older state from a peer or a checkpoint.
+func TestStateBeforeDroppedPublishesIsNotInstalled(t *testing.T) {
+	is := is.New(t)
+	log := []wire.LogRecord{seal(t, 0, publishRecord("first", -1, "", fileText(1)))}
+	for offset := 1; offset <= maxPendingRecords+10; offset++ {
+		log = append(log, seal(t, offset, publishRecord(fmt.Sprint(offset), offset-1, fileText(offset%10), fileText((offset+1)%10))))
+	}
+	whole := foldAll(log, 0)
+	for name, test := range map[string]struct {
+		states []int
+		ready  bool
+	}{
+		"state before the dropped records":           {states: []int{5}},
+		"state of the last dropped record":           {states: []int{10}, ready: true},
+		"newer state":                                {states: []int{maxPendingRecords}, ready: true},
+		"state before the dropped records, then one": {states: []int{0, 20}, ready: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			merged, read := foldAll(log, 1), foldAll(log, 1)
+			for _, asOf := range test.states {
+				peer := foldAll(log[:asOf+1], 0)
+				state := peer.State()
+				merged.Merge(wire.RuleDelta{Whole: &state})
+				read.Apply(seal(t, len(log), peer.CheckpointRecord()))
+			}
+			for _, f := range []*Fold{merged, read} {
+				is.Equal(f.Ready(), test.ready)
+				if test.ready {
+					is.Equal(f.Text(), whole.Text())
+				}
+			}
+		})
+	}
+	is.Equal(len(foldAll(log, 1).pending), maxPendingRecords)
+}
+
 func TestDeltaOfRandomTextsAppliesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", ""}), 0, 12)
