rollout: bound the bytes of the records that a node keeps

A node keeps 128 accepted publishes to answer peers, and 4,096 publishes until it knows the state that they build on. Each may carry a whole rule file of 8 MiB, so a few hundred large publishes exceed any VM's memory.

Both now also hold at most 4 MiB (or one record). Peers that are further behind get the whole state, as they do beyond 128 records; a fold that dropped pending records waits for a state that covers them.

--- a/internal/coordination/rollout/exchange.go
+++ b/internal/coordination/rollout/exchange.go
@@ -28,13 +28,13 @@
 		delta.Whole = &state
 		return delta
 	}
-	delta.Records = append(delta.Records, f.recent[first:]...)
+	delta.Records = append(delta.Records, f.recent.list[first:]...)
 	return delta
 }
 
 // indexAfter returns the index of the recent record that is based on a revision, or -1 if there is none.
 func (f *Fold) indexAfter(revision int) int {
-	for i, entry := range f.recent {
+	for i, entry := range f.recent.list {
 		var r wire.RuleRecord
 		if f.Sealer.Open(Stream, entry.Data, &r) != nil {
 			return -1
--- a/internal/coordination/rollout/fold.go
+++ b/internal/coordination/rollout/fold.go
@@ -30,10 +30,10 @@
 	file     *rule.File
 	verdicts verdicts
 	// recent holds the newest accepted records, in log order.
-	recent []wire.LogRecord
+	recent keptRecords
 	// pending holds the newest publish records that were read before the fold was ready, and lastDropped the offset of the
 	// newest one that was dropped.
-	pending     []wire.LogRecord
+	pending     keptRecords
 	lastDropped int
 	// oldest is the oldest offset that the log retained when reading began.
 	oldest int
@@ -106,7 +106,7 @@
 // is usable only if it covers all records before the oldest one read.
 func (f *Fold) applyBeforeReady(entry wire.LogRecord, r wire.RuleRecord) bool {
 	if r.Type == wire.RuleRecordTypePublish {
-		f.keepPending(entry)
+		f.lastDropped = max(f.lastDropped, f.pending.add(entry, maxPendingRecords))
 		return false
 	}
 	if f.oldest == noOffset || r.AsOf+1 < f.oldest {
@@ -121,15 +121,6 @@
 	}, entry.Offset)
 }
 
-// keepPending adds a publish record to the pending ones, and drops the oldest if there are too many.
-func (f *Fold) keepPending(entry wire.LogRecord) {
-	f.pending = append(f.pending, entry)
-	if len(f.pending) > maxPendingRecords {
-		f.lastDropped = f.pending[0].Offset
-		f.pending = f.pending[1:]
-	}
-}
-
 // install sets the state and applies the pending records after it; upTo is the last offset that was read. It returns
 // false if a record after the state was dropped, or if the text of the state is no valid rule file or differs from its
 // hash.
@@ -150,10 +141,10 @@
 	f.asOf = state.AsOf
 	f.text = state.Text
 	f.file = file
-	f.recent = nil
+	f.recent = keptRecords{}
 	f.verdicts.replace(state.Recent)
-	pending := f.pending
-	f.pending = nil
+	pending := f.pending.list
+	f.pending = keptRecords{}
 	for _, entry := range pending {
 		f.Apply(entry)
 	}
@@ -184,10 +175,7 @@
 	f.text = text
 	f.file = file
 	f.verdicts.add(verdict)
-	f.recent = append(f.recent, entry)
-	if len(f.recent) > maxRecentRecords {
-		f.recent = append([]wire.LogRecord(nil), f.recent[1:]...)
-	}
+	f.recent.add(entry, maxRecentRecords)
 	return true
 }
 
--- a/internal/coordination/rollout/fold_test.go
+++ b/internal/coordination/rollout/fold_test.go
@@ -262,7 +262,37 @@
 			}
 		})
 	}
-	is.Equal(len(foldAll(log, 1).pending), maxPendingRecords)
+	is.Equal(len(foldAll(log, 1).pending.list), maxPendingRecords)
+}
+
+// TestLargeRecordsAreNotAllKept guards against a node that keeps gigabytes of large publishes, before and after it knows
+// the state; peers behind the kept ones get the whole state.
+func TestLargeRecordsAreNotAllKept(t *testing.T) {
+	is := is.New(t)
+	var log []wire.LogRecord
+	before := ""
+	for offset := range 8 {
+		line := "# " + strings.Repeat(string(rune('a'+offset)), 2000) + "\n"
+		text := strings.Repeat(line, 400) + fileText(offset)
+		log = append(log, seal(t, offset, publishRecord(fmt.Sprint(offset), offset-1, before, text)))
+		before = text
+	}
+	total := func(records []wire.LogRecord) (size int) {
+		for _, entry := range records {
+			size += len(entry.Data)
+		}
+		return size
+	}
+	is.True(total(log) > 3*maxKeptBytes/2)
+	notReady, ready := foldAll(log, 1), foldAll(log, 0)
+	is.True(total(notReady.pending.list) <= maxKeptBytes)
+	is.True(total(ready.recent.list) <= maxKeptBytes)
+	is.True(ready.DeltaSince(0).Whole != nil)
+	state := foldAll(log[:2], 0).State()
+	notReady.Merge(wire.RuleDelta{Whole: &state})
+	is.True(!notReady.Ready())
+	notReady.Merge(ready.DeltaSince(-1))
+	is.Equal(notReady.Text(), ready.Text())
 }
 
 func TestDeltaOfRandomTextsAppliesBack(t *testing.T) {
