record: refuse to seal a record that no node would open

Sealing had no limit, while opening refuses records above 9 MiB: a publish of a rule file whose encoding is longer was appended, ignored by all nodes, and its operator waited in vain for a verdict. It now fails at once.

The test failed on the old code: a record of more than 9 MiB was sealed.

--- a/internal/protocol/record/record.go
+++ b/internal/protocol/record/record.go
@@ -11,10 +11,10 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxBytes is the maximum length of an encoded record that Open accepts.
+// MaxBytes is the maximum length of an encoded record.
 const MaxBytes = 9 << 20
 
-// Errors returned by Open.
+// Errors returned by Open; Seal returns ErrTooLong.
 var (
 	ErrTooLong   = eris.New("record too long")
 	ErrDamaged   = eris.New("record authentication code missing or wrong")
@@ -33,7 +33,11 @@
 	if err != nil {
 		return "", eris.Wrap(err, "encode record")
 	}
-	return s.mac(stream, body) + " " + string(body), nil
+	data := s.mac(stream, body) + " " + string(body)
+	if len(data) > MaxBytes {
+		return "", eris.Wrapf(ErrTooLong, "record of %d bytes, at most %d", len(data), MaxBytes)
+	}
+	return data, nil
 }
 
 // Open decodes a record of the named stream into value. Every node must ignore a record for which it returns an error.
--- a/internal/protocol/record/record_test.go
+++ b/internal/protocol/record/record_test.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -50,6 +51,21 @@
 	is.True(sealer.Open("claims-0", "", &got) != nil)
 }
 
+// TestSealRefusesWhatOpenRefuses guards against records in the log that no node can open.
+func TestSealRefusesWhatOpenRefuses(t *testing.T) {
+	is := is.New(t)
+	for size, ok := range map[int]bool{
+		MaxBytes - 200: true,
+		MaxBytes:       false,
+	} {
+		data, err := sealer.Seal("claims-0", wire.ClaimRecord{Key: strings.Repeat("x", size)})
+		is.Equal(err == nil, ok)
+		is.Equal(errors.Is(err, ErrTooLong), !ok)
+		var got wire.ClaimRecord
+		is.Equal(sealer.Open("claims-0", data, &got) == nil, ok)
+	}
+}
+
 func FuzzOpen(f *testing.F) {
 	data, err := sealer.Seal("rules", wire.RuleRecord{Type: wire.RuleRecordTypePublish})
 	if err != nil {
