claims: a record that can't be sealed doesn't count as appended

Such a record was dropped and its batch reported as appended. A claim waited for a verdict until its deadline, its void met the same fate, and an attempt counted as finished though its outcome is not in the log; a batch of nothing was still sent.

The claimer is now told: a claim gets not-run at once, which is true since its record is nowhere; without its outcome or void a claim stays in force, so that later attempts get unknown.

The test failed on the old code ("no verdict from the log in time" after two seconds).

--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -137,6 +137,32 @@
 	return actions
 }
 
+// SkipRecord takes a record that can't be appended, such as one that is too long, out of a batch in flight; it is called
+// before AppendDone.
+//
+// Without its outcome or void, a claim stays in force, so that later attempts get Unknown.
+func (c *Claimer) SkipRecord(batch int, r wire.ClaimRecord) Actions {
+	if batch != c.lastBatch || c.inFlight == nil {
+		return Actions{}
+	}
+	kept := make([]wire.ClaimRecord, 0, len(c.inFlight))
+	for _, sent := range c.inFlight {
+		if sent.Type != r.Type || sent.Attempt != r.Attempt {
+			kept = append(kept, sent)
+		}
+	}
+	c.inFlight = kept
+	switch r.Type {
+	case wire.ClaimRecordTypeClaim:
+		return Actions{Decisions: c.refuseClaims([]wire.ClaimRecord{r})}
+	case wire.ClaimRecordTypeOutcome:
+		delete(c.dispatched, r.Attempt)
+	case wire.ClaimRecordTypeVoid:
+		delete(c.unconfirmedVoids, r.Attempt)
+	}
+	return Actions{}
+}
+
 // confirmOutcomes removes the dispatched attempts whose outcomes were appended.
 func (c *Claimer) confirmOutcomes(sent []wire.ClaimRecord) {
 	for _, r := range sent {
--- a/internal/transport/claims/partition.go
+++ b/internal/transport/claims/partition.go
@@ -106,26 +106,38 @@
 
 // appendBatch appends a batch to the log and reports the result to the claimer.
 func (p *partition) appendBatch(batch claim.Append) {
+	result := claim.Appended
+	if records := p.sealBatch(batch); len(records) > 0 {
+		result = p.appendRecords(records)
+	}
+	p.apply(func() claim.Actions { return p.claimer.AppendDone(batch.Batch, result) })
+}
+
+// sealBatch returns the sealed records of a batch without those that can't be sealed, which it reports to the claimer.
+func (p *partition) sealBatch(batch claim.Append) []string {
 	records := make([]string, 0, len(batch.Records))
 	for _, r := range batch.Records {
 		data, err := p.service.Sealer.Seal(p.stream, r)
 		if err != nil {
-			p.service.Logger.Error().Err(err).Str("step", "seal claim").Msg("claim record not appended: sealing failed")
+			p.service.Logger.Error().Err(err).Str("step", "seal claim").Str("attempt", r.Attempt).Str("type", string(r.Type)).
+				Msg("claim record not appended: sealing failed")
+			p.apply(func() claim.Actions { return p.claimer.SkipRecord(batch.Batch, r) })
 			continue
 		}
 		records = append(records, data)
 	}
+	return records
+}
+
+func (p *partition) appendRecords(records []string) claim.AppendResult {
 	p.service.appends.Add(1)
 	_, err := p.service.Log.Append(context.Background(), p.stream, records)
-	result := claim.Appended
-	switch {
-	case errors.Is(err, platform.ErrNotAppended):
-		result = claim.NotAppended
-	case err != nil:
-		result = claim.MaybeAppended
+	if err == nil {
+		return claim.Appended
 	}
-	if err != nil {
-		p.service.Logger.Warn().Err(err).Str("step", "append claims").Str("peer", "platform").Msg("log append failed")
+	p.service.Logger.Warn().Err(err).Str("step", "append claims").Str("peer", "platform").Msg("log append failed")
+	if errors.Is(err, platform.ErrNotAppended) {
+		return claim.NotAppended
 	}
-	p.apply(func() claim.Actions { return p.claimer.AppendDone(batch.Batch, result) })
+	return claim.MaybeAppended
 }
