caller: a repeated stream isn't answered with an empty 200

A stream that must run at most once has its outcome recorded with status 200 and an empty body, as if that were kept. A caller who repeated it, after a lost connection for instance, got an empty answer as completed.

The record of a stream now says that its answer isn't kept: the caller gets 409 with the outcome "completed", as for other answers that aren't kept.

The test failed on the old code (200 at another node with the caller's own key, and at the same node with an issued key).

--- a/internal/transport/caller/job.go
+++ b/internal/transport/caller/job.go
@@ -126,7 +126,7 @@
 	return status
 }
 
-// newClaimRecord returns the record of a finished request; it omits a body that is long or not valid UTF-8.
+// newClaimRecord returns the record of a finished request; it omits a body that was streamed, is long or not valid UTF-8.
 func newClaimRecord(result outcome.Outcome, answer upstreamAnswer) wire.ClaimRecord {
 	const maxKeptBodyBytes = 16 << 10
 	record := wire.ClaimRecord{
@@ -134,15 +134,16 @@
 		Status:      answer.status,
 		ContentType: answer.contentType,
 	}
-	if len(answer.body) <= maxKeptBodyBytes && utf8.Valid(answer.body) {
+	if !answer.streamed && len(answer.body) <= maxKeptBodyBytes && utf8.Valid(answer.body) {
 		record.Body = string(answer.body)
 		record.BodyKept = true
 	}
 	return record
 }
 
-// upstreamAnswer is an upstream's whole answer; chat is set for engines only.
+// upstreamAnswer is an upstream's whole answer; chat is set for engines only. The body of a streamed answer is not kept.
 type upstreamAnswer struct {
+	streamed    bool
 	status      int
 	contentType string
 	body        []byte
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -31,7 +31,10 @@
 	}
 	out := newStreamWriter(w, j.id, s.StreamIdleTimeout)
 	result, e := s.streamWithRetries(ctx, j, out)
-	s.closeClaim(j, result, upstreamAnswer{status: http.StatusOK})
+	s.closeClaim(j, result, upstreamAnswer{
+		streamed: true,
+		status:   http.StatusOK,
+	})
 	if e == nil {
 		s.finishStream(out, j)
 		return
--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -152,6 +152,50 @@
 	is.Equal(l.Executions()["cut-1"], 1)
 }
 
+// streamOnce requests a stream that must run at most once, at each node in turn if the key is the caller's own.
+func streamOnce(t *testing.T, l *lab.Lab, ownKey bool) (first, repeated fleet.Response) {
+	t.Helper()
+	is := is.New(t)
+	key, nodes := "shift-7", l.Nodes
+	if !ownKey {
+		issued, err := fleet.IssueKey(t.Context(), l.Nodes[0].Process(), fleet.MillToken)
+		is.NoErr(err)
+		key, nodes = issued, []*lab.Node{l.Nodes[0], l.Nodes[0]}
+	}
+	var responses []fleet.Response
+	for _, n := range nodes {
+		response, err := fleet.Send(t.Context(), n.Process(), http.MethodPost, "/v1/chat/completions", fleet.MillToken,
+			http.Header{"Idempotency-Key": {key}},
+			`{"model":"planner","stream":true,"max_tokens":6,"messages":[{"role":"user","content":"plan"}]}`)
+		is.NoErr(err)
+		l.WaitIdle()
+		responses = append(responses, response)
+	}
+	return responses[0], responses[1]
+}
+
+// startAtMostOnceChat starts nodes whose rules say that streams must run at most once.
+func startAtMostOnceChat(t *testing.T) *lab.Lab {
+	return lab.Start(t, lab.Settings{
+		Nodes:   2,
+		Engines: 1,
+		Rules:   strings.Replace(rules(), "deadline=12s idempotent=yes", "deadline=12s idempotent=no", 1),
+	})
+}
+
+// A stream that has run and is requested again was answered with an empty 200, as if that were its text.
+func TestRepeatedStreamIsNotAnsweredEmpty(t *testing.T) {
+	for name, ownKey := range map[string]bool{"own key": true, "issued key": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first, repeated := streamOnce(t, startAtMostOnceChat(t), ownKey)
+			is.True(first.Complete)
+			is.Equal(repeated.Status, 409)
+			is.Equal(repeated.Outcome, "completed")
+		})
+	}
+}
+
 // While the log is unreachable, a node must refuse orders with callers' own keys without executing them, and must
 // complete an order with a key that it issued, once even if the caller repeats it.
 func TestOrdersDuringALogOutage(t *testing.T) {
