caller: a broken at-most-once stream has the outcome of its claim

A stream that broke off after its first event was told to the caller, and remembered, as "failed", a final word that invites another order, while the claim of its key says "unknown": the request may have run.

Streams that must run at most once now tell the outcome of their claim. Idempotent ones stay failed.

The test failed on the old code ("failed" with the caller's own key and with an issued key, while the repeated request got "unknown").

--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -229,7 +229,7 @@
 }
 
 // failStream reports a failure: as a plain error answer before the first event, and otherwise as the last event of the
-// stream.
+// stream. Once started, an idempotent stream has failed; one that must run at most once has the outcome of its claim.
 func (s *Server) failStream(
 	out *streamWriter, w http.ResponseWriter, j *job, result outcome.Outcome, e *errorAnswer,
 ) {
@@ -239,6 +239,9 @@
 		return
 	}
 	s.Limiter.Charge(j.team.Name(), j.offset, time.Now())
-	s.recordOutcome(j, j.status(outcome.Failed, e.message))
-	out.finish(outcome.Failed, e.message)
+	if j.rule.Idempotent() {
+		result = outcome.Failed
+	}
+	s.recordOutcome(j, j.status(result, e.message))
+	out.finish(result, e.message)
 }
--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// A stream that must run at most once and broke off was reported as failed, which is final, while its claim says that the
+// outcome is unknown.
+func TestBrokenStreamHasTheOutcomeOfItsClaim(t *testing.T) {
+	for name, ownKey := range map[string]bool{"own key": true, "issued key": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := startAtMostOnceChat(t)
+			l.Engines[0].Set(once(standin.FaultTruncateStream))
+			first, repeated := streamOnce(t, l, ownKey)
+			is.True(len(first.ChunkOffsets) > 0 && !first.Complete)
+			is.Equal(first.Outcome, "unknown")
+			is.Equal(repeated.Outcome, "unknown")
+			status, err := fleet.Send(t.Context(), l.Nodes[0].Process(), http.MethodGet, "/v1/requests/"+first.RequestID,
+				fleet.MillToken, nil, "")
+			is.NoErr(err)
+			is.True(strings.Contains(status.Body, `"outcome":"unknown"`))
+		})
+	}
+}
+
 // While the log is unreachable, a node must refuse orders with callers' own keys without executing them, and must
 // complete an order with a key that it issued, once even if the caller repeats it.
 func TestOrdersDuringALogOutage(t *testing.T) {
