quota: a slice of rate 0 keeps the debt for generated tokens

An owner grants a slice of rate 0 while other nodes hold the whole limit. The next slice then filled the bucket as if it were new: a team that had used fifty times its limit was served at once, and each change from 0 gave it another burst.

A bucket is full when it is new, and empty buckets are made anew when a limit begins, so that what was used without one doesn't count.

The test failed on the old code: the request was allowed.

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -13,11 +13,12 @@
 // burstDuration is the time in which an empty bucket fills. A bucket has a capacity of at least 1 at any rate.
 const burstDuration = time.Second
 
+// setRate changes the rate; a new bucket is full at first.
 func (b *bucket) setRate(rate float64, now time.Time) {
-	b.refill(now)
-	if b.rate == 0 {
+	if b.updatedAt.IsZero() {
 		b.level = max(rate*burstDuration.Seconds(), 1)
 	}
+	b.refill(now)
 	b.rate = rate
 	b.level = min(b.level, max(rate*burstDuration.Seconds(), 1))
 }
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -108,8 +108,7 @@
 		l.teams[team] = s
 	}
 	if s.limit != limit {
-		s.limit = limit
-		s.granted = false
+		s.changeLimit(limit)
 	}
 	if !s.granted {
 		l.setFallback(s, now)
@@ -119,6 +118,18 @@
 	return s
 }
 
+// changeLimit replaces the limit. What was used while there was no limit does not count against it.
+func (s *teamSlice) changeLimit(limit Limit) {
+	if s.limit.RequestsPerSecond <= 0 {
+		s.requests = bucket{}
+	}
+	if s.limit.TokensPerSecond <= 0 {
+		s.tokens = bucket{}
+	}
+	s.limit = limit
+	s.granted = false
+}
+
 // setFallback sets the rates to an even part of the limit, for use while no slice is granted.
 func (l *Limiter) setFallback(s *teamSlice, now time.Time) {
 	nodes := float64(l.nodes)
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -138,6 +138,33 @@
 	is.Equal(l.Teams(), 1)
 }
 
+// TestEmptySliceKeepsTheDebt guards against a slice of rate 0, granted while other nodes hold the whole limit, that clears
+// the debt for generated tokens as soon as the next slice comes.
+func TestEmptySliceKeepsTheDebt(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{TokensPerSecond: 10}
+	l := NewLimiter()
+	now := time.Unix(1000, 0)
+	ok, _ := l.Allow("mill", limit, now)
+	is.True(ok)
+	l.Charge("mill", 500, now)
+	for _, rate := range []float64{0, 10} {
+		l.InstallSlices([]wire.Slice{{
+			Team:            "mill",
+			TokensPerSecond: rate,
+			LengthMs:        int(SliceLength.Milliseconds()),
+		}}, now)
+	}
+	ok, wait := l.Allow("mill", limit, now)
+	is.True(!ok)
+	is.True(wait > 45*time.Second)
+	ok, _ = l.Allow("mill", Limit{RequestsPerSecond: 5}, now) // the limit of tokens is gone
+	is.True(ok)
+	l.Charge("mill", 500, now)
+	ok, _ = l.Allow("mill", limit, now) // what was used without a limit does not count
+	is.True(ok)
+}
+
 func TestIdleTeamsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	l := NewLimiter()
