lease: tell grants apart by all they say, not by a sum

A node that watches a lease waits until it has stayed the same for its length and a margin. It knew it by the sum of fencing number and expiry, so a new holder's grant could look like the one before, and the node asked for the lease too soon.

The test failed on the old code: the second grant counted as expired a margin after it was seen.

--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -39,9 +39,9 @@
 	requestPending bool
 	// fencingNumber is the fencing number of the lease that this node gained last.
 	fencingNumber int
-	// observedVersion identifies the most recent grant or renewal that expiredByLocalClock saw.
-	observedVersion int
-	// observedAt is the time at which expiredByLocalClock first saw observedVersion.
+	// observed is the most recent grant, or its renewal, that expiredByLocalClock saw.
+	observed Grant
+	// observedAt is the time at which expiredByLocalClock first saw observed.
 	observedAt time.Time
 }
 
@@ -102,9 +102,8 @@
 
 // expiredByLocalClock reports whether the grant has stayed unrenewed for Length and Margin on this node's clock.
 func (h *Holder) expiredByLocalClock(grant Grant, now time.Time) bool {
-	version := grant.fencingNumber + grant.expiryMS
-	if h.observedVersion != version || h.observedAt.IsZero() {
-		h.observedVersion = version
+	if h.observed != grant || h.observedAt.IsZero() {
+		h.observed = grant
 		h.observedAt = now
 	}
 	return now.Sub(h.observedAt) >= h.Length+h.Margin
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -265,3 +265,26 @@
 	is.True(granted)
 	is.Equal(fmt.Sprintf("%s %d", grant.Holder(), grant.FencingNumber()), "new 40")
 }
+
+// TestGrantsWithTheSameSumAreTwo guards against telling grants apart by the sum of fencing number and expiry: a node then
+// took a new holder's lease for the one that it had watched, and asked for it as soon as that would have run out.
+func TestGrantsWithTheSameSumAreTwo(t *testing.T) {
+	is := is.New(t)
+	h := newNode("entry-1", 1).holder
+	now := time.Unix(1000, 0)
+	first := Grant{
+		holder:        "entry-2",
+		fencingNumber: 5,
+		expiryMS:      1000,
+	}
+	second := Grant{
+		holder:        "entry-3",
+		fencingNumber: 6,
+		expiryMS:      999,
+	}
+	is.True(!h.expiredByLocalClock(first, now))
+	now = now.Add(length)
+	is.True(!h.expiredByLocalClock(second, now))
+	is.True(!h.expiredByLocalClock(second, now.Add(margin)))
+	is.True(h.expiredByLocalClock(second, now.Add(length+margin)))
+}
