model/engine: the chunk of a cancelled prompt is credited to nobody

At the end of an iteration the chunk was taken as work on whatever prompt came first then. When the prompt in prefill had been cancelled, or preempted in the same iteration, the next one got the chunk for nothing, so the model told first tokens too early for policies that cancel.

--- a/internal/model/engine/engine.go
+++ b/internal/model/engine/engine.go
@@ -26,9 +26,10 @@
 	// heldTokens is the memory, in tokens, that the batch takes in addition to the cache.
 	heldTokens   int
 	lastSequence uint64
-	// busy reports whether an iteration is running, which ends at iterationEnd and prefills chunkTokens.
+	// busy reports whether an iteration is running, which ends at iterationEnd and prefills chunkTokens of chunkJob, if set.
 	busy         bool
 	iterationEnd time.Time
+	chunkJob     *Job
 	chunkTokens  int
 	preemptions  int
 }
@@ -124,10 +125,11 @@
 	for _, job := range e.running {
 		contextTokens += job.contextTokens()
 	}
-	e.chunkTokens = 0
+	e.chunkJob = nil
 	duration := e.Spec.stepTime(len(e.running), contextTokens)
 	if len(e.prefilling) > 0 {
 		job := e.prefilling[0]
+		e.chunkJob = job
 		e.chunkTokens = min(e.Spec.ChunkTokens, job.remainingPrefill)
 		duration += e.Spec.PrefillTime(e.chunkTokens) +
 			e.Spec.attentionTime(e.chunkTokens, job.contextTokens()-job.remainingPrefill)
@@ -207,7 +209,7 @@
 	e.enqueue(job)
 }
 
-// finishIteration generates a token for each running job and completes a chunk of the first prompt in prefill.
+// finishIteration generates a token for each running job and completes the chunk of the prompt in prefill.
 func (e *Engine) finishIteration(now time.Time) []Progress {
 	var progress []Progress
 	for _, job := range slices.Clone(e.running) {
@@ -216,10 +218,10 @@
 		}
 		progress = e.generateToken(job, now, progress)
 	}
-	if e.chunkTokens == 0 || len(e.prefilling) == 0 {
-		return progress
+	job := e.chunkJob
+	if !slices.Contains(e.prefilling, job) {
+		return progress // cancelled or preempted during the iteration
 	}
-	job := e.prefilling[0]
 	job.remainingPrefill -= e.chunkTokens
 	job.prefilledTokens += e.chunkTokens
 	if job.remainingPrefill > 0 {
@@ -230,7 +232,7 @@
 }
 
 func (e *Engine) finishPrefill(job *Job) {
-	e.prefilling = e.prefilling[1:]
+	e.prefilling = removeJob(e.prefilling, job)
 	e.heldTokens -= job.heldTokens
 	job.heldTokens = job.GeneratedTokens
 	e.heldTokens += job.heldTokens
--- a/internal/model/engine/engine_test.go
+++ b/internal/model/engine/engine_test.go
@@ -170,3 +170,26 @@
 	is.Equal(e.heldTokens, 0)
 	is.Equal(e.Requests(), 0)
 }
+
+// TestCancelledChunkIsCreditedToNobody guards against counting the chunk of a cancelled prompt as work on the next one,
+// whose first token then came without its prefill.
+func TestCancelledChunkIsCreditedToNobody(t *testing.T) {
+	is := is.New(t)
+	e, _ := newEngine(64, 100_000)
+	var jobs []*Job
+	for id := range uint64(2) {
+		jobs = append(jobs, &Job{
+			Prompt:       newPrompt(10+id, 20+id, 2000),
+			OutputTokens: 1,
+		})
+		e.Submit(jobs[id], start)
+	}
+	admitted, _ := e.NextEvent()
+	e.Advance(admitted)
+	e.Cancel(jobs[0])
+	next, _ := e.NextEvent()
+	e.Advance(next)
+	is.Equal(jobs[1].PrefilledTokens(), 0)
+	tokens := runToIdle(e)[jobs[1]]
+	is.True(tokens[0].Sub(next) >= e.Spec.PrefillTime(2100))
+}
