model/engine: a waiting job keeps its own cached parts

To make room for a job, the model evicted unused parts of the cache, among them the parts that the job itself was counted to find there. It was then admitted though its prompt no longer fitted, and the engine used more memory than it has.

Parts of the job are now kept while room is made for it; evicting them frees nothing, since they have to be prefilled again.

--- a/internal/model/engine/cache.go
+++ b/internal/model/engine/cache.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// retain protects parts that are in the cache from eviction until they are released, without counting as a use.
+func (c *cache) retain(parts prompt.Prompt) {
+	for _, part := range parts {
+		c.parts[part.ID].Value.(*cacheEntry).references++
+	}
+}
+
 func (c *cache) release(parts prompt.Prompt) {
 	for _, part := range parts {
 		if element := c.parts[part.ID]; element != nil {
--- a/internal/model/engine/engine.go
+++ b/internal/model/engine/engine.go
@@ -169,14 +169,17 @@
 	slices.SortStableFunc(e.prefilling, (*Job).compare)
 }
 
-// makeRoom frees a slot and memory for a job. It preempts only jobs of lower priority, and returns false if that is not
-// enough.
+// makeRoom frees a slot and memory for a job, whose own cached parts it keeps. It preempts only jobs of lower priority,
+// and returns false if that is not enough.
 func (e *Engine) makeRoom(job *Job) bool {
 	for {
 		cachedParts := e.cache.prefix(job.Prompt)
 		shortfall := e.usedTokens() + job.Prompt[cachedParts:].Tokens() + job.GeneratedTokens + 1 - e.Spec.MemoryTokens
 		if len(e.running)+len(e.prefilling) < e.Spec.Slots {
-			if shortfall <= 0 || e.cache.evict(shortfall) >= shortfall {
+			e.cache.retain(job.Prompt[:cachedParts])
+			freed := e.cache.evict(shortfall)
+			e.cache.release(job.Prompt[:cachedParts])
+			if freed >= shortfall {
 				return true
 			}
 		}
--- a/internal/model/engine/engine_test.go
+++ b/internal/model/engine/engine_test.go
@@ -193,3 +193,37 @@
 	tokens := runToIdle(e)[jobs[1]]
 	is.True(tokens[0].Sub(next) >= e.Spec.PrefillTime(2100))
 }
+
+// TestWaitingJobKeepsItsCachedParts guards against admitting a job by evicting the cached parts that it needs, for which
+// there is no room then.
+func TestWaitingJobKeepsItsCachedParts(t *testing.T) {
+	is := is.New(t)
+	e, _ := newEngine(64, 12_000)
+	for shared := range uint64(2) {
+		e.Submit(&Job{
+			Prompt:       newPrompt(shared, 10+shared, 5000),
+			OutputTokens: 1,
+		}, start)
+		runToIdle(e)
+	}
+	// The shared part of the job is the least recently used, and 3,300 tokens have to be evicted for its own part.
+	job := &Job{
+		Prompt: prompt.Prompt{
+			{
+				ID:     0,
+				Tokens: 5000,
+			},
+			{
+				ID:     99,
+				Tokens: 5000,
+			},
+		},
+		OutputTokens: 1,
+	}
+	e.Submit(job, start.Add(time.Minute))
+	for next, working := e.NextEvent(); working; next, working = e.NextEvent() {
+		e.Advance(next)
+		is.True(e.usedTokens() <= e.Spec.MemoryTokens)
+	}
+	is.Equal(job.PrefilledTokens(), 5000) // the shared part was still in the cache
+}
