caller: bound the bodies that a node holds

Each request may carry 4 MiB, which is read whole before the request is admitted, so the memory that callers could take had no bound: enough uploads at once had the process killed, and all its requests lost.

A request beyond is refused at once with 503, not-run, Retry-After and other entry VMs' addresses.

The test failed on the old reading of bodies: the second one was held.

--- a/internal/transport/caller/admit.go
+++ b/internal/transport/caller/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -52,9 +51,9 @@
 	return nil
 }
 
-// readBody reads the whole request body, up to MaxBodyBytes.
+// readBody reads the whole request body, up to MaxBodyBytes and as long as all bodies take at most MaxHeldBytes.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, j *job) *errorAnswer {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, err := s.readHeld(j, http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return &errorAnswer{
@@ -64,6 +63,15 @@
 			message: "body longer than 4 MiB",
 		}
 	}
+	if errors.Is(err, errHeldBytes) {
+		return &errorAnswer{
+			status:     http.StatusServiceUnavailable,
+			outcome:    outcome.NotRun,
+			message:    err.Error(),
+			retryAfter: defaultRetryAfter,
+			addresses:  s.otherAddresses(j.team.Name()),
+		}
+	}
 	if err != nil {
 		return badRequest("body", "could not be read whole")
 	}
--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -19,6 +19,7 @@
 // chat handles a chat completion request.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
 	j := s.newJob(r)
+	defer s.dropTo(j, 0)
 	j.pool = EnginePool
 	steps := []func() *errorAnswer{
 		func() *errorAnswer { return s.authenticate(r, j) },
--- /dev/null
+++ b/internal/transport/caller/held_test.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/outcome"
+	"lagoongw/internal/state/rule"
+)
+
+// newHeldServer returns a server that may hold 1 MiB, and a team's job.
+func newHeldServer(t *testing.T) (*Server, *job) {
+	t.Helper()
+	file, err := rule.Parse("team=mill token-sha256=" + rule.HashToken("t") + " # tests\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := newTestJob(t, "orders", "yes")
+	j.team, _ = file.Team("mill")
+	return &Server{
+		Members:      func() []wire.Member { return nil },
+		MaxHeldBytes: 1 << 20,
+	}, j
+}
+
+// TestBodiesBeyondTheMemoryAreRefused guards against holding the bodies of any number of callers: each may send 4 MiB, and
+// they are read before the request is admitted.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	is := is.New(t)
+	s, first := newHeldServer(t)
+	read := func(j *job) *errorAnswer {
+		r := httptest.NewRequest(http.MethodPost, "/services/orders/x", bytes.NewReader(make([]byte, 600<<10)))
+		return s.readBody(httptest.NewRecorder(), r, j)
+	}
+	is.Equal(read(first), nil)
+	second := *first
+	second.held = 0
+	refused := read(&second)
+	is.True(refused != nil)
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.Equal(refused.outcome, outcome.NotRun)
+	is.True(refused.retryAfter > 0)
+	is.Equal(s.held.total.Load(), int64(600<<10))
+	s.dropTo(first, 0)
+	is.Equal(read(&second), nil)
+	s.dropTo(&second, 0)
+	is.Equal(s.held.total.Load(), int64(0))
+}
--- a/internal/transport/caller/job.go
+++ b/internal/transport/caller/job.go
@@ -28,6 +28,7 @@
 	path         string // with the query, as sent to the upstream
 	header       http.Header
 	body         []byte
+	held         int64 // bytes of bodies counted against MaxHeldBytes
 	model        string
 	promptPrefix string // hash of the prompt's start
 	stream       bool
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -48,6 +48,9 @@
 	// StreamIdleTimeout is the longest time between two events of an upstream before its stream is resumed elsewhere,
 	// and the timeout of a write to the caller.
 	StreamIdleTimeout time.Duration
+	// MaxHeldBytes is the size of the request and answer bodies that this node holds at the same time, by default
+	// DefaultMaxHeldBytes. Requests beyond it are refused.
+	MaxHeldBytes int64
 	// Rules returns the rule file in force, nil while there is none.
 	Rules func() *rule.File
 	// Members returns the entry VMs that this node knows, itself included.
@@ -86,18 +89,22 @@
 	keyIssuer    claim.KeyIssuer
 	requestCount atomic.Int64
 	inFlight     atomic.Int64
+	held         heldBytes
 }
 
 // InFlight returns the number of chat and service requests being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Routes returns the routes for callers; it also resets the issuer of idempotency keys.
+// Routes returns the routes for callers; it also resets the issuer of idempotency keys and applies defaults.
 func (s *Server) Routes() []rest.Route {
 	s.keyIssuer = claim.KeyIssuer{
 		Node:        s.Name,
 		Incarnation: s.Incarnation,
 		Lifetime:    s.KeyLifetime,
 	}
+	if s.MaxHeldBytes == 0 {
+		s.MaxHeldBytes = DefaultMaxHeldBytes
+	}
 	routes := []rest.Route{
 		{
 			Method:  http.MethodGet,
--- a/internal/transport/caller/service.go
+++ b/internal/transport/caller/service.go
@@ -13,6 +13,7 @@
 // service handles a request to a plain service.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	j := s.newJob(r)
+	defer s.dropTo(j, 0)
 	j.pool = r.PathValue("name")
 	j.path = servicePath(r)
 	steps := []func() *errorAnswer{
