caller: don't pass on the start of a long answer as all of it

An upstream's answer above 32 MiB was cut there and passed on as completed. The answers that a node holds had no bound in sum either.

A longer answer, or one for which the held bodies leave no room, is now an error: 502 with the outcome unknown and no further attempt, since another would have an answer as long. The upstream is not blamed.

The test failed on the old reading: the start of the long answer came back without an error, and answers weren't counted.

--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -24,6 +24,7 @@
 
 var (
 	errMismatchedAnswer = errors.New("answer belongs to another request")
+	errAnswerTooLong    = errors.New("answer is longer than this entry VM can hold")
 	errRefused          = errors.New("upstream refused the request: it is leaving or full")
 )
 
@@ -40,7 +41,8 @@
 			return s.classifyAnswer(j, answer)
 		}
 		anyMaybeRan = anyMaybeRan || maybeRan
-		if !s.mayRetry(ctx, j, chosen, maybeRan) {
+		// Another attempt would have an answer as long as this one.
+		if errors.Is(err, errAnswerTooLong) || !s.mayRetry(ctx, j, chosen, maybeRan) {
 			result, e := sendErrorAnswer(err, anyMaybeRan)
 			return upstreamAnswer{}, result, e
 		}
@@ -132,7 +134,10 @@
 	if s.refusedByUpstream(chosen, response) {
 		return upstreamAnswer{}, false, errRefused
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := s.readAnswer(j, response.Body)
+	if errors.Is(err, errAnswerTooLong) {
+		return upstreamAnswer{}, true, err
+	}
 	if err != nil {
 		chosen.RecordFailure()
 		return upstreamAnswer{}, true, err
@@ -155,6 +160,22 @@
 	return answer, true, nil
 }
 
+// readAnswer reads a whole answer; errAnswerTooLong means that this node can't hold it.
+func (s *Server) readAnswer(j *job, body io.Reader) ([]byte, error) {
+	before := j.held
+	answer, err := s.readHeld(j, io.LimitReader(body, maxAnswerBytes+1))
+	switch {
+	case errors.Is(err, errHeldBytes):
+		return nil, errAnswerTooLong
+	case err != nil:
+		return nil, err
+	case len(answer) > maxAnswerBytes:
+		s.dropTo(j, before)
+		return nil, errAnswerTooLong
+	}
+	return answer, nil
+}
+
 // decodeChat decodes a whole chat answer; it returns the zero value for a body that is not one.
 func decodeChat(body []byte) wire.ChatAnswer {
 	var chat wire.ChatAnswer
@@ -274,6 +295,10 @@
 		e.outcome = outcome.Unknown
 		e.message = "the upstream's answer was lost; the request may have run"
 	}
+	if errors.Is(err, errAnswerTooLong) {
+		e.message = "the upstream's answer is longer than this entry VM can hold; the request has run"
+		e.retryAfter = 0
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.status = http.StatusGatewayTimeout
 	}
--- a/internal/transport/caller/held_test.go
+++ b/internal/transport/caller/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -51,3 +52,36 @@
 	s.dropTo(&second, 0)
 	is.Equal(s.held.total.Load(), int64(0))
 }
+
+// TestLongAnswersAreNotCutOff guards against passing on the first 32 MiB of a longer answer as if that were all of it, and
+// against holding answers beyond the memory for them.
+func TestLongAnswersAreNotCutOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		size, held int64
+		tooLong    bool
+	}{
+		"whole":             {size: maxAnswerBytes},
+		"too long":          {size: maxAnswerBytes + 1, tooLong: true},
+		"no memory for it":  {size: 1 << 20, held: 2*maxAnswerBytes - 1<<19, tooLong: true},
+		"memory for it all": {size: 1 << 20, held: 2*maxAnswerBytes - 1<<20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, j := newHeldServer(t)
+			s.MaxHeldBytes = 2 * maxAnswerBytes
+			is.True(s.hold(j, test.held))
+			body, err := s.readAnswer(j, bytes.NewReader(make([]byte, test.size)))
+			is.Equal(errors.Is(err, errAnswerTooLong), test.tooLong)
+			if test.tooLong {
+				is.Equal(s.held.total.Load(), test.held) // what was read is no longer held
+				result, e := sendErrorAnswer(err, true)
+				is.Equal(result, outcome.Unknown)
+				is.Equal(e.status, http.StatusBadGateway)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(int64(len(body)), test.size)
+			is.Equal(s.held.total.Load(), test.held+test.size)
+		})
+	}
+}
