claim: bound the claims that wait for the log

Behind a slow log any number of requests waited for the verdict on their keys, each with its body and connection.

A node now lets 1,024 claims of a partition wait. Another gets not-run at once, which the caller is told as 503 with Retry-After; nothing is queued for it, and keys with a known holder are still decided.

--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -6,8 +6,13 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// MaxBatchRecords is the maximum number of records in one append.
-const MaxBatchRecords = 256
+// Limits of a Claimer.
+const (
+	// MaxBatchRecords is the maximum number of records in one append.
+	MaxBatchRecords = 256
+	// MaxWaiting is the maximum number of attempts without a verdict.
+	MaxWaiting = 4 * MaxBatchRecords
+)
 
 // attempt is a submitted attempt to claim a key, without a verdict yet; digest is the hash of its request.
 type attempt struct {
@@ -72,6 +77,9 @@
 			return Actions{Decisions: []Decision{decisionFor(id, digest, holder)}}
 		}
 	}
+	if len(c.waiting) >= MaxWaiting {
+		return singleDecision(id, NotRun, Holder{}, "too many claims wait for the log")
+	}
 	c.waiting[id] = &attempt{
 		id:       id,
 		key:      key,
