claim: outcomes of an outage are kept without their answers

While the log takes no appends, a holder queues the outcomes of its own requests and of other nodes', each with an answer of up to 16 KiB, and the queue had no bound in bytes.

From 256 unwritten records on, an outcome is queued without its answer; a repeated request is then told that it ran and that its answer can't be read back (409). No outcome is dropped.

The test failed on the old code: all 512 answers were kept.

--- a/internal/coordination/claim/claimer.go
+++ b/internal/coordination/claim/claimer.go
@@ -12,6 +12,8 @@
 	MaxBatchRecords = 256
 	// MaxWaiting is the maximum number of attempts without a verdict.
 	MaxWaiting = 4 * MaxBatchRecords
+	// maxUnwrittenWithBody is the number of unwritten records from which on outcomes are queued without their answers.
+	maxUnwrittenWithBody = MaxBatchRecords
 )
 
 // attempt is a submitted attempt to claim a key, without a verdict yet; digest is the hash of its request.
@@ -318,7 +320,7 @@
 		}
 		c.queueVoid(r.Attempt, r.Key)
 	case wire.ClaimRecordTypeOutcome:
-		c.queue = append(c.queue, r)
+		c.queueOutcome(r)
 	default:
 		return Actions{}
 	}
@@ -326,6 +328,15 @@
 	return actions
 }
 
+// queueOutcome queues an outcome, without the answer if many records are unwritten, such as during an outage of the log.
+func (c *Claimer) queueOutcome(r wire.ClaimRecord) {
+	if c.Unwritten() >= maxUnwrittenWithBody {
+		r.Body = ""
+		r.BodyKept = false
+	}
+	c.queue = append(c.queue, r)
+}
+
 // queueVoid queues a void for the attempt, or removes its claim from the queue if that was not sent yet.
 func (c *Claimer) queueVoid(id, key string) {
 	void := wire.ClaimRecord{
@@ -353,7 +364,7 @@
 	r.Type = wire.ClaimRecordTypeOutcome
 	r.Key = key
 	r.Attempt = id
-	c.queue = append(c.queue, r)
+	c.queueOutcome(r)
 	return Actions{Append: c.nextBatch()}
 }
 
--- a/internal/coordination/claim/claimer_test.go
+++ b/internal/coordination/claim/claimer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
 )
 
 // TestClaimsThatWaitAreBounded guards against holding any number of requests whose claims wait for a slow log.
@@ -27,3 +29,30 @@
 	is.Equal(c.Waiting(), 0)
 	is.Equal(len(submit(MaxWaiting+1).Decisions), 0)
 }
+
+// TestOutcomesOfAnOutageAreBounded guards against keeping the answers of all requests that end while the log takes no
+// appends, those of other nodes included.
+func TestOutcomesOfAnOutageAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newSimulation(1).nodes[0].claimer
+	const outcomes = 2 * maxUnwrittenWithBody
+	for id := range outcomes {
+		c.AppendForPeer(wire.ClaimRecord{
+			Type:     wire.ClaimRecordTypeOutcome,
+			Attempt:  fmt.Sprint(id),
+			Outcome:  "completed",
+			Body:     "an answer",
+			BodyKept: true,
+		})
+	}
+	withBody := 0
+	for _, r := range append(c.inFlight, c.queue...) {
+		is.Equal(r.Outcome, "completed")
+		is.Equal(r.BodyKept, r.Body != "")
+		if r.BodyKept {
+			withBody++
+		}
+	}
+	is.Equal(c.Unwritten(), outcomes) // no outcome is lost
+	is.Equal(withBody, maxUnwrittenWithBody)
+}
