claim: bound what is remembered of issued keys

A node remembers each request with a key that it issued, with an answer of up to 16 KiB, for as long as keys are honoured (an hour by default), and one more row each time a request that wasn't sent is repeated. Neither had a bound.

It now remembers 65,536 requests and 16 MiB of answers. Beyond, the answer isn't kept (a repeat is told that it ran, 409), and a further key is refused at once as not-run, 503 with Retry-After; a released key is used again.

The test failed on the old code: ten rows for one released key, and all answers kept.

--- a/internal/coordination/claim/issued.go
+++ b/internal/coordination/claim/issued.go
@@ -16,6 +16,14 @@
 	issuedKeyParts  = 5
 )
 
+// Limits on what a KeyIssuer remembers.
+const (
+	// MaxIssuedEntries is the maximum number of requests with issued keys; further ones are not dispatched.
+	MaxIssuedEntries = 1 << 16
+	// maxIssuedBodyBytes is the maximum size of the answers; further ones are not kept.
+	maxIssuedBodyBytes = 16 << 20
+)
+
 // IssuedKey is a parsed key that a node issued. Only the incarnation that issued it may dispatch requests with the key,
 // so no log is needed.
 type IssuedKey struct {
@@ -49,6 +57,8 @@
 	digest string
 	record wire.ClaimRecord
 	done   bool
+	// released is set if the request was not sent, so that the key can be used again.
+	released bool
 }
 
 // issuedExpiry is the scope and key of an entry, and the time at which the entry was added.
@@ -70,6 +80,8 @@
 	entries map[string]*issuedEntry
 	// expiryQueue holds the entries in the order in which they were added.
 	expiryQueue []issuedExpiry
+	// bodyBytes is the size of the answers in the entries.
+	bodyBytes int
 }
 
 // Issue returns a new key; random must be unique among the keys of this incarnation.
@@ -107,6 +119,11 @@
 	}
 	known := i.entries[scopedKey]
 	switch {
+	case known != nil && known.released:
+		*known = issuedEntry{digest: digest}
+		return Decision{Verdict: Dispatch}, wire.ClaimRecord{}
+	case known == nil && len(i.entries) >= MaxIssuedEntries:
+		return refuseIssued(NotRun, "this entry VM remembers as many issued keys as it can"), wire.ClaimRecord{}
 	case known == nil:
 		i.entries[scopedKey] = &issuedEntry{digest: digest}
 		i.expiryQueue = append(i.expiryQueue, issuedExpiry{
@@ -133,16 +150,23 @@
 
 // Finish records the outcome of a dispatched request.
 func (i *KeyIssuer) Finish(scope, key string, r wire.ClaimRecord) {
-	if known := i.entries[scope+"/"+key]; known != nil {
-		known.record = r
-		known.done = true
+	known := i.entries[scope+"/"+key]
+	if known == nil || known.done {
+		return
+	}
+	if i.bodyBytes+len(r.Body) > maxIssuedBodyBytes {
+		r.Body = ""
+		r.BodyKept = false
 	}
+	i.bodyBytes += len(r.Body)
+	known.record = r
+	known.done = true
 }
 
 // Release frees the key of a request that was not sent at all, so that the key can be used again.
 func (i *KeyIssuer) Release(scope, key string) {
 	if known := i.entries[scope+"/"+key]; known != nil && !known.done {
-		delete(i.entries, scope+"/"+key)
+		known.released = true
 	}
 }
 
@@ -152,7 +176,9 @@
 func (i *KeyIssuer) expire(now time.Time) {
 	const skewAllowance = 2 * time.Minute
 	for len(i.expiryQueue) > 0 && now.Sub(i.expiryQueue[0].addedAt) > i.Lifetime+skewAllowance {
-		delete(i.entries, i.expiryQueue[0].scopedKey)
+		first := i.expiryQueue[0].scopedKey
+		i.bodyBytes -= len(i.entries[first].record.Body)
+		delete(i.entries, first)
 		i.expiryQueue = i.expiryQueue[1:]
 	}
 }
--- a/internal/coordination/claim/issued_test.go
+++ b/internal/coordination/claim/issued_test.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +113,38 @@
 }
 
 func first(decision Decision, _ wire.ClaimRecord) Decision { return decision }
+
+// TestIssuedKeysAreBounded guards against remembering any number of requests with issued keys, and each repeat of one that
+// was not sent, for as long as keys are honoured.
+func TestIssuedKeysAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newIssuer("a")
+	now := time.Unix(1_700_000_000, 0)
+	key := func(i int) string { return s.Issue(fmt.Sprint(i), now) }
+	for range 10 {
+		is.Equal(first(s.Begin("mill", key(0), "d", now)).Verdict, Dispatch)
+		s.Release("mill", key(0))
+	}
+	is.Equal(len(s.expiryQueue), 1)
+	body := strings.Repeat("x", 16<<10)
+	for i := range MaxIssuedEntries {
+		is.Equal(first(s.Begin("mill", key(i), "d", now)).Verdict, Dispatch)
+		s.Finish("mill", key(i), wire.ClaimRecord{
+			Outcome:  string(outcome.Completed),
+			Body:     body,
+			BodyKept: true,
+		})
+	}
+	is.Equal(s.bodyBytes, maxIssuedBodyBytes)
+	decision, record := s.Begin("mill", key(0), "d", now)
+	is.Equal(decision.Verdict, Replay)
+	is.True(record.BodyKept)
+	decision, record = s.Begin("mill", key(MaxIssuedEntries-1), "d", now)
+	is.Equal(decision.Verdict, Replay)
+	is.True(!record.BodyKept) // it ran, but its answer was not kept
+	is.Equal(first(s.Begin("mill", key(MaxIssuedEntries), "d", now)).Verdict, NotRun)
+	now = now.Add(lifetime + 3*time.Minute)
+	is.Equal(first(s.Begin("mill", key(0), "d", now)).Verdict, Dispatch)
+	is.Equal(len(s.entries), 1)
+	is.Equal(s.bodyBytes, 0)
+}
--- a/internal/transport/caller/issued.go
+++ b/internal/transport/caller/issued.go
@@ -49,6 +49,9 @@
 	case claim.Replay:
 		return s.replayRecord(w, j, outcome.Outcome(recorded.Outcome), recorded)
 	case claim.NotRun:
+		if parsed, _ := claim.ParseIssuedKey(j.key); parsed.Node() == s.Name {
+			return claimErrorAnswer(decision)
+		}
 		return &errorAnswer{
 			status:     http.StatusMisdirectedRequest,
 			outcome:    outcome.NotRun,
