claims: bound the notes that wait for a holder

A node that doesn't hold a partition sends voids and outcomes to one that does, and retries each for 30 s in a goroutine of its own, with an answer of up to 16 KiB. While no holder answered, nothing bounded them.

At most 4,096 notes now wait, beyond 256 without their answers. One that is dropped is logged as one that was given up is; its claim stays in force, so that later attempts get unknown.

--- a/internal/transport/claims/remote.go
+++ b/internal/transport/claims/remote.go
@@ -17,6 +17,10 @@
 	noteRetryInterval = 200 * time.Millisecond
 	// noteMaxAge is how long sending a note is retried.
 	noteMaxAge = 30 * time.Second
+	// maxUnsentNotes is the maximum number of notes that are retried at the same time; beyond maxNotesWithBody, outcomes
+	// are sent without their answers.
+	maxUnsentNotes   = 4096
+	maxNotesWithBody = 256
 )
 
 // claimAtHolder claims a key through a node that holds its partition; without an answer before the deadline it gives up
@@ -67,9 +71,19 @@
 }
 
 // sendNote sends a void or an outcome to any holder of the partition to append, and retries until one accepts it or
-// noteMaxAge has passed.
+// noteMaxAge has passed. Without its note, a claim stays in force, so that later attempts get Unknown.
 func (s *Service) sendNote(p *partition, r wire.ClaimRecord) {
-	s.unsentNotes.Add(1)
+	unsent := s.unsentNotes.Add(1)
+	if unsent > maxUnsentNotes {
+		s.unsentNotes.Add(-1)
+		s.Logger.Error().Str("step", "send note").Str("key", r.Key).Str("type", string(r.Type)).
+			Msg("claim record not written, too many wait for a holder; requests with its key will get the verdict unknown")
+		return
+	}
+	if unsent > maxNotesWithBody {
+		r.Body = ""
+		r.BodyKept = false
+	}
 	go func() {
 		defer s.unsentNotes.Add(-1)
 		for deadline := time.Now().Add(noteMaxAge); time.Now().Before(deadline); time.Sleep(noteRetryInterval) {
--- a/internal/transport/claims/service_test.go
+++ b/internal/transport/claims/service_test.go
@@ -101,3 +101,53 @@
 		is.Equal(s.AppendCount(), int64(1)) // and no empty batch
 	})
 }
+
+// TestNotesToHoldersAreBounded guards against keeping the outcomes of any number of requests, each with its answer and a
+// goroutine, while no holder of the partition answers.
+func TestNotesToHoldersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		reachable := false
+		bodies, notes := 0, 0
+		s := &Service{
+			Partitions:       1,
+			HoldsPartition:   func(int) bool { return false },
+			PartitionHolders: func(int) []string { return []string{"holder"} },
+			AppendRemote: func(_ context.Context, _ string, r wire.ClaimRecord) error {
+				mu.Lock()
+				defer mu.Unlock()
+				if !reachable {
+					return context.DeadlineExceeded
+				}
+				notes++
+				if r.BodyKept {
+					bodies++
+				}
+				return nil
+			},
+		}
+		s.Prepare()
+		for range 2 * maxUnsentNotes {
+			s.Finish(Ticket{
+				part:   s.parts[0],
+				remote: true,
+			}, wire.ClaimRecord{
+				Outcome:  "completed",
+				Body:     "an answer",
+				BodyKept: true,
+			})
+		}
+		is.Equal(s.Unwritten(), maxUnsentNotes)
+		time.Sleep(time.Second)
+		mu.Lock()
+		reachable = true
+		mu.Unlock()
+		time.Sleep(time.Second)
+		is.Equal(s.Unwritten(), 0)
+		mu.Lock()
+		defer mu.Unlock()
+		is.Equal(notes, maxUnsentNotes)
+		is.Equal(bodies, maxNotesWithBody)
+	})
+}
