placement: bound the models whose demand is measured

Callers name the model of a request, and each name got a row in the meter and in the report that goes to the lease holder each 20 s, also names that no engine knows.

The meter counts at most 512 new models between two reports and keeps the 512 highest rates, so that models in demand go on being measured.

--- a/internal/coordination/placement/meter.go
+++ b/internal/coordination/placement/meter.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -12,6 +15,9 @@
 const (
 	// tierDiscount is the weight of a request relative to one of the next higher tier.
 	tierDiscount = 0.5
+	// maxMeteredModels is the number of models whose rates are kept, and of new models that are counted between two calls
+	// of Rates, since callers may name any model.
+	maxMeteredModels = 512
 	// smoothingTime is the time constant of the exponential smoothing of rates.
 	smoothingTime = time.Minute
 )
@@ -38,6 +44,11 @@
 func (m *Meter) Count(model string, tier int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	_, counted := m.counts[model]
+	_, rated := m.rates[model]
+	if !counted && !rated && len(m.counts) >= maxMeteredModels {
+		return
+	}
 	m.counts[model] += math.Pow(tierDiscount, float64(tier))
 }
 
@@ -76,4 +87,17 @@
 		}
 	}
 	clear(m.counts)
+	m.dropLowestRates()
+}
+
+// dropLowestRates removes the lowest rates beyond maxMeteredModels.
+func (m *Meter) dropLowestRates() {
+	excess := len(m.rates) - maxMeteredModels
+	if excess <= 0 {
+		return
+	}
+	models := slices.SortedFunc(maps.Keys(m.rates), func(a, b string) int { return cmp.Compare(m.rates[a], m.rates[b]) })
+	for _, model := range models[:excess] {
+		delete(m.rates, model)
+	}
 }
--- a/internal/coordination/placement/planner_test.go
+++ b/internal/coordination/placement/planner_test.go
@@ -137,3 +137,24 @@
 	is.Equal(len(rates), 2)
 	is.True(rates[0].Weight > 3.9*rates[1].Weight)
 }
+
+// TestMeteredModelsAreBounded guards against a row, here and in the report to the lease holder, for each name that callers
+// make up; the models in demand are still measured.
+func TestMeteredModelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := start
+	m := NewMeter(now)
+	for round := range 4 {
+		for range 10 {
+			m.Count("planner", 0)
+		}
+		for i := range 2 * maxMeteredModels {
+			m.Count(fmt.Sprint("made-up-", round, "-", i), 0)
+		}
+		is.True(len(m.counts) <= maxMeteredModels)
+		now = now.Add(DefaultLoadInterval)
+		demands := m.Rates(now)
+		is.True(len(demands) <= maxMeteredModels)
+		is.True(slices.ContainsFunc(demands, func(d wire.ModelDemand) bool { return d.Model == "planner" }))
+	}
+}
