caller: bound the length of a model's name

The name of a model may have been as long as the body, 4 MiB, and is kept in the demand for models and in log lines. Names above 256 bytes are now refused as an invalid field (400, not-run).

The test failed on the old code: the request went on (its status was not 400).

--- a/internal/transport/caller/chat.go
+++ b/internal/transport/caller/chat.go
@@ -58,8 +58,8 @@
 	if err := json.Unmarshal(j.body, &request); err != nil {
 		return badRequest("body", "expected a JSON chat request: "+err.Error())
 	}
-	if request.Model == "" {
-		return badRequest("model", "expected the name of a model")
+	if request.Model == "" || len(request.Model) > maxModelBytes {
+		return badRequest("model", "expected the name of a model, at most 256 bytes")
 	}
 	if len(request.Messages) == 0 {
 		return badRequest("messages", "expected at least one message")
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -30,6 +30,7 @@
 	MaxBodyBytes   = 4 << 20
 	MaxHeaderBytes = 32 << 10
 	maxKeyBytes    = 200
+	maxModelBytes  = 256
 )
 
 // Server serves the API for callers; its exported fields must be set before Routes is called.
--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -67,6 +67,15 @@
 			status: 400,
 			field:  "model",
 		},
+		{
+			name:   "model name too long",
+			method: http.MethodPost,
+			path:   "/v1/chat/completions",
+			token:  fleet.MillToken,
+			body:   `{"model":"` + strings.Repeat("x", 257) + `","messages":[{"role":"user","content":"x"}]}`,
+			status: 400,
+			field:  "model",
+		},
 		{
 			name:   "no messages",
 			method: http.MethodPost,
