admission: bound the queue while a peer admits a lower tier

A full queue sheds nothing while a live peer admits a lower tier than the one to shed, so it grew without a bound until the floors of all nodes had come down, a tier a second.

At four times MaxWaiting it now sheds all the same, the newest of its lowest tier, as a full queue does otherwise: with not-run and Retry-After.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -11,13 +11,16 @@
 	DefaultTrickleShare = 0.05
 	DefaultMaxWaiting   = 256
 	DefaultReserve      = 1
-	minRetryAfter       = time.Second
-	maxRetryAfter       = 30 * time.Second
+	// overfullFactor is the multiple of MaxWaiting that waits while a peer admits a lower tier than the one to shed.
+	overfullFactor = 4
+	minRetryAfter  = time.Second
+	maxRetryAfter  = 30 * time.Second
 )
 
 // Queue decides when the requests of one node to one pool start; it is not safe for concurrent use.
 type Queue struct {
-	// MaxWaiting is the maximum number of waiting requests, not counting preempted ones.
+	// MaxWaiting is the maximum number of waiting requests, not counting preempted ones. While a peer admits a lower tier
+	// than the one to shed, it is overfullFactor times as many.
 	MaxWaiting int
 	// TrickleShare is the fraction of starts, 0 to 1, that goes to lower tiers in turn while a higher tier waits, so that
 	// none starves. Such a start is a trickle start.
@@ -124,7 +127,8 @@
 
 // shedIfFull refuses the newest request of the lowest sheddable tier, possibly the arriving one, if the queue is full.
 func (q *Queue) shedIfFull(item Item, now time.Time) []Refusal {
-	if q.waitingCount-q.preemptedCount < q.MaxWaiting || q.canStartNow() {
+	waiting := q.waitingCount - q.preemptedCount
+	if waiting < q.MaxWaiting || q.canStartNow() {
 		return nil
 	}
 	lowest := q.lowestSheddableTier()
@@ -132,7 +136,7 @@
 		lowest = item.Tier
 	}
 	q.Floor.Tighten(lowest, now)
-	if !q.Floor.MayShed(lowest, now) {
+	if !q.Floor.MayShed(lowest, now) && waiting < overfullFactor*q.MaxWaiting {
 		return nil
 	}
 	if lowest == item.Tier {
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -85,6 +85,24 @@
 	is.Equal(len(q.Arrive(item(4, 5), testStart).Refuse), 1)
 }
 
+// TestQueueIsBoundedWhileAPeerAdmitsALowerTier guards against a queue that grows without a bound until the floors of all
+// nodes have come down.
+func TestQueueIsBoundedWhileAPeerAdmitsALowerTier(t *testing.T) {
+	is := is.New(t)
+	q := queueWithOneRunning(0)
+	q.MaxWaiting = 8
+	refused := 0
+	for id := uint64(2); id < 200; id++ {
+		q.Floor.UpdatePeer("entry-2", 6, LowestTier, testStart)
+		refused += len(q.Arrive(item(id, 5), testStart).Refuse)
+	}
+	is.Equal(q.Waiting(), overfullFactor*q.MaxWaiting)
+	is.Equal(refused, 198-overfullFactor*q.MaxWaiting)
+	actions := q.Arrive(item(200, 3), testStart)
+	is.Equal(len(actions.Refuse), 1)
+	is.True(actions.Refuse[0].ID != 200) // a higher tier still takes the place of a lower one
+}
+
 func TestFloorMovesOneTierAtATimeAndComesBack(t *testing.T) {
 	is := is.New(t)
 	f := NewFloor()
