--- a/internal/transport/caller/held_test.go
+++ b/internal/transport/caller/held_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -85,3 +89,62 @@
 		})
 	}
 }
+
+// TestCallersThatDoNotReadAreCutOff guards against holding an answer and its permit for as long as a caller keeps its
+// connection open without reading; a slow caller that reads is not cut off.
+func TestCallersThatDoNotReadAreCutOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		reads bool
+	}{
+		"caller reads nothing": {},
+		"slow caller":          {reads: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, _ := newHeldServer(t)
+				s.StreamIdleTimeout = 10 * time.Second
+				written := make(chan struct{})
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					s.writeBody(w, make([]byte, 1<<20))
+					close(written)
+				})}
+				client, conn := net.Pipe()
+				defer func() { _ = client.Close() }()
+				listener := &oneConnListener{conn: conn}
+				go func() { _ = server.Serve(listener) }()
+				_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+				received := 0
+				for buffer := make([]byte, 32<<10); test.reads; {
+					n, err := io.ReadFull(client, buffer)
+					received += n
+					if err != nil {
+						break
+					}
+					time.Sleep(4 * time.Second)
+				}
+				began := time.Now()
+				<-written
+				is.True(time.Since(began) <= s.StreamIdleTimeout)
+				is.Equal(received > 1<<20, test.reads)
+			})
+		})
+	}
+}
+
+// oneConnListener accepts one connection.
+type oneConnListener struct {
+	conn net.Conn
+}
+
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	conn := l.conn
+	l.conn = nil
+	return conn, nil
+}
+
+func (*oneConnListener) Close() error   { return nil }
+func (*oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
