operator: bound the publishes at the same time

Each publish holds a request of up to 16 MiB and parses its rule file; any number of them were handled at once.

At most four are; another is told at once that it wasn't published, 503 with Retry-After.

--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,7 +21,11 @@
 	"lagoongw/internal/transport/rules"
 )
 
-const publishTimeout = 10 * time.Second
+const (
+	publishTimeout = 10 * time.Second
+	// maxPublishes is the number of publishes that are handled at the same time, since each may hold a whole rule file.
+	maxPublishes = 4
+)
 
 // Server handles the calls of operators; its exported fields are set before Routes.
 type Server struct {
@@ -34,6 +39,9 @@
 	Drain func()
 	// Logger logs calls without a valid token.
 	Logger zerolog.Logger
+
+	// publishes is the number of publishes in progress.
+	publishes atomic.Int64
 }
 
 // Routes returns the routes of the operator API.
@@ -82,6 +90,12 @@
 }
 
 func (s *Server) publishRules(w http.ResponseWriter, r *http.Request) {
+	defer s.publishes.Add(-1)
+	if s.publishes.Add(1) > maxPublishes {
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, "not published: too many publishes at the same time; run the command again")
+		return
+	}
 	var request wire.PublishRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*rule.MaxFileBytes)).Decode(&request); err != nil {
 		writeError(w, http.StatusBadRequest, "expected a JSON publish request: "+err.Error())
