caller: give up on bodies that stop arriving

Each read of a body now has the time that a stream has between two events. Beyond it the request is refused with 408, not-run. Callers that go on sending, however slowly, are not cut off, nor are requests that are answered long after their body.

The test failed on the old code: the body was awaited until the caller left.

--- a/internal/transport/caller/admit.go
+++ b/internal/transport/caller/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -53,7 +54,14 @@
 
 // readBody reads the whole request body, up to MaxBodyBytes and as long as all bodies take at most MaxHeldBytes.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, j *job) *errorAnswer {
-	body, err := s.readHeld(j, http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	controller := http.NewResponseController(w)
+	body, err := s.readHeld(j, deadlineReader{
+		body: http.MaxBytesReader(w, r.Body, MaxBodyBytes),
+		setDeadline: func() {
+			_ = controller.SetReadDeadline(time.Now().Add(s.StreamIdleTimeout))
+		},
+	})
+	_ = controller.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return &errorAnswer{
@@ -72,6 +80,15 @@
 			addresses:  s.otherAddresses(j.team.Name()),
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &errorAnswer{
+			status:     http.StatusRequestTimeout,
+			outcome:    outcome.NotRun,
+			field:      "body",
+			message:    "no byte of the body arrived in time",
+			retryAfter: defaultRetryAfter,
+		}
+	}
 	if err != nil {
 		return badRequest("body", "could not be read whole")
 	}
--- a/internal/transport/caller/held.go
+++ b/internal/transport/caller/held.go
@@ -69,3 +69,15 @@
 	}
 	return n, err
 }
+
+// deadlineReader sets a new deadline before each read of a body.
+type deadlineReader struct {
+	body        io.Reader
+	setDeadline func()
+}
+
+// Read reads the next bytes.
+func (r deadlineReader) Read(p []byte) (int, error) {
+	r.setDeadline()
+	return r.body.Read(p)
+}
--- a/internal/transport/caller/held_test.go
+++ b/internal/transport/caller/held_test.go
@@ -132,6 +132,57 @@
 	}
 }
 
+// TestBodiesThatStopAreRefused guards against holding part of a body, which others' requests are refused for, for
+// as long as its caller keeps the connection open. Slow callers, and slow answers after the body, are not cut off.
+func TestBodiesThatStopAreRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		pause  time.Duration
+		status int
+	}{
+		"stops":                     {pause: time.Hour, status: http.StatusRequestTimeout},
+		"a byte in eight seconds":   {pause: 8 * time.Second},
+		"a byte in twelve seconds":  {pause: 12 * time.Second, status: http.StatusRequestTimeout},
+		"whole body, answered late": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, j := newHeldServer(t)
+				s.StreamIdleTimeout = 10 * time.Second
+				result := make(chan *errorAnswer, 1)
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					e := s.readBody(w, r, j)
+					time.Sleep(time.Minute)
+					is.True(e != nil || r.Context().Err() == nil) // the caller has not left
+					result <- e
+				})}
+				client, conn := net.Pipe()
+				defer time.Sleep(5 * test.pause) // lets the caller end
+				defer func() { _ = client.Close() }()
+				go func() { _ = server.Serve(&oneConnListener{conn: conn}) }()
+				go func() { _, _ = io.Copy(io.Discard, client) }()
+				go func() {
+					_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+					for range 4 {
+						_, _ = io.WriteString(client, "x")
+						time.Sleep(test.pause)
+					}
+				}()
+				e := <-result
+				if test.status == 0 {
+					is.Equal(e, nil)
+					is.Equal(j.held, int64(4))
+					return
+				}
+				is.True(e != nil)
+				is.Equal(e.status, test.status)
+				is.Equal(e.outcome, outcome.NotRun)
+				is.Equal(j.held, int64(0))
+			})
+		})
+	}
+}
+
 // oneConnListener accepts one connection.
 type oneConnListener struct {
 	conn net.Conn
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -47,7 +47,7 @@
 	// KeyLifetime is how long an idempotency key is valid.
 	KeyLifetime time.Duration
 	// StreamIdleTimeout is the longest time between two events of an upstream before its stream is resumed elsewhere,
-	// and the timeout of a write to the caller.
+	// and the timeout of a read from the caller's body and of a write to the caller.
 	StreamIdleTimeout time.Duration
 	// MaxHeldBytes is the size of the request and answer bodies that this node holds at the same time, by default
 	// DefaultMaxHeldBytes. Requests beyond it are refused.
