logwriter: a drained process ends though nobody reads its log

Close waited for the output without a limit: a process whose log reader had stopped drained, and then hung until it was killed.

Close now waits a second at most; the lines left are lost.

The test failed with the wait without a limit (stood in by 1,000 hours of fake time).

--- a/internal/transport/logwriter/writer.go
+++ b/internal/transport/logwriter/writer.go
@@ -18,6 +18,8 @@
 	maxSpareBytes = 64 << 10
 	// flushDelay is the time between the first pending line and the write, so that a busy node writes many lines at once.
 	flushDelay = 100 * time.Millisecond
+	// closeTimeout is how long Close waits for an output that takes no lines.
+	closeTimeout = time.Second
 )
 
 // Writer writes whole lines in the background. Lines that don't fit into its buffer are dropped; their number is
@@ -78,10 +80,14 @@
 	return len(line), nil
 }
 
-// Close writes the pending lines and stops the goroutine.
+// Close writes the pending lines and stops the goroutine. Lines that the output does not take within closeTimeout are
+// lost.
 func (w *Writer) Close() {
 	close(w.closing)
-	<-w.exited
+	select {
+	case <-w.exited:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (w *Writer) run() {
--- a/internal/transport/logwriter/writer_test.go
+++ b/internal/transport/logwriter/writer_test.go
@@ -78,3 +78,18 @@
 		is.True(cap(w.spare) <= maxSpareBytes && cap(w.pending) <= maxSpareBytes)
 	})
 }
+
+// TestCloseDoesNotWaitForABlockedOutput guards against a process that has drained and never ends, because nobody reads its
+// log.
+func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blockedOutput{open: make(chan struct{})}
+		w := New(out, 0)
+		_, _ = w.Write([]byte("a\n"))
+		start := time.Now()
+		w.Close()
+		is.Equal(time.Since(start), closeTimeout)
+		close(out.open) // ends the goroutine
+	})
+}
