node: a signal to stop while the node starts doesn't crash it

The signal to stop starts the drain in a goroutine of its own, which read fields that Run was still setting: a nil pointer ended the process with a panic when the signal came early.

A drain that is called for before the node is prepared now starts right after. Found by a test that stopped a node at once.

The test failed on the old code (nil pointer in Drain).

--- a/internal/transport/node/drain.go
+++ b/internal/transport/node/drain.go
@@ -8,8 +8,25 @@
 
 const drainPollInterval = 200 * time.Millisecond
 
-// Drain starts the graceful shutdown of the node; further calls do nothing.
-func (n *Node) Drain() { n.drainer.Begin() }
+// Drain starts the graceful shutdown of the node, as soon as Run has prepared it; further calls do nothing.
+func (n *Node) Drain() {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	n.drainAtStart = true
+	if n.prepared.Load() {
+		n.drainer.Begin()
+	}
+}
+
+// finishPreparing marks the node as prepared and starts a drain that was called for before.
+func (n *Node) finishPreparing() {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	n.prepared.Store(true)
+	if n.drainAtStart {
+		n.drainer.Begin()
+	}
+}
 
 // Phase returns the current phase of the drain.
 func (n *Node) Phase() drain.Phase { return n.drainer.Phase() }
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -89,6 +89,9 @@
 	Logger zerolog.Logger
 
 	prepared atomic.Bool
+	// drainAtStart is set by Drain; startMu guards it and the change of prepared.
+	startMu      sync.Mutex
+	drainAtStart bool
 	// incarnation is a random identifier of this run of the process.
 	incarnation  string
 	platform     *platform.Client
--- a/internal/transport/node/prepare.go
+++ b/internal/transport/node/prepare.go
@@ -66,7 +66,7 @@
 	n.prepareLog()
 	n.prepareCaller()
 	n.prepareServer()
-	n.prepared.Store(true)
+	n.finishPreparing()
 	return nil
 }
 
