serve: requests don't wait for a log that nobody reads

serve wrote its log lines straight to standard output. When whoever reads it stopped, each request waited in the middle for its next line, with its body, permit and connection, and so did the drain.

--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lagoongw/internal/transport/logwriter"
 	"lagoongw/internal/transport/node"
 )
 
@@ -21,20 +22,22 @@
 			if len(args) > 0 {
 				return usageError{text: "serve takes no arguments, only options"}
 			}
-			return serve(ctx, settings)
+			return serve(ctx, settings, os.Stdout)
 		},
 	}
 }
 
 // serve runs a node until it is drained. The first signal starts the drain; further ones are ignored, so that no
-// request in flight is aborted.
-func serve(ctx context.Context, settings *serveSettings) error {
+// request in flight is aborted. Requests don't wait for the log; lines that it does not take are dropped and counted.
+func serve(ctx context.Context, settings *serveSettings, log io.Writer) error {
 	if err := settings.validate(); err != nil {
 		return err
 	}
 	ignoreFurtherSignals()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	n := newNode(settings)
+	logWriter := logwriter.New(log)
+	defer logWriter.Close()
+	n := newNode(settings, logWriter)
 	expvar.Publish(programName, expvar.Func(n.Vars))
 	go func() {
 		<-ctx.Done()
@@ -43,9 +46,9 @@
 	return n.Run(context.WithoutCancel(ctx))
 }
 
-func newNode(settings *serveSettings) *node.Node {
+func newNode(settings *serveSettings, log io.Writer) *node.Node {
 	level, _ := zerolog.ParseLevel(settings.LogLevel)
-	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
+	logger := zerolog.New(log).Level(level).With().Timestamp().Str("node", settings.Name).Logger()
 	return &node.Node{
 		Name:                 settings.Name,
 		Listen:               settings.Listen,
