quota: Retry-After of an empty slice is the time to the next

While other nodes hold a team's whole limit, its callers at this node were told to come back after a minute, though slices are asked for anew each 2.5 s. They are now told that time.

The test failed on the old code (one minute).

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -30,13 +30,13 @@
 	b.updatedAt = now
 }
 
-// wait returns the time until the level reaches an amount, or one minute if the rate is zero.
+// wait returns the time until the level reaches an amount or, if the rate is zero, until another slice is requested.
 func (b *bucket) wait(amount float64) time.Duration {
 	if b.level >= amount {
 		return 0
 	}
 	if b.rate <= 0 {
-		return time.Minute
+		return SliceRequestInterval
 	}
 	return time.Duration((amount - b.level) / b.rate * float64(time.Second))
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -165,6 +165,23 @@
 	is.True(ok)
 }
 
+// TestEmptySliceIsWaitedOutUntilTheNext guards against telling callers to come back after a minute when their team may get
+// another slice within seconds.
+func TestEmptySliceIsWaitedOutUntilTheNext(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{RequestsPerSecond: 1}
+	l := NewLimiter()
+	ok, _ := l.Allow("mill", limit, testStart)
+	is.True(ok)
+	l.InstallSlices([]wire.Slice{{
+		Team:     "mill",
+		LengthMs: int(SliceLength.Milliseconds()),
+	}}, testStart)
+	ok, wait := l.Allow("mill", limit, testStart)
+	is.True(!ok)
+	is.Equal(wait, SliceRequestInterval)
+}
+
 func TestIdleTeamsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	l := NewLimiter()
