httpapi: limiting a server's clients keeps its ConnState

A server that counts its connections by ConnState would have lost the count when its clients' time was limited too. Both are now called.

The test failed on the code before: the server's own function was not called.

--- a/internal/transport/httpapi/limits.go
+++ b/internal/transport/httpapi/limits.go
@@ -18,9 +18,14 @@
 }
 
 // LimitClients makes a server enforce timeouts that may change while it runs, in place of its ReadHeaderTimeout and
-// IdleTimeout; its ReadTimeout must be unset. The server must serve on the listener that is returned.
+// IdleTimeout; its ReadTimeout must be unset, and its ConnState is still called. The server must serve on the listener
+// that is returned.
 func LimitClients(server *http.Server, listener net.Listener, current func() Timeouts) net.Listener {
+	onState := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if onState != nil {
+			onState(conn, state)
+		}
 		limited, ok := conn.(*limitedConn)
 		switch {
 		case !ok:
--- a/internal/transport/httpapi/limits_test.go
+++ b/internal/transport/httpapi/limits_test.go
@@ -84,6 +84,15 @@
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       time.Minute,
 	}
+	var opened, closed atomic.Int64
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			opened.Add(1)
+		case http.StateClosed:
+			closed.Add(1)
+		}
+	}
 	limited := httpapi.LimitClients(server, listener, func() httpapi.Timeouts { return *current.Load() })
 	go func() { _ = server.Serve(limited) }()
 	client, conn := net.Pipe()
@@ -116,5 +125,8 @@
 	close(listener)
 	_ = server.Close()
 	synctest.Wait()
+	if opened.Load() != 1 || closed.Load() != 1 {
+		return -1 // the server's own ConnState was not called
+	}
 	return int(served.Load())
 }
