--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -35,7 +35,7 @@
 	}
 	ignoreFurtherSignals()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	logWriter := logwriter.New(log)
+	logWriter := logwriter.New(log, 0)
 	defer logWriter.Close()
 	n := newNode(settings, logWriter)
 	expvar.Publish(programName, expvar.Func(n.Vars))
--- a/internal/transport/command/watch_settings_test.go
+++ b/internal/transport/command/watch_settings_test.go
@@ -49,7 +49,7 @@
 		write(text)
 		settings, err := platform.ReadSettings(path)
 		is.NoErr(err)
-		writer := logwriter.New(&bytes.Buffer{})
+		writer := logwriter.New(&bytes.Buffer{}, 0)
 		defer writer.Close()
 		p := newProcess(&gatewaySettings{Secret: "a secret of sixteen"}, settings, writer)
 		log := &lockedLog{}
