test/matrix: wait for the record of a stream's outcome

The first node appends the outcome to the log after the answer's end; until the other node has read it, status 409 with "unknown" is the truth. The test now asks again for as long as that is said, at most 200 times, and still requires 409 each time and "completed" in the end.

--- a/test/matrix/contract_test.go
+++ b/test/matrix/contract_test.go
@@ -161,6 +161,12 @@
 	is.Equal(l.Executions()["cut-1"], 1)
 }
 
+const (
+	// outcomePolls limits how often a node is asked again for an outcome that another one has recorded.
+	outcomePolls        = 200
+	outcomePollInterval = 20 * time.Millisecond
+)
+
 // streamOnce requests a stream that must run at most once, at each node in turn if the key is the caller's own.
 func streamOnce(t *testing.T, l *lab.Lab, ownKey bool) (first, repeated fleet.Response) {
 	t.Helper()
@@ -197,9 +203,19 @@
 	for name, ownKey := range map[string]bool{"own key": true, "issued key": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			first, repeated := streamOnce(t, startAtMostOnceChat(t), ownKey)
+			l := startAtMostOnceChat(t)
+			first, repeated := streamOnce(t, l, ownKey)
 			is.True(first.Complete)
 			is.Equal(repeated.Status, 409)
+			// Until the record of the outcome is in the log and read, another node can only say that it is unknown.
+			for range outcomePolls {
+				if repeated.Outcome != "unknown" {
+					break
+				}
+				time.Sleep(outcomePollInterval)
+				_, repeated = streamOnce(t, l, ownKey)
+				is.Equal(repeated.Status, 409)
+			}
 			is.Equal(repeated.Outcome, "completed")
 		})
 	}
