gateway: answer and close without the rest of a body

The rest is now waited for during 100 ms. Server.ReadTimeout was ruled out, since it would end long streams.

--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -96,6 +96,9 @@
 	if x.progress.headWritten {
 		x.abort()
 	}
+	if x.bodyUnread {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(skippedBodyWait))
+	}
 	header := x.w.Header()
 	if answer.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(answer.retryAfter.Seconds(), 'f', 3, 64))
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -23,6 +23,9 @@
 	maxBlock = 64 << 10
 	// maxSkippedBytes is the length from which the connection is closed rather than the rest of a refused body read.
 	maxSkippedBytes = 16 << 10
+	// skippedBodyWait is how long the rest of a body is waited for when the request is answered without it, so that the
+	// connection can be used again; net/http reads it before or after the answer.
+	skippedBodyWait = 100 * time.Millisecond
 )
 
 // reserve takes the memory of a request without a body.
@@ -72,7 +75,10 @@
 	} else {
 		answer = x.readBlocks(r, limit)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
+	if answer == nil {
+		x.bodyUnread = false
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	return answer
 }
 
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -120,6 +120,56 @@
 	}
 }
 
+// TestRefusalsDoNotWaitForTheBody guards against a caller that stops in the middle of its body: an answer that waits for
+// the rest, or a connection that stays open after it.
+func TestRefusalsDoNotWaitForTheBody(t *testing.T) {
+	const timeout, wait = 1500 * time.Millisecond, 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		path, framing string
+		full          bool
+		status        int
+		after         time.Duration
+	}{
+		"no route":          {path: "/none", framing: "Content-Length: 50", status: 404, after: wait},
+		"no route, chunks":  {path: "/none", framing: "Transfer-Encoding: chunked", status: 404, after: wait},
+		"too long":          {path: "/unsafe/x", framing: "Content-Length: 101", status: 413},
+		"no memory":         {path: "/unsafe/x", framing: "Content-Length: 50", full: true, status: 503, after: wait},
+		"no memory, longer": {path: "/unsafe/x", framing: "Content-Length: 20000", full: true, status: 503},
+		"no memory, chunks": {path: "/unsafe/x", framing: "Transfer-Encoding: chunked", full: true, status: 503},
+		"time up":           {path: "/unsafe/x", framing: "Content-Length: 50", status: 408, after: timeout},
+		"time up, chunks":   {path: "/unsafe/x", framing: "Transfer-Encoding: chunked", status: 408, after: timeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+				if c.full {
+					is.True(g.gateway.Memory.Reserve(memory.Requests, g.gateway.Memory.Limit(memory.Requests)))
+				}
+				conn, err := g.dialCaller(t.Context(), "", "")
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_ = conn.SetDeadline(time.Now().Add(time.Hour))
+				began := time.Now()
+				go func() {
+					_, _ = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n"+
+						c.framing+"\r\n\r\n4\r\nb")
+				}()
+				reader := bufio.NewReader(conn)
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, c.status)
+				is.True(time.Since(began) <= c.after)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				_, err = reader.ReadByte()
+				is.Equal(err, io.EOF)
+				is.True(time.Since(began) <= c.after+time.Second)
+			})
+		})
+	}
+}
+
 // TestRequestBeyondTheBudgetIsRefusedUnread fills the budget: requests are refused at once, whether or not their bodies
 // have arrived, and one whose body is short can use its connection again.
 func TestRequestBeyondTheBudgetIsRefusedUnread(t *testing.T) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -41,9 +41,11 @@
 	host     string
 	call     Call
 	// body holds the blocks of the request body.
-	body  [][]byte
-	table *route.Table
-	route *route.Route
+	body [][]byte
+	// bodyUnread reports whether the request has a body that was not read to its end.
+	bodyUnread bool
+	table      *route.Table
+	route      *route.Route
 	// pool is the name of the pool that the route selects for this request.
 	pool string
 	// toEngine reports whether the upstreams of the pool are model engines.
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -58,12 +58,13 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	x := &exchange{
-		server:  s,
-		w:       w,
-		started: time.Now(),
-		method:  r.Method,
-		target:  requestTarget(r),
-		host:    r.Host,
+		server:     s,
+		w:          w,
+		started:    time.Now(),
+		method:     r.Method,
+		target:     requestTarget(r),
+		host:       r.Host,
+		bodyUnread: r.ContentLength != 0,
 		// net/http accepts a chunked request that has a Content-Length as well, and doesn't report the length. Another HTTP
 		// parser may find the end of such a request at the length (RFC 9112, section 6.3), so the connection is closed
 		// after it.
