gateway: reserve a body's memory as it arrives

Two callers that announced bodies of 4 MB and sent nothing held 8 of the 8.75 MB for requests at the smallest VM until the route's timeout; all other callers got 503. The whole Content-Length was reserved and allocated before the first byte. It is now reserved block by block, as for chunked bodies; a body whose length has no room is still refused unread, and one that pauses for 2 s is answered with 408. TestBodiesThatDoNotComeHoldNoMemory failed before (503 instead of 200, no 408).

--- a/internal/coordination/memory/budget.go
+++ b/internal/coordination/memory/budget.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// Fits reports whether bytes are free for a use now, and reserves nothing. A refusal is counted.
+func (b *Budget) Fits(use Use, bytes int64) bool {
+	a := &b.accounts[use]
+	if a.held.Load()+bytes <= a.limit {
+		return true
+	}
+	a.refused.Add(1)
+	return false
+}
+
 // Release returns bytes that were reserved.
 func (b *Budget) Release(use Use, bytes int64) {
 	if held := b.accounts[use].held.Add(-bytes); held < 0 {
--- a/internal/coordination/memory/budget_test.go
+++ b/internal/coordination/memory/budget_test.go
@@ -43,6 +43,9 @@
 			use, r := Use(i%int(Uses)), &reservations[i]
 			size := rapid.Int64Range(0, 1<<17).Draw(t, "size")
 			fits := held[use]-r.Bytes()+size <= b.Limit(use) || size <= r.Bytes()
+			if b.Fits(use, size) != (held[use]+size <= b.Limit(use)) {
+				t.Fatalf("%s: room for %d with %d held misjudged", use, size, held[use])
+			}
 			before := r.Bytes()
 			if r.Resize(size) != fits {
 				t.Fatalf("%s: resize from %d to %d with %d held: fits is %v", use, before, size, held[use], fits)
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/transport/connection"
 )
 
@@ -17,12 +18,14 @@
 	// requestBytes is what a request holds apart from its body and its header: stacks, buffers of the connection to the
 	// upstream, the header of the answer, and what was decoded.
 	requestBytes = 32<<10 + connection.MaxHeadBytes
-	// minBlock and maxBlock are the sizes of the first block and of the largest ones in which a body without a length is
-	// read.
+	// minBlock and maxBlock are the sizes of the first block and of the largest ones in which bodies of requests and of
+	// answers are read.
 	minBlock = 4 << 10
 	maxBlock = 64 << 10
 	// maxSkippedBytes is the length from which the connection is closed rather than the rest of a refused body read.
 	maxSkippedBytes = 16 << 10
+	// bodySilence is how long the next bytes of a body are waited for.
+	bodySilence = 2 * time.Second
 	// skippedBodyWait is how long the rest of a body is waited for when the request is answered without it, so that the
 	// connection can be used again; net/http reads it before or after the answer.
 	skippedBodyWait = 100 * time.Millisecond
@@ -54,8 +57,8 @@
 	x.w.Header().Set("Connection", "close")
 }
 
-// readBody reads the body within the limits of the operator and of the memory. It fails when the time for the whole
-// request is up, so that a caller that stops sending doesn't hold memory for longer.
+// readBody reads the body within the limits of the operator and of the memory. It fails when the caller stops sending,
+// or the time for the whole request is up, so that memory isn't held for longer.
 func (x *exchange) readBody(r *http.Request) *localAnswer {
 	limit := x.table.Limits().BodyBytes
 	if limit <= 0 {
@@ -67,19 +70,15 @@
 	if r.ContentLength > limit {
 		return x.bodyTooLong()
 	}
-	controller := http.NewResponseController(x.w)
-	_ = controller.SetReadDeadline(x.started.Add(x.timeout()))
-	var answer *localAnswer
-	if r.ContentLength > 0 {
-		answer = x.readBlock(r, r.ContentLength)
-	} else {
-		answer = x.readBlocks(r, limit)
+	if r.ContentLength > 0 && !x.server.Memory.Fits(memory.Requests, r.ContentLength) {
+		return x.refuseForMemory(r)
 	}
-	if answer == nil {
-		x.bodyUnread = false
-		_ = controller.SetReadDeadline(time.Time{})
+	if answer := x.readBlocks(r, limit); answer != nil {
+		return answer
 	}
-	return answer
+	x.bodyUnread = false
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	return nil
 }
 
 func (x *exchange) bodyTooLong() *localAnswer {
@@ -90,31 +89,26 @@
 	}
 }
 
-// readBlock reads a body of known length.
-func (x *exchange) readBlock(r *http.Request, size int64) *localAnswer {
-	if !x.requestMemory.Grow(size) {
-		return x.refuseForMemory(r)
+// readBlocks reads a body, and reserves the memory of each block only when the block before it has arrived.
+func (x *exchange) readBlocks(r *http.Request, limit int64) *localAnswer {
+	left := limit + 1 // one byte more shows that a body without a length is too long
+	if r.ContentLength > 0 {
+		left = r.ContentLength
 	}
-	block := make([]byte, size)
-	if _, err := fill(r.Body, block); err != nil && !errors.Is(err, io.EOF) {
-		return x.bodyLost(err)
+	from := timedReader{
+		Reader:     r.Body,
+		controller: http.NewResponseController(x.w),
+		deadline:   x.started.Add(x.timeout()),
 	}
-	x.body = [][]byte{block}
-	return nil
-}
-
-// readBlocks reads a body that doesn't say its length.
-func (x *exchange) readBlocks(r *http.Request, limit int64) *localAnswer {
-	left := limit
-	for size := int64(minBlock); ; size = min(2*size, maxBlock) {
-		block := min(size, left+1) // one byte more shows that the body is too long
+	for size := int64(minBlock); left > 0; size = min(2*size, maxBlock) {
+		block := min(size, left)
 		if !x.requestMemory.Grow(block) {
 			return x.refuseForMemory(r)
 		}
 		data := make([]byte, block)
-		n, err := fill(r.Body, data)
+		n, err := fill(from, data)
 		left -= int64(n)
-		if left < 0 {
+		if left == 0 && r.ContentLength < 0 {
 			return x.bodyTooLong()
 		}
 		if n > 0 {
@@ -127,6 +121,24 @@
 			return x.bodyLost(err)
 		}
 	}
+	return nil
+}
+
+// timedReader reads a request's body; a read fails when no byte has come for bodySilence, or at the deadline.
+type timedReader struct {
+	io.Reader
+	controller *http.ResponseController
+	deadline   time.Time
+}
+
+// Read sets the deadline of the connection, and reads.
+func (t timedReader) Read(buffer []byte) (int, error) {
+	at := time.Now().Add(bodySilence)
+	if at.After(t.deadline) {
+		at = t.deadline
+	}
+	_ = t.controller.SetReadDeadline(at)
+	return t.Reader.Read(buffer)
 }
 
 // fill reads until the block is full, and returns the reader's own error. io.ReadFull would report a body that was cut
@@ -145,7 +157,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &localAnswer{
 			status: http.StatusRequestTimeout,
-			reason: fmt.Sprintf("body not sent within %v; the request has not run", x.timeout()),
+			reason: fmt.Sprintf("no further byte of the body for %v, or not all of it within %v; the request has not run",
+				bodySilence, x.timeout()),
 		}
 	}
 	return &localAnswer{
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,6 +171,34 @@
 	}
 }
 
+// TestBodiesThatDoNotComeHoldNoMemory guards against two callers that announce long bodies and send nothing, and so
+// keep all others out until the time of their requests is up.
+func TestBodiesThatDoNotComeHoldNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 4 << 20
+		g := newTestGateway(t, map[string]script{"u1": eventStream(0)})
+		g.allowBodies(t, size)
+		head := func(size int) string {
+			return fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\nContent-Length: %d\r\n\r\n", size)
+		}
+		began := time.Now()
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() {
+				status, _ := g.sendRaw(t, head(size)+"body")
+				is.Equal(status, http.StatusRequestTimeout)
+				is.Equal(time.Since(began), 2*time.Second)
+			})
+		}
+		synctest.Wait()
+		status, _ := g.sendRaw(t, head(size)+strings.Repeat("x", size))
+		is.Equal(status, http.StatusOK)
+		group.Wait()
+		is.Equal(g.gateway.Memory.Held(memory.Requests), int64(0))
+	})
+}
+
 // TestRequestBeyondTheBudgetIsRefusedUnread fills the budget: requests are refused at once, whether or not their bodies
 // have arrived, and one whose body is short can use its connection again.
 func TestRequestBeyondTheBudgetIsRefusedUnread(t *testing.T) {
