entryvm: close operators' connections when many are open

16 idle keep-alive connections to the readiness check or the metrics kept everyone else out for a minute, since only callers' connections were closed after their answer when crowded. All HTTP listeners do so now. TestIdleConnectionsOfOperatorsKeepNobodyOut failed before.

--- a/internal/transport/entryvm/bounds_test.go
+++ b/internal/transport/entryvm/bounds_test.go
@@ -14,13 +14,18 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/internal/transport/entryvm"
 )
 
 // tightLimit is a memory limit in bytes that a few hundred connections or large bodies would exceed.
 const tightLimit = 4 << 20
 
 // startTight starts a process with a tight memory limit, and returns the address for callers.
-func startTight(t *testing.T, upstream string) string {
+func startTight(t *testing.T, upstream string) string { return startTightProcess(t, upstream).Callers }
+
+// startTightProcess starts a process with a tight memory limit, and returns its addresses.
+func startTightProcess(t *testing.T, upstream string) entryvm.Addresses {
 	addresses := freeAddresses(t)
 	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
 	p.MemoryLimit = tightLimit
@@ -40,7 +45,7 @@
 		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
 		return status == http.StatusOK
 	})
-	return addresses[0]
+	return p.Listen
 }
 
 // exchangeOn sends one request and returns its answer, nil if the connection was closed without one.
@@ -118,6 +123,21 @@
 	is.True(kept*16<<10 <= tightLimit/4)
 }
 
+// TestIdleConnectionsOfOperatorsKeepNobodyOut guards against idle connections that block the readiness check, or the
+// metrics, for a minute.
+func TestIdleConnectionsOfOperatorsKeepNobodyOut(t *testing.T) {
+	is := is.New(t)
+	addresses := startTightProcess(t, "127.0.0.1:1")
+	for address, path := range map[string]string{addresses.Ready: "/readyz", addresses.Metrics: "/metrics"} {
+		for range 40 {
+			conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.True(exchangeOn(conn, path, "") != nil)
+		}
+	}
+}
+
 // TestBrokenAnswerIsResetForOldCallers guards against an answer that breaks off and looks complete to a caller of
 // HTTP/1.0, which knows no chunks: for it the connection must be reset.
 func TestBrokenAnswerIsResetForOldCallers(t *testing.T) {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -338,7 +338,7 @@
 		},
 		{
 			address:     p.Listen.Directory,
-			handler:     p.callers.closeWhenCrowded(directory),
+			handler:     directory,
 			connections: &p.callers,
 		},
 		{
@@ -364,7 +364,7 @@
 // serveHTTP starts to serve HTTP on a socket within a limit of connections.
 func serveHTTP(socket net.Listener, handler http.Handler, connections *callerConnections) *http.Server {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           connections.closeWhenCrowded(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		WriteTimeout:      writeTimeout,
