entryvm: log the errors of the HTTP servers

net/http wrote its messages, such as the stack of a panic, to the standard error stream, past the log's bound and format.

--- a/internal/transport/entryvm/callers_test.go
+++ b/internal/transport/entryvm/callers_test.go
@@ -36,6 +36,9 @@
 	conns []net.Conn
 }
 
+// Close does nothing.
+func (s *scriptedListener) Close() error { return nil }
+
 func (s *scriptedListener) Accept() (net.Conn, error) {
 	if len(s.conns) == 0 {
 		return nil, net.ErrClosed
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -356,13 +356,15 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", endpoint.address)
 		}
-		httpServers = append(httpServers, serveHTTP(socket, endpoint.handler, endpoint.connections))
+		httpServers = append(httpServers, serveHTTP(socket, endpoint.handler, endpoint.connections, p.Logger))
 	}
 	return httpServers, nil
 }
 
 // serveHTTP starts to serve HTTP on a socket within a limit of connections.
-func serveHTTP(socket net.Listener, handler http.Handler, connections *callerConnections) *http.Server {
+func serveHTTP(
+	socket net.Listener, handler http.Handler, connections *callerConnections, logger zerolog.Logger,
+) *http.Server {
 	server := &http.Server{
 		Handler:           connections.closeWhenCrowded(handler),
 		ReadHeaderTimeout: headerTimeout,
@@ -370,6 +372,7 @@
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         connections.track,
+		ErrorLog:          newErrorLog(logger),
 	}
 	go func() {
 		_ = server.Serve(limitedListener{
