entryvm: answer connections beyond the limit

Callers beyond the limit of connections saw a reset, which doesn't say whether the request has run or when to come back. TestRefusedConnectionsAreAnswered failed before.

--- a/internal/transport/entryvm/callers.go
+++ b/internal/transport/entryvm/callers.go
@@ -35,6 +35,8 @@
 	limit   int64
 	open    atomic.Int64
 	refused atomic.Int64
+	// refusals is the number of refused connections that are being answered.
+	refusals atomic.Int64
 }
 
 // maxConnections returns how many callers' connections the memory and the descriptors allow, 0 descriptors if unknown.
@@ -79,7 +81,7 @@
 	}
 }
 
-// limitedListener closes the connections beyond the limit before anything is read from them.
+// limitedListener refuses the connections beyond the limit.
 type limitedListener struct {
 	net.Listener
 	connections *callerConnections
@@ -95,7 +97,6 @@
 		if l.connections.open.Load() < l.connections.limit {
 			return conn, nil
 		}
-		l.connections.refused.Add(1)
-		_ = conn.Close()
+		l.connections.refuse(conn)
 	}
 }
--- a/internal/transport/entryvm/callers_test.go
+++ b/internal/transport/entryvm/callers_test.go
@@ -1,9 +1,14 @@
 package entryvm
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -48,8 +53,8 @@
 	return conn, nil
 }
 
-// TestListenerClosesConnectionsBeyondTheLimit opens more connections than are allowed, and closes one in between.
-func TestListenerClosesConnectionsBeyondTheLimit(t *testing.T) {
+// TestListenerRefusesConnectionsBeyondTheLimit opens more connections than are allowed, and closes one in between.
+func TestListenerRefusesConnectionsBeyondTheLimit(t *testing.T) {
 	is := is.New(t)
 	connections := callerConnections{limit: 4}
 	source := &scriptedListener{}
@@ -76,6 +81,49 @@
 	is.True(accept())
 }
 
+// TestRefusedConnectionsAreAnswered guards against connections beyond the limit that are reset without an answer. Those
+// that are being answered are limited as well, also while their callers send nothing.
+func TestRefusedConnectionsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		connections := callerConnections{}
+		source := &scriptedListener{}
+		listener := limitedListener{
+			Listener:    source,
+			connections: &connections,
+		}
+		var callers []net.Conn
+		for range maxRefusals + 1 {
+			caller, accepted := net.Pipe()
+			callers = append(callers, caller)
+			source.conns = append(source.conns, accepted)
+		}
+		_, err := listener.Accept() // returns when all are refused
+		is.Equal(err, net.ErrClosed)
+		_, err = callers[maxRefusals].Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		go func() {
+			_, _ = io.WriteString(callers[0], "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nbody")
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(callers[0]), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.True(response.Close)
+		is.Equal(response.Header.Get("Retry-After"), "0.500")
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.True(strings.Contains(string(text), "has not run"))
+		time.Sleep(refusalWait)
+		for _, caller := range callers {
+			_, err = caller.Read(make([]byte, 1))
+			is.Equal(err, io.EOF)
+		}
+		synctest.Wait()
+		is.Equal(connections.refusals.Load(), int64(0))
+		is.Equal(connections.refused.Load(), int64(maxRefusals+1))
+	})
+}
+
 // TestBoundsFitTheSmallestVM sums what callers and upstreams can make the smallest VM hold at most: the shares of the
 // budget, idle connections to upstreams, the other listeners, and the index of prompt parts. Together they take less
 // than a third of its memory; the rest is for the program, the routes, peers and garbage.
@@ -94,6 +142,7 @@
 	is.True(maxConnections(budget, 0)*connectionBytes <= budget.Limit(memory.Connections))
 	sum += int64(maxIdleConnections(0)) * idleConnectionBytes
 	sum += 2 * maxOperatorConnections * connectionBytes
+	sum += 4 * maxRefusals * refusalBytes
 	sum += dispatch.MaxPartRecords * partRecordBytes
 	is.True(sum <= limit/3)
 }
