gateway: don't blame an upstream for this node's memory

When there was no room for a long event, the upstream counted as failed and the request ran again at another upstream, whose event found no room either; sound upstreams were avoided for it. Events longer than this node takes counted as failures as well. Neither counts now, and a stream without room is not resumed but aborted, or answered with 502 if nothing was sent.

--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -71,9 +71,12 @@
 		}
 		switch {
 		case splitter.TooLong():
-			return x.failStream(s, errEventTooLong)
+			s.response.Discard()
+			return attempt.Lost, errEventTooLong
 		case !unfinished.Resize(eventBytes(splitter.Buffered())):
-			return x.failStream(s, errNoEventMemory)
+			s.response.Discard()
+			x.attempts.Repeatable = false // another upstream's event would find no room either
+			return attempt.Lost, errNoEventMemory
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0:
 			return x.finishStream(s)
