gateway: the longest event grows with the memory

Events of more than 64 KB ended their streams on VMs of any size, though only small ones lack the room. One event may now be as long as a 32nd of the memory for unfinished events, from 64 KB (as before at 112 MB) to 1 MB. With the bound of 64 KB put back TestLongestEventGrowsWithTheMemory failed for 256 KB at 512 MB and for 1 MB at 64 GB.

--- a/internal/protocol/event/splitter.go
+++ b/internal/protocol/event/splitter.go
@@ -1,16 +1,22 @@
 package event
 
-import "bytes"
+import (
+	"bytes"
+	"cmp"
+)
 
-// MaxEventBytes is the maximum length of an event in the streams of upstreams. A stream with a longer one counts as
-// broken, see TooLong.
-const MaxEventBytes = 64 << 10
+// DefaultMaxEventBytes is the maximum length of an event if a Splitter sets none.
+const DefaultMaxEventBytes = 64 << 10
 
 // keptBytes is the size up to which an emptied buffer is kept for the next events.
 const keptBytes = 16 << 10
 
 // Splitter splits a stream after each complete event; the zero value is ready to use.
 type Splitter struct {
+	// MaxEventBytes is the maximum length of an event, 0 for DefaultMaxEventBytes. A stream with a longer one can't be
+	// split, see TooLong.
+	MaxEventBytes int
+
 	// buffer holds the complete events that the last Add returned, followed by the pending bytes from begin on.
 	buffer []byte
 	begin  int
@@ -62,7 +68,9 @@
 func (s *Splitter) Buffered() int { return len(s.buffer) - s.begin }
 
 // TooLong reports whether the unfinished event is longer than MaxEventBytes.
-func (s *Splitter) TooLong() bool { return s.Buffered() > MaxEventBytes }
+func (s *Splitter) TooLong() bool {
+	return s.Buffered() > cmp.Or(s.MaxEventBytes, DefaultMaxEventBytes)
+}
 
 // LastID returns the ID of the last complete event that had one, or an empty string.
 func (s *Splitter) LastID() string { return s.lastID }
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -322,6 +322,25 @@
 	}
 }
 
+// TestLongestEventGrowsWithTheMemory guards against events that large VMs have room for and that end their streams.
+func TestLongestEventGrowsWithTheMemory(t *testing.T) {
+	for limit, longest := range map[int64]int{0: 64 << 10, 512 << 20: 256 << 10, 64 << 30: 1 << 20} {
+		for size, status := range map[int]int{longest: http.StatusOK, longest + 16<<10: http.StatusBadGateway} {
+			t.Run(fmt.Sprintf("%d of %d", size, limit), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					text := "id: 1\ndata: " + strings.Repeat("x", size-20) + "\n\n"
+					g := newTestGateway(t, map[string]script{
+						"u1": rawAnswer("HTTP/1.1 200 X\r\n" + chunkedHeaders + chunk(text) + "0\r\n\r\n"),
+					})
+					g.gateway.Memory = memory.NewBudget(limit)
+					is.Equal(g.call(t.Context(), "/stream/x", "body", nil).status, status)
+				})
+			})
+		}
+	}
+}
+
 // TestCallerThatDoesNotReadIsDisconnected guards against a caller that holds its request's memory for ever.
 func TestCallerThatDoesNotReadIsDisconnected(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -14,6 +14,10 @@
 
 const (
 	streamBufferBytes = 8 << 10
+	// maxEventPart is the part of the memory for unfinished events that one of them may take, as its inverse, and
+	// maxMaxEventBytes the length that none exceeds.
+	maxEventPart     = 32
+	maxMaxEventBytes = 1 << 20
 	// minEventSilence is the shortest pause between events after which an upstream is considered stalled. An engine that
 	// reads a long prompt for another request, or preempts a request for a more urgent one, pauses for less.
 	minEventSilence = 1500 * time.Millisecond
@@ -56,7 +60,7 @@
 // relayStream sends complete events to the caller as they arrive; an incomplete event at the end of a broken stream is
 // dropped.
 func (x *exchange) relayStream(s *upstreamSend) (attempt.Result, error) {
-	var splitter event.Splitter
+	splitter := event.Splitter{MaxEventBytes: maxEventBytes(x.server.Memory)}
 	unfinished := x.server.Memory.NewReservation(memory.Events)
 	defer unfinished.Resize(0)
 	buffer := make([]byte, streamBufferBytes)
@@ -90,6 +94,11 @@
 	}
 }
 
+// maxEventBytes returns the maximum length of an event: a part of the memory for all of them.
+func maxEventBytes(budget *memory.Budget) int {
+	return int(min(max(budget.Limit(memory.Events)/maxEventPart, event.DefaultMaxEventBytes), maxMaxEventBytes))
+}
+
 // eventBytes returns what an unfinished event holds apart from what each request reserves. A buffer that grows holds
 // twice the bytes at most.
 func eventBytes(buffered int) int64 {
