gateway: send a request again after an error without room

The error is now dropped and counts as failed while attempts remain. If no answer follows, the caller gets 502, which says that the request may have run. TestErrorWithoutRoomIsSentAgain failed before in all cases but the unsafe one.

--- a/internal/coordination/attempt/machine.go
+++ b/internal/coordination/attempt/machine.go
@@ -104,6 +104,12 @@
 	return m.Final(now)
 }
 
+// MayRepeat reports whether a request that has just failed at an upstream may be sent to another one, if the retry budget
+// allows it. Next is still to be called for the failure.
+func (m *StateMachine) MayRepeat(now time.Time) bool {
+	return m.Repeatable && m.Deadline.Sub(now) >= minTimeLeft && m.possibleRuns+1 < m.MaxAttempts && m.sends+1 < maxSends
+}
+
 // mayRetry reports whether the request may be sent again, and takes the retry from the budget unless the result is
 // Unsent.
 func (m *StateMachine) mayRetry(result Result, now time.Time) bool {
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -55,6 +55,9 @@
 
 // finish carries out a final action: it delivers the upstream's answer, or a local one whose reason includes the cause.
 func (x *exchange) finish(action attempt.Action, cause error) {
+	if action == attempt.Deliver && x.buffered == nil && !x.progress.headWritten {
+		action = attempt.Fail // the upstream's error was not held
+	}
 	if action != attempt.Deliver {
 		answer := x.localAnswerFor(action)
 		if cause != nil {
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
 )
 
 const (
@@ -253,6 +254,47 @@
 	})
 }
 
+// TestErrorWithoutRoomIsSentAgain guards against a server error that is passed on for lack of memory, or since it is long,
+// while another upstream may still answer the request. If none does, the caller learns that it may have run.
+func TestErrorWithoutRoomIsSentAgain(t *testing.T) {
+	failed := answer(500, strings.Repeat("long ", 1<<16))
+	for name, c := range map[string]struct {
+		path     string
+		u2       script
+		full     bool
+		status   int
+		requests int
+	}{
+		"long":               {path: "/safe/x", u2: answer(200, "good"), status: 200, requests: 2},
+		"no room":            {path: "/safe/x", u2: answer(200, "good"), full: true, status: 200, requests: 2},
+		"both fail":          {path: "/safe/x", u2: failed, status: 500, requests: 2},
+		"other is down":      {path: "/safe/x", status: 502, requests: 1},
+		"may not be resent":  {path: "/unsafe/x", u2: answer(200, "good"), status: 500, requests: 1},
+		"stream, none began": {path: "/resumable/x", u2: eventStream(0), full: true, status: 200, requests: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{
+					"u1": failed,
+					"u2": c.u2,
+				})
+				held := int64(0)
+				if c.full {
+					held = g.gateway.Memory.Limit(memory.Answers)
+					is.True(g.gateway.Memory.Reserve(memory.Answers, held))
+				}
+				got := g.call(t.Context(), c.path, "body", nil)
+				synctest.Wait()
+				is.Equal(got.status, c.status)
+				is.True(got.whole)
+				is.Equal(len(g.receivedRequests()), c.requests)
+				is.Equal(g.gateway.Memory.Held(memory.Answers), held)
+			})
+		})
+	}
+}
+
 // TestHeadersOfOneConnectionAreNotPassedOn has an upstream name a header that concerns its connection alone.
 func TestHeadersOfOneConnectionAreNotPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -21,6 +21,7 @@
 	errTruncatedStream = errors.New("answer ended before its end")
 	errEventTooLong    = errors.New("event longer than this entry VM takes")
 	errNoEventMemory   = errors.New("no memory left at this entry VM for a long event")
+	errErrorNotHeld    = errors.New("upstream's error was too long to hold")
 	errStreamStalled   = errors.New("no event for too long")
 	errCallerLeft      = errors.New("caller left")
 )
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -103,6 +103,12 @@
 func (x *exchange) bufferAnswer(s *upstreamSend) (attempt.Result, error) {
 	answer, more, err := x.readAnswer(s)
 	now := time.Now()
+	if err == nil && more && s.response.StatusCode >= http.StatusInternalServerError && x.attempts.MayRepeat(now) {
+		answer.release()
+		s.response.Discard()
+		x.server.Dispatcher.Failed(s.upstream, now)
+		return attempt.Failed, errErrorNotHeld
+	}
 	if err == nil && more {
 		x.setBuffered(nil)
 		err = x.passOnAnswer(s, answer)
