connection: close the idle connections unused for longest

With 128 idle connections to upstreams that were no longer used, each further one was closed after its answer, so that requests to upstreams in use had to connect again until the old ones timed out. Now the one unused for longest makes room. TestIdleConnectionsAreBounded demanded that the first ones stay; it now demands the last ones, as strictly, and failed before.

--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -43,19 +45,20 @@
 	IdleTimeout time.Duration
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	UnackedTimeout time.Duration
-	// MaxIdle limits the idle connections of all addresses; further ones are closed.
+	// MaxIdle limits the idle connections of all addresses; beyond it, those unused for longest are closed.
 	MaxIdle int
 	// ReceiveBuffer limits the unread bytes of each connection.
 	ReceiveBuffer ReceiveBuffer
 	// Dial, if set, opens connections instead of the default dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
-	// idleCount is the number of idle connections.
-	idleCount int
-	opened    atomic.Int64
-	reused    atomic.Int64
+	mu sync.Mutex
+	// idle holds the idle connections by address, and order those of all addresses; the ones unused for longest come
+	// first in both.
+	idle   map[string][]*Conn
+	order  list.List
+	opened atomic.Int64
+	reused atomic.Int64
 }
 
 // Conn is one connection to an upstream; it belongs to one goroutine at a time.
@@ -68,6 +71,8 @@
 	address string
 	// idleUntil is when an idle connection is given up.
 	idleUntil time.Time
+	// place is the connection's place in the order of the pool's idle connections.
+	place *list.Element
 }
 
 // NewPool returns a pool with the default settings.
@@ -103,14 +108,14 @@
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	conns := p.idle[address]
+	if len(conns) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	p.idleCount--
+	c := conns[len(conns)-1]
+	conns[len(conns)-1] = nil
+	p.idle[address] = conns[:len(conns)-1]
+	p.order.Remove(c.place)
 	return c
 }
 
@@ -173,7 +178,7 @@
 }
 
 // Put returns a connection to the pool; idle is the upstream's own idle timeout, 0 if it announced none. A connection
-// with unread bytes, or beyond MaxIdle, is closed.
+// with unread bytes is closed.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
 	if idle <= 0 {
 		idle = p.IdleTimeout
@@ -187,29 +192,35 @@
 	c.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idleCount >= p.MaxIdle {
-		c.Close()
-		return
-	}
 	p.idle[c.address] = append(p.idle[c.address], c)
-	p.idleCount++
+	c.place = p.order.PushBack(c)
+	if p.order.Len() > p.MaxIdle {
+		p.evict()
+	}
+}
+
+// evict closes the idle connection that is unused for longest; mu is held.
+func (p *Pool) evict() {
+	c, _ := p.order.Remove(p.order.Front()).(*Conn)
+	p.idle[c.address] = slices.Delete(p.idle[c.address], 0, 1)
+	c.Close()
 }
 
 // CloseIdle closes the connections whose idle timeout has passed.
 func (p *Pool) CloseIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
+	for address, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
 			if now.Before(c.idleUntil) {
 				kept = append(kept, c)
 			} else {
 				c.Close()
-				p.idleCount--
+				p.order.Remove(c.place)
 			}
 		}
-		clear(list[len(kept):])
+		clear(conns[len(kept):])
 		p.idle[address] = kept
 		if len(kept) == 0 {
 			delete(p.idle, address)
