entryvm: bound idle connections to upstreams by the memory

VMs of any size kept 128 idle connections, so that a large one with thousands of upstreams opened a connection for most requests, and one smaller than 112 MB kept as many. The bound is now a part of the memory limit: 128 at 112 MB as before, 1170 at 1 GB. With the old bound TestMaxIdleConnectionsByMemoryAndDescriptors failed in both cases.

--- a/internal/transport/entryvm/callers.go
+++ b/internal/transport/entryvm/callers.go
@@ -21,6 +21,12 @@
 	callerDescriptorsShare = 0.375
 	// idleDescriptorsShare is the share of the descriptors that idle connections to upstreams may use.
 	idleDescriptorsShare = 0.125
+	// idleConnectionBytes is what an idle connection to an upstream holds: its reader and its structures.
+	idleConnectionBytes = 8 << 10
+	// idleMemoryPart is the part of the memory limit that idle connections to upstreams may hold, as its inverse.
+	idleMemoryPart = 112
+	// minIdleConnections is the number of idle connections to upstreams that the memory always allows.
+	minIdleConnections = 16
 	// keptConnectionsShare is the share of the connections that are kept open between requests. Connections beyond it
 	// are served and then closed, so that callers that hold idle ones can't keep others out.
 	keptConnectionsShare = 0.75
@@ -48,12 +54,17 @@
 	return max(limit, minConnections)
 }
 
-// maxIdleConnections returns how many idle connections to upstreams are kept.
-func maxIdleConnections(descriptors int) int {
+// maxIdleConnections returns how many idle connections to upstreams the memory and the descriptors allow; 0 means that
+// either is unknown.
+func maxIdleConnections(memoryLimit int64, descriptors int) int {
+	limit := int64(connection.DefaultMaxIdle)
+	if memoryLimit > 0 {
+		limit = max(memoryLimit/idleMemoryPart/idleConnectionBytes, minIdleConnections)
+	}
 	if descriptors > 0 {
-		return min(connection.DefaultMaxIdle, int(idleDescriptorsShare*float64(descriptors)))
+		limit = min(limit, int64(idleDescriptorsShare*float64(descriptors)))
 	}
-	return connection.DefaultMaxIdle
+	return int(limit)
 }
 
 // crowded reports whether connections are to be closed after their next answer.
--- a/internal/transport/entryvm/callers_test.go
+++ b/internal/transport/entryvm/callers_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// TestMaxIdleConnectionsByMemoryAndDescriptors guards against a bound for the smallest VM that large ones keep as well.
+func TestMaxIdleConnectionsByMemoryAndDescriptors(t *testing.T) {
+	for name, c := range map[string]struct {
+		memory             int64
+		descriptors, limit int
+	}{
+		"smallest VM":       {memory: 112 << 20, limit: 128},
+		"unknown memory":    {limit: 128},
+		"few descriptors":   {memory: 112 << 20, descriptors: 400, limit: 50},
+		"large VM":          {memory: 1 << 30, descriptors: 65536, limit: 1170},
+		"hardly any memory": {memory: 1 << 20, limit: 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(maxIdleConnections(c.memory, c.descriptors), c.limit)
+		})
+	}
+}
+
 // scriptedListener hands out connections from a list.
 type scriptedListener struct {
 	net.Listener
@@ -130,9 +149,8 @@
 func TestBoundsFitTheSmallestVM(t *testing.T) {
 	is := is.New(t)
 	const (
-		limit               = 112 << 20
-		idleConnectionBytes = 8 << 10 // its reader and its structures
-		partRecordBytes     = 512     // a map entry with a map of its own
+		limit           = 112 << 20
+		partRecordBytes = 512 // a map entry with a map of its own
 	)
 	budget, sum := memory.NewBudget(limit), int64(0)
 	for use := range memory.Uses {
@@ -140,7 +158,7 @@
 	}
 	is.True(sum <= limit/4)
 	is.True(maxConnections(budget, 0)*connectionBytes <= budget.Limit(memory.Connections))
-	sum += int64(maxIdleConnections(0)) * idleConnectionBytes
+	sum += int64(maxIdleConnections(limit, 0)) * idleConnectionBytes
 	sum += 2 * maxOperatorConnections * connectionBytes
 	sum += 4 * maxRefusals * refusalBytes
 	sum += dispatch.MaxPartRecords * partRecordBytes
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -145,7 +145,7 @@
 func (p *Process) Prepare() {
 	p.table = replica.NewTable()
 	p.connections = connection.NewPool()
-	p.connections.MaxIdle = maxIdleConnections(p.Descriptors)
+	p.connections.MaxIdle = maxIdleConnections(p.MemoryLimit, p.Descriptors)
 	p.connections.ReceiveBuffer = connection.ReceiveBufferFor(p.MemoryLimit)
 	p.dispatcher = &dispatch.Dispatcher{
 		AvailabilityZone: p.AvailabilityZone,
