gateway: give each refusal time to be written

The server's write timeout of 1 min runs from the request's header on. A refusal after a body that took longer, such as 408, was never written; the request's own deadline is set only once it is forwarded. A refusal before that now has 5 s. TestRefusalAfterALongBodyIsWritten failed before (no answer).

--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -99,8 +99,12 @@
 	if x.progress.headWritten {
 		x.abort()
 	}
+	controller := http.NewResponseController(x.w)
 	if x.bodyUnread {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(skippedBodyWait))
+		_ = controller.SetReadDeadline(time.Now().Add(skippedBodyWait))
+	}
+	if x.ctx == nil { // begin has set no write deadline, and the server's may have passed
+		_ = controller.SetWriteDeadline(time.Now().Add(slowReaderWait))
 	}
 	header := x.w.Header()
 	if answer.retryAfter > 0 {
--- a/internal/transport/gateway/body_test.go
+++ b/internal/transport/gateway/body_test.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// TestRefusalAfterALongBodyIsWritten guards against an answer that is lost since the HTTP server's own write timeout passed
+// while the body was read.
+func TestRefusalAfterALongBodyIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+		g.server.WriteTimeout = time.Second
+		status, _ := g.sendRaw(t, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\nX-Lagoongw-Attempt-Id: id-1\r\n\r\nbody")
+		is.Equal(status, http.StatusRequestTimeout)
+	})
+}
+
 // TestBodiesThatDoNotComeHoldNoMemory guards against two callers that announce long bodies and send nothing, and so
 // keep all others out until the time of their requests is up.
 func TestBodiesThatDoNotComeHoldNoMemory(t *testing.T) {
