--- a/internal/transport/entryvm/callers.go
+++ b/internal/transport/entryvm/callers.go
@@ -36,8 +36,9 @@
 	maxOperatorConnections = 16
 )
 
-// callerConnections bounds the connections of callers, to the gateway and to the directory together.
-type callerConnections struct {
+// connectionLimit bounds the connections of one or more listeners together: those of callers, to the gateway and the
+// directory, or those of operators.
+type connectionLimit struct {
 	limit   int64
 	open    atomic.Int64
 	refused atomic.Int64
@@ -68,12 +69,12 @@
 }
 
 // crowded reports whether connections are to be closed after their next answer.
-func (c *callerConnections) crowded() bool {
+func (c *connectionLimit) crowded() bool {
 	return float64(c.open.Load()) > keptConnectionsShare*float64(c.limit)
 }
 
 // closeWhenCrowded has a handler close connections while too many are open.
-func (c *callerConnections) closeWhenCrowded(handler http.Handler) http.Handler {
+func (c *connectionLimit) closeWhenCrowded(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c.crowded() {
 			w.Header().Set("Connection", "close")
@@ -83,7 +84,7 @@
 }
 
 // track counts the connections; it is the ConnState function of the HTTP server.
-func (c *callerConnections) track(_ net.Conn, state http.ConnState) {
+func (c *connectionLimit) track(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		c.open.Add(1)
@@ -95,7 +96,7 @@
 // limitedListener refuses the connections beyond the limit.
 type limitedListener struct {
 	net.Listener
-	connections *callerConnections
+	connections *connectionLimit
 }
 
 // Accept waits for a connection within the limit.
--- a/internal/transport/entryvm/callers_test.go
+++ b/internal/transport/entryvm/callers_test.go
@@ -75,7 +75,7 @@
 // TestListenerRefusesConnectionsBeyondTheLimit opens more connections than are allowed, and closes one in between.
 func TestListenerRefusesConnectionsBeyondTheLimit(t *testing.T) {
 	is := is.New(t)
-	connections := callerConnections{limit: 4}
+	connections := connectionLimit{limit: 4}
 	source := &scriptedListener{}
 	listener := limitedListener{Listener: source, connections: &connections}
 	accept := func() bool {
@@ -105,7 +105,7 @@
 func TestRefusedConnectionsAreAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		connections := callerConnections{}
+		connections := connectionLimit{}
 		source := &scriptedListener{}
 		listener := limitedListener{
 			Listener:    source,
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -46,7 +46,7 @@
 		func() float64 { return float64(p.callers.open.Load()) })
 	m.RegisterGauge("caller_connections_limit", "Callers' connections that are accepted.",
 		func() float64 { return float64(p.callers.limit) })
-	m.RegisterGauge("caller_connections_refused", "Callers' connections closed because too many were open.",
+	m.RegisterGauge("caller_connections_refused", "Callers' connections refused because too many were open.",
 		func() float64 { return float64(p.callers.refused.Load()) })
 }
 
@@ -94,7 +94,7 @@
 			read: func(use memoryUse) int64 { return use.goroutines },
 		},
 	} {
-		m.RegisterGauge(gauge.name, gauge.help, func() float64 { return float64(gauge.read(p.memory.use())) })
+		m.RegisterGauge(gauge.name, gauge.help, func() float64 { return float64(gauge.read(p.memoryReporter.use())) })
 	}
 	m.RegisterGauge("peer_calls", "Pushes to peers that have not been answered yet.",
 		func() float64 { return float64(p.outgoing.calls.Load()) })
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -94,23 +94,23 @@
 	// Logger receives the log lines of the process.
 	Logger zerolog.Logger
 
-	tunables     atomic.Pointer[Tunables]
-	table        *replica.Table
-	dispatcher   *dispatch.Dispatcher
-	connections  *connection.Pool
-	gateway      *gateway.Server
-	members      *members.Service
-	client       *peer.Client
-	server       *peer.Server
-	peerListener net.Listener
-	loadReporter loadReporter
-	memory       memoryReporter
-	outgoing     outgoing
-	memoryBudget *memory.Budget
-	callers      callerConnections
-	budgetsMu    sync.Mutex
-	budgets      map[string]*retry.WindowBudget
-	drainer      shutdown.Drainer
+	tunables       atomic.Pointer[Tunables]
+	table          *replica.Table
+	dispatcher     *dispatch.Dispatcher
+	connections    *connection.Pool
+	gateway        *gateway.Server
+	members        *members.Service
+	client         *peer.Client
+	server         *peer.Server
+	peerListener   net.Listener
+	loadReporter   loadReporter
+	memoryReporter memoryReporter
+	outgoing       outgoing
+	memoryBudget   *memory.Budget
+	callers        connectionLimit
+	budgetsMu      sync.Mutex
+	budgets        map[string]*retry.WindowBudget
+	drainer        shutdown.Drainer
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
@@ -126,7 +126,7 @@
 	group.Go(func() { p.joinWhenReady(ctx) })
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
-	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memory.check) })
+	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -163,7 +163,7 @@
 	p.Catalog.Peers = catalogPeers{process: p}
 	p.Catalog.Prepare()
 	p.budgets = map[string]*retry.WindowBudget{}
-	p.memory.process = p
+	p.memoryReporter.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
 	p.gateway = &gateway.Server{
@@ -329,12 +329,12 @@
 	for _, endpoint := range []struct {
 		address     string
 		handler     http.Handler
-		connections *callerConnections
+		connections *connectionLimit
 	}{
 		{
 			address:     p.Listen.Ready,
 			handler:     ready,
-			connections: &callerConnections{limit: maxOperatorConnections},
+			connections: &connectionLimit{limit: maxOperatorConnections},
 		},
 		{
 			address:     p.Listen.Directory,
@@ -344,7 +344,7 @@
 		{
 			address:     p.Listen.Metrics,
 			handler:     p.gateway.Metrics.Handler(),
-			connections: &callerConnections{limit: maxOperatorConnections},
+			connections: &connectionLimit{limit: maxOperatorConnections},
 		},
 		{
 			address:     p.Listen.Callers,
@@ -363,7 +363,7 @@
 
 // serveHTTP starts to serve HTTP on a socket within a limit of connections.
 func serveHTTP(
-	socket net.Listener, handler http.Handler, connections *callerConnections, logger zerolog.Logger,
+	socket net.Listener, handler http.Handler, connections *connectionLimit, logger zerolog.Logger,
 ) *http.Server {
 	server := &http.Server{
 		Handler:           connections.closeWhenCrowded(handler),
--- a/internal/transport/entryvm/refusal.go
+++ b/internal/transport/entryvm/refusal.go
@@ -25,7 +25,7 @@
 )
 
 // refuse answers a connection beyond the limit in the background, or closes it if too many are being answered.
-func (c *callerConnections) refuse(conn net.Conn) {
+func (c *connectionLimit) refuse(conn net.Conn) {
 	c.refused.Add(1)
 	if c.refusals.Add(1) > maxRefusals {
 		c.refusals.Add(-1)
