entryvm: don't wait for bodies that operators and the directory ignore

A request with a body that wasn't sent held its connection to the directory, the readiness check or the metrics for ever, the directory's out of those of all callers: net/http waited for the body without a deadline. It now waits for 100 ms, after the answer. TestBodiesForOperatorsAreNotWaitedFor failed before (20 s without an answer).

--- a/internal/transport/entryvm/bounds_test.go
+++ b/internal/transport/entryvm/bounds_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// TestBodiesForOperatorsAreNotWaitedFor guards against a request with a body that isn't sent, which would hold a
+// connection to the directory, the readiness check or the metrics for ever.
+func TestBodiesForOperatorsAreNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	addresses := startTightProcess(t, "127.0.0.1:1")
+	for _, address := range []string{addresses.Ready, addresses.Directory, addresses.Metrics} {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		_, err = io.WriteString(conn, "GET /none HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nbody")
+		is.NoErr(err)
+		text, err := io.ReadAll(conn)
+		is.NoErr(err) // the server has closed the connection
+		is.True(strings.HasPrefix(string(text), "HTTP/1.1 "))
+	}
+}
+
 // TestBrokenAnswerIsResetForOldCallers guards against an answer that breaks off and looks complete to a caller of
 // HTTP/1.0, which knows no chunks: for it the connection must be reset.
 func TestBrokenAnswerIsResetForOldCallers(t *testing.T) {
--- a/internal/transport/entryvm/callers.go
+++ b/internal/transport/entryvm/callers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/transport/connection"
@@ -32,6 +33,8 @@
 	keptConnectionsShare = 0.75
 	// minConnections is the number of connections that are always accepted.
 	minConnections = 32
+	// ignoredBodyWait is how long a body that no handler needs is read, so that the answer isn't lost by a reset.
+	ignoredBodyWait = 100 * time.Millisecond
 	// maxOperatorConnections limits the connections to the readiness check and to the metrics, each.
 	maxOperatorConnections = 16
 )
@@ -83,6 +86,18 @@
 	})
 }
 
+// ignoreBody has a handler that needs no body answer a request at once and close its connection if it has one; net/http
+// would wait for the body without a limit of time.
+func ignoreBody(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(ignoredBodyWait))
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // track counts the connections; it is the ConnState function of the HTTP server.
 func (c *connectionLimit) track(_ net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -333,17 +333,17 @@
 	}{
 		{
 			address:     p.Listen.Ready,
-			handler:     ready,
+			handler:     ignoreBody(ready),
 			connections: &connectionLimit{limit: maxOperatorConnections},
 		},
 		{
 			address:     p.Listen.Directory,
-			handler:     directory,
+			handler:     ignoreBody(directory),
 			connections: &p.callers,
 		},
 		{
 			address:     p.Listen.Metrics,
-			handler:     p.gateway.Metrics.Handler(),
+			handler:     ignoreBody(p.gateway.Metrics.Handler()),
 			connections: &connectionLimit{limit: maxOperatorConnections},
 		},
 		{
