--- a/internal/transport/entryvm/bounds_test.go
+++ b/internal/transport/entryvm/bounds_test.go
@@ -138,6 +138,26 @@
 	}
 }
 
+// TestRefusedConnectionGetsItsAnswerOverTCP guards against an answer that is lost by a reset, since the request was not read.
+func TestRefusedConnectionGetsItsAnswerOverTCP(t *testing.T) {
+	is := is.New(t)
+	addresses := startTightProcess(t, "127.0.0.1:1")
+	for i := range 24 {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses.Metrics)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		if i < 16 {
+			continue // sends nothing
+		}
+		response := exchangeOn(conn, "/metrics", strings.Repeat("x", 20_000))
+		is.True(response != nil)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(response.Header.Get("Retry-After"), "0.500")
+		_, err = io.ReadAll(response.Body)
+		is.NoErr(err)
+	}
+}
+
 // TestBodiesForOperatorsAreNotWaitedFor guards against a request with a body that isn't sent, which would hold a
 // connection to the directory, the readiness check or the metrics for ever.
 func TestBodiesForOperatorsAreNotWaitedFor(t *testing.T) {
