entryvm: enforce the operator's limits on the time of callers

The manifest's limits on the time for a header and between two requests were decoded and not enforced: an idle connection stayed open for a minute, whatever the operator allowed, and held its memory. The callers' listener now follows the limits of the routes in force, and falls back to the fixed ones. The reset of an HTTP/1.0 caller goes through the wrapped connection.

TestIdleCallersAreClosedAtTheOperatorsLimit failed before (no end of the connection within 20 s at a limit of 0.3 s); TestBrokenAnswerIsResetForOldCallers failed in between, while the wrapped connection hid the socket.

--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -38,7 +38,6 @@
 }
 
 // Limits holds the operator's limits on the size of a caller's requests and on the time that a caller may take.
-// HeaderTimeout and IdleTimeout are not enforced; the listeners have fixed limits in their place.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
--- a/internal/transport/entryvm/errorlog_test.go
+++ b/internal/transport/entryvm/errorlog_test.go
@@ -24,7 +24,7 @@
 		var lines bytes.Buffer
 		server := serveHTTP(source, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			panic(strings.Repeat("long ", 2000))
-		}), &connectionLimit{limit: 1}, zerolog.New(zerolog.SyncWriter(&lines)))
+		}), &connectionLimit{limit: 1}, fixedTimeouts, zerolog.New(zerolog.SyncWriter(&lines)))
 		defer func() { _ = server.Close() }()
 		var group sync.WaitGroup
 		group.Go(func() { _, _ = io.Copy(io.Discard, caller) })
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -330,55 +330,59 @@
 		address     string
 		handler     http.Handler
 		connections *connectionLimit
+		timeouts    func() httpapi.Timeouts
 	}{
 		{
 			address:     p.Listen.Ready,
 			handler:     ignoreBody(ready),
 			connections: &connectionLimit{limit: maxOperatorConnections},
+			timeouts:    fixedTimeouts,
 		},
 		{
 			address:     p.Listen.Directory,
 			handler:     ignoreBody(directory),
 			connections: &p.callers,
+			timeouts:    fixedTimeouts,
 		},
 		{
 			address:     p.Listen.Metrics,
 			handler:     ignoreBody(p.gateway.Metrics.Handler()),
 			connections: &connectionLimit{limit: maxOperatorConnections},
+			timeouts:    fixedTimeouts,
 		},
 		{
 			address:     p.Listen.Callers,
 			handler:     p.gateway,
 			connections: &p.callers,
+			timeouts:    p.callerTimeouts,
 		},
 	} {
 		socket, err := listenConfig.Listen(ctx, "tcp", endpoint.address)
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", endpoint.address)
 		}
-		httpServers = append(httpServers, serveHTTP(socket, endpoint.handler, endpoint.connections, p.Logger))
+		httpServers = append(httpServers,
+			serveHTTP(socket, endpoint.handler, endpoint.connections, endpoint.timeouts, p.Logger))
 	}
 	return httpServers, nil
 }
 
-// serveHTTP starts to serve HTTP on a socket within a limit of connections.
+// serveHTTP starts to serve HTTP on a socket within a limit of connections and the timeouts in force.
 func serveHTTP(
-	socket net.Listener, handler http.Handler, connections *connectionLimit, logger zerolog.Logger,
+	socket net.Listener, handler http.Handler, connections *connectionLimit, timeouts func() httpapi.Timeouts,
+	logger zerolog.Logger,
 ) *http.Server {
 	server := &http.Server{
-		Handler:           connections.closeWhenCrowded(handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		WriteTimeout:      writeTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         connections.track,
-		ErrorLog:          newErrorLog(logger),
+		Handler:        connections.closeWhenCrowded(handler),
+		WriteTimeout:   writeTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      connections.track,
+		ErrorLog:       newErrorLog(logger),
 	}
-	go func() {
-		_ = server.Serve(limitedListener{
-			Listener:    socket,
-			connections: connections,
-		})
-	}()
+	listener := httpapi.LimitClients(server, limitedListener{
+		Listener:    socket,
+		connections: connections,
+	}, timeouts)
+	go func() { _ = server.Serve(listener) }()
 	return server
 }
--- a/internal/transport/entryvm/process_test.go
+++ b/internal/transport/entryvm/process_test.go
@@ -26,6 +26,7 @@
 
 const (
 	manifest = `{"version": 4, "routes": [{"name": "r", "host": "h", "path_prefix": "/x/", "kind": "unsafe", "timeout_ms": 3000, "service": "s", "public": true}],
+		"limits": {"idle_timeout_ms": 300},
 		"services": [{"name": "s"}], "tenants": [{"name": "t", "api_keys": ["k"]}]}`
 	// waitTimeout bounds waits for events that take milliseconds.
 	waitTimeout = 20 * time.Second
@@ -219,3 +220,32 @@
 		return status == 0
 	})
 }
+
+// The operator's limit on the time between two requests was decoded and not enforced: an idle connection stayed open for a
+// minute.
+func TestIdleCallersAreClosedAtTheOperatorsLimit(t *testing.T) {
+	is := is.New(t)
+	gate, received := make(chan struct{}), make(chan struct{}, 1)
+	close(gate)
+	addresses := freeAddresses(t)
+	p := newProcess("vm-1", startStore(t, startUpstream(t, gate, received)), addresses, nil)
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p.Prepare()
+	group.Go(func() { _ = p.Run(ctx) })
+	eventually(t, "it is ready", func() bool {
+		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
+		return status == http.StatusOK
+	})
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[0])
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(waitTimeout))) // well below the fixed limit
+	_, err = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: id-1\r\n\r\n")
+	is.NoErr(err)
+	answers, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answers), "HTTP/1.1 200"))
+}
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -123,7 +122,7 @@
 	if x.oldCaller {
 		conn, _, err := http.NewResponseController(x.w).Hijack()
 		if err == nil {
-			if socket, ok := conn.(*net.TCPConn); ok {
+			if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				_ = socket.SetLinger(0)
 			}
 			_ = conn.Close()
--- a/internal/transport/httpapi/limits.go
+++ b/internal/transport/httpapi/limits.go
@@ -130,6 +130,15 @@
 	}
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, as net.TCPConn does. Other connections have no
+// such choice.
+func (c *limitedConn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // beginHeader ends the wait for a request.
 func (c *limitedConn) beginHeader() {
 	c.mu.Lock()
