--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -76,6 +76,7 @@
 		switch {
 		case splitter.TooLong():
 			s.response.Discard()
+			x.suspectCrash(s, errEventTooLong)
 			return attempt.Lost, errEventTooLong
 		case !unfinished.Resize(eventBytes(splitter.Buffered())):
 			s.response.Discard()
