peer: small frames don't wait for large ones

Live members were suspected and declared dead while routes changed. Two slots are shared by all frames that a process encodes or decodes; while one encodes routes and another decodes them, each digest waits, and its deadline of 400 ms goes on.

Frames of up to 16 KiB have two slots of their own, whether sent or received. What a frame decodes to isn't known before: one that turns out to be large is begun anew once there is a slot for it. A body is marshalled before it takes a slot, since its size isn't known earlier; the library has by then marshalled its parameters outside the slots anyway.

TestSmallFramesDontWaitForLargeOnes failed before. No figure was taken of the members that are suspected.

--- a/internal/transport/peer/codec.go
+++ b/internal/transport/peer/codec.go
@@ -75,8 +75,6 @@
 
 // encodeFrame returns an object as a frame, the length included.
 func encodeFrame(object any) ([]byte, error) {
-	coding <- struct{}{}
-	defer func() { <-coding }()
 	body, err := json.Marshal(object)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode peer frame")
@@ -84,6 +82,12 @@
 	if len(body) > MaxAnswerBytes {
 		return nil, ErrInvalidFrame
 	}
+	slots := largeCodingSlots
+	if len(body) <= smallFrameBytes {
+		slots = smallCodingSlots
+	}
+	slots <- struct{}{}
+	defer func() { <-slots }()
 	return compressFrame(body)
 }
 
@@ -105,21 +109,30 @@
 	return frame, nil
 }
 
-// decodeFrame decodes a frame of at most maxSize bytes, without its length.
+// decodeFrame decodes a frame of at most maxSize bytes, without its length. How large it is shows only when it is
+// decompressed: a large one is begun anew once there is a slot for it.
 func decodeFrame(compressed []byte, maxSize int, into any) error {
-	coding <- struct{}{}
-	defer func() { <-coding }()
+	tooLong, err := decodeInSlot(smallCodingSlots, compressed, min(maxSize, smallFrameBytes), into)
+	if tooLong && maxSize > smallFrameBytes {
+		_, err = decodeInSlot(largeCodingSlots, compressed, maxSize, into)
+	}
+	return err
+}
+
+func decodeInSlot(slots chan struct{}, compressed []byte, maxSize int, into any) (tooLong bool, err error) {
+	slots <- struct{}{}
+	defer func() { <-slots }()
 	reader := decompressors.Get().(io.ReadCloser)
 	defer decompressors.Put(reader)
 	if err := reader.(flate.Resetter).Reset(bytes.NewReader(compressed), []byte(dictionary)); err != nil {
-		return ErrInvalidFrame
+		return false, ErrInvalidFrame
 	}
 	body, err := io.ReadAll(io.LimitReader(reader, int64(maxSize)+1))
 	if err != nil || len(body) > maxSize {
-		return ErrInvalidFrame
+		return err == nil, ErrInvalidFrame
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return eris.Wrap(ErrInvalidFrame, err.Error())
+		return false, eris.Wrap(ErrInvalidFrame, err.Error())
 	}
-	return nil
+	return false, nil
 }
--- a/internal/transport/peer/codec_test.go
+++ b/internal/transport/peer/codec_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -135,3 +136,41 @@
 		})
 	}
 }
+
+// TestSmallFramesDontWaitForLargeOnes guards against probes that timed out behind whole topics, so that live members were
+// declared dead.
+func TestSmallFramesDontWaitForLargeOnes(t *testing.T) {
+	is := is.New(t)
+	for range maxCoding {
+		largeCodingSlots <- struct{}{}
+	}
+	done := make(chan error, 1)
+	go func() {
+		frame, err := encodeFrame(sampleDigest(6))
+		if err == nil {
+			var got wire.Digest
+			err = decodeFrame(frame[4:], MaxAnswerBytes, &got)
+		}
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(waitTimeout):
+		is.Fail() // a small frame waits for a large one
+	}
+	go func() {
+		_, err := encodeFrame(strings.Repeat("a", 1<<20))
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+		is.Fail() // a large frame doesn't wait
+	case <-time.After(10 * time.Millisecond):
+	}
+	for range maxCoding {
+		<-largeCodingSlots
+	}
+	is.NoErr(<-done)
+}
--- a/internal/transport/peer/limits.go
+++ b/internal/transport/peer/limits.go
@@ -28,8 +28,10 @@
 	// maxAlone is the largest number of requests of a method in Server.OneAtATime of which one is in work and the others
 	// wait.
 	maxAlone = 3
-	// maxCoding is the largest number of frames that are being encoded or decoded at once.
-	maxCoding = 2
+	// maxCoding is the largest number of frames of more than smallFrameBytes that are being compressed or decoded at once,
+	// and that of smaller ones, such as probes, which don't wait for the larger ones.
+	maxCoding       = 2
+	smallFrameBytes = 16 << 10
 	// uncountedBytes is the size up to which a frame isn't counted: MaxConnections of them take 2 MiB.
 	uncountedBytes = 4 << 10
 	// writeTimeout is how long a peer may take to accept writeChunkBytes before its connection is closed.
@@ -56,8 +58,11 @@
 
 func (a *allowance) put(n int) { a.held.Add(int64(-n)) }
 
-// coding holds an element for each frame that is being encoded or decoded.
-var coding = make(chan struct{}, maxCoding)
+// smallCodingSlots and largeCodingSlots hold an element for each frame that is being compressed or decoded.
+var (
+	smallCodingSlots = make(chan struct{}, maxCoding)
+	largeCodingSlots = make(chan struct{}, maxCoding)
+)
 
 // writeTimeoutConn closes a connection whose peer doesn't accept what is written.
 type writeTimeoutConn struct {
