peer: one failed accept doesn't end the server

Where a process had no free file descriptor for a moment, or a connection was aborted before it was accepted, the peer server ended with an error that nobody read. No peer could connect from then on, and nothing was logged.

The server logs the error and tries again after 5 ms, then twice as long each time up to 1 s, until its listener is closed.

TestFailedAcceptDoesNotEndTheServer failed before.

--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -15,8 +15,14 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// authenticateTimeout is how long a new connection may stay unauthenticated before it is closed.
-const authenticateTimeout = 2 * time.Second
+const (
+	// authenticateTimeout is how long a new connection may stay unauthenticated before it is closed.
+	authenticateTimeout = 2 * time.Second
+	// minAcceptPause is the time before the next try after a connection could not be accepted; it doubles with each failure
+	// up to maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
 
 // Handler answers a request of an authenticated peer and decodes its parameters.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -66,14 +72,20 @@
 		s.alone[method] = &alone{inWork: make(chan struct{}, 1)}
 	}
 	s.mu.Unlock()
+	pause := minAcceptPause
 	for {
 		raw, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return err
+			s.Logger.Error().Err(err).Str("step", "accept peer connection").Dur("pause", pause).
+				Msg("peer connection not accepted; will retry")
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		s.serve(raw)
 	}
 }
--- a/internal/transport/peer/server_test.go
+++ b/internal/transport/peer/server_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,3 +196,47 @@
 	close(release)
 	is.NoErr(<-waited)
 }
+
+// failingListener fails the first calls of Accept as a process without free file descriptors does.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{
+			Op:  "accept",
+			Err: syscall.EMFILE,
+		}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAcceptDoesNotEndTheServer guards against a node that no peer reached any more after one connection could not
+// be accepted.
+func TestFailedAcceptDoesNotEndTheServer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &Server{
+		Secret:      secret,
+		IdleTimeout: time.Minute,
+		Handlers:    map[string]Handler{echo: echoHandler},
+		Logger:      zerolog.Nop(),
+	}
+	stopped := make(chan error, 1)
+	go func() {
+		stopped <- server.Run(&failingListener{
+			Listener: listener,
+			failures: 3,
+		})
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	is.NoErr(newClient(t, secret).Call(ctx, listener.Addr().String(), echo, nil, nil))
+	is.NoErr(listener.Close())
+	is.NoErr(<-stopped)
+	server.Close()
+}
