--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -11,6 +11,7 @@
 	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
+	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/peer"
 )
 
@@ -123,6 +124,20 @@
 	return struct{}{}, nil
 }
 
+// oneTopicAtATime makes the fetches of a topic wait for each other, but not for those of the other topic.
+func oneTopicAtATime(method string, params json.RawMessage) (kind string) {
+	if method != peer.MethodFeedFetch {
+		return ""
+	}
+	var request wire.FeedFetch
+	_ = json.Unmarshal(params, &request) // the handler refuses what it can't decode
+	switch request.Topic {
+	case catalog.TopicRoutes, catalog.TopicUpstreams:
+		return method + " " + request.Topic
+	}
+	return method
+}
+
 func (p *Process) handleFeedFetch(_ context.Context, params json.RawMessage) (any, error) {
 	var request wire.FeedFetch
 	if err := json.Unmarshal(params, &request); err != nil {
--- a/internal/transport/entryvm/peers_test.go
+++ b/internal/transport/entryvm/peers_test.go
@@ -1,12 +1,14 @@
 package entryvm
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/peer"
 )
 
 // TestLargeUpdatesArePushedWithoutTheirRecords checks that routes that have grown by a thousand are not sent to 60 nodes
@@ -50,3 +52,16 @@
 		})
 	}
 }
+
+// TestTopicsAreSentIndependently guards against a small snapshot of the upstreams that waited behind routes which were being
+// written to a slow peer.
+func TestTopicsAreSentIndependently(t *testing.T) {
+	is := is.New(t)
+	kind := func(method, topic string) string {
+		return oneTopicAtATime(method, json.RawMessage(`{"topic":"`+topic+`"}`))
+	}
+	is.True(kind(peer.MethodFeedFetch, "routes") != kind(peer.MethodFeedFetch, "upstreams"))
+	is.True(kind(peer.MethodFeedFetch, "routes") != "")
+	is.Equal(kind(peer.MethodFeedFetch, "x"), kind(peer.MethodFeedFetch, "y")) // no lane for each name that a peer makes up
+	is.Equal(kind(peer.MethodDigest, "routes"), "")
+}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -236,7 +236,7 @@
 	p.members.Machine.Start(time.Now())
 	p.server = &peer.Server{
 		Secret:      p.Secret,
-		OneAtATime:  []string{peer.MethodFeedFetch},
+		OneAtATime:  oneTopicAtATime,
 		IdleTimeout: peerIdleTimeout,
 		Logger:      p.Logger,
 		Handlers: map[string]peer.Handler{
--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -113,7 +113,8 @@
 }
 
 // TestOneLargeAnswerIsHeldAtATime guards against a copy of a whole topic for each peer that asks for it: one request is in
-// work, a few wait, and the others are refused at once on a connection that stays open.
+// work, a few wait, and the others are refused at once on a connection that stays open. A request of another kind, such as
+// a small topic, doesn't wait for them.
 func TestOneLargeAnswerIsHeldAtATime(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
@@ -123,9 +124,17 @@
 	server := &Server{
 		Secret:      secret,
 		IdleTimeout: time.Minute,
-		OneAtATime:  []string{"topic"},
-		Logger:      zerolog.Nop(),
-		Handlers: map[string]Handler{"topic": func(context.Context, json.RawMessage) (any, error) {
+		OneAtATime: func(method string, params json.RawMessage) string {
+			if method != "topic" {
+				return ""
+			}
+			return method + string(params)
+		},
+		Logger: zerolog.Nop(),
+		Handlers: map[string]Handler{"topic": func(_ context.Context, params json.RawMessage) (any, error) {
+			if string(params) == `"another"` {
+				return "all", nil
+			}
 			most.Store(max(most.Load(), inWork.Add(1)))
 			defer inWork.Add(-1)
 			<-release
@@ -147,6 +156,7 @@
 		is.True(errors.As(<-errs, &refused))
 		is.Equal(refused.Message, ErrBusy.Error())
 	}
+	is.NoErr(c.Download(t.Context(), listener.Addr().String(), "topic", "another", nil, waitTimeout))
 	close(release)
 	for range maxAlone {
 		is.NoErr(<-errs)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -33,8 +33,9 @@
 	Secret []byte
 	// Handlers holds the handlers by the name of their method, without those of the handshake.
 	Handlers map[string]Handler
-	// OneAtATime names the methods of which one request is in work at a time, until its answer was written.
-	OneAtATime []string
+	// OneAtATime returns the kind of a request of which one is in work at a time, until its answer was written, or "" if any
+	// number may be; nil stands for that of all requests. The kinds must be few.
+	OneAtATime func(method string, params json.RawMessage) (kind string)
 	// IdleTimeout is how long a connection may receive nothing before it is closed.
 	IdleTimeout time.Duration
 	// Logger logs refused requests.
@@ -48,12 +49,12 @@
 	receiving   allowance
 	inWork      allowance
 	inWorkBytes allowance
-	// alone holds the requests of each method in OneAtATime.
-	alone map[string]*alone
+	// lanes holds the requests of each kind of OneAtATime; mu guards it.
+	lanes map[string]*lane
 }
 
-// alone is the requests of a method of which one is in work at a time.
-type alone struct {
+// lane is the requests of a kind of which one is in work at a time.
+type lane struct {
 	inWork chan struct{}
 	held   allowance
 }
@@ -67,10 +68,7 @@
 func (s *Server) Run(listener net.Listener) error {
 	s.mu.Lock()
 	s.conns = map[*jsonrpc2.Conn]struct{}{}
-	s.alone = map[string]*alone{}
-	for _, method := range s.OneAtATime {
-		s.alone[method] = &alone{inWork: make(chan struct{}, 1)}
-	}
+	s.lanes = map[string]*lane{}
 	s.mu.Unlock()
 	pause := minAcceptPause
 	for {
@@ -147,6 +145,23 @@
 	return len(s.conns)
 }
 
+// lane returns the lane of a request, or nil if any number of its kind may be in work.
+func (s *Server) lane(method string, params json.RawMessage) *lane {
+	if s.OneAtATime == nil {
+		return nil
+	}
+	kind := s.OneAtATime(method, params)
+	if kind == "" {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lanes[kind] == nil {
+		s.lanes[kind] = &lane{inWork: make(chan struct{}, 1)}
+	}
+	return s.lanes[kind]
+}
+
 // session is the state of one incoming connection.
 type session struct {
 	server        *Server
@@ -199,17 +214,17 @@
 		return ErrBusy
 	}
 	defer s.server.inWorkBytes.put(size)
-	if alone := s.server.alone[request.Method]; alone != nil {
-		if !alone.held.take(1, maxAlone) {
+	if lane := s.server.lane(request.Method, params); lane != nil {
+		if !lane.held.take(1, maxAlone) {
 			return ErrBusy
 		}
-		defer alone.held.put(1)
+		defer lane.held.put(1)
 		select {
-		case alone.inWork <- struct{}{}:
+		case lane.inWork <- struct{}{}:
 		case <-rpc.DisconnectNotify():
 			return nil
 		}
-		defer func() { <-alone.inWork }()
+		defer func() { <-lane.inWork }()
 		if ctx.Err() != nil { // the peer has gone while the request waited
 			return nil
 		}
