feed: a worse fetch doesn't replace the one that waits

Routes could come later than 3 s: while one fetch of a topic is in flight only the newest request waited, so a digest of a node with version 4 replaced one with version 9, and any digest replaced the fetch of records that are known to be missing.

The queue keeps the request of the highest version and, apart from it, the newest one for missing records, which goes first.

TestBetterTargetWaits failed before.

--- a/internal/coordination/feed/fetch_queue.go
+++ b/internal/coordination/feed/fetch_queue.go
@@ -7,31 +7,41 @@
 	Version int
 }
 
-// FetchQueue allows one fetch of a whole topic at a time and keeps the newest request that comes meanwhile; it is not
-// safe for concurrent use.
+// FetchQueue allows one fetch of a whole topic at a time and keeps the best requests that come meanwhile: the newest one
+// without a version, which is of records that are missing, and the one of the highest version. It is not safe for
+// concurrent use.
 type FetchQueue struct {
-	inFlight bool
-	waiting  *Target
+	inFlight  bool
+	missing   *Target
+	versioned *Target
 }
 
-// Request reports whether to fetch from a target now. If a fetch is in flight, the target waits for its end, in place of
-// the one that waited before.
+// Request reports whether to fetch from a target now. If a fetch is in flight, the target waits for its end, unless a
+// better one does.
 func (q *FetchQueue) Request(target Target) (start bool) {
-	if q.inFlight {
-		q.waiting = &target
-		return false
+	switch {
+	case !q.inFlight:
+		q.inFlight = true
+		return true
+	case target.Version == 0:
+		q.missing = &target
+	case q.versioned == nil || target.Version >= q.versioned.Version:
+		q.versioned = &target
 	}
-	q.inFlight = true
-	return true
+	return false
 }
 
-// Done ends the fetch in flight and returns the target that waited for its end, which is then in flight.
+// Done ends the fetch in flight and returns a target that waited for its end, which is then in flight.
 func (q *FetchQueue) Done() (next Target, more bool) {
-	if q.waiting == nil {
+	waiting := &q.missing
+	if q.missing == nil {
+		waiting = &q.versioned
+	}
+	if *waiting == nil {
 		q.inFlight = false
 		return Target{}, false
 	}
-	next = *q.waiting
-	q.waiting = nil
+	next = **waiting
+	*waiting = nil
 	return next, true
 }
