catalog: an update during a catch-up isn't forgotten

A node that reads the store for an update whose records were left out may read it just before the next change is written. The update for that change found the read in flight and was dropped, so that the node got these routes only when it was next due to read, after more than 3 s in all.

A catch-up that finds another one in flight asks for one more read after it.

TestUpdateDuringCatchUpIsRead failed before.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -44,6 +44,8 @@
 	unsaved map[string]wire.FeedRecord
 	// catchingUp is set while a read of records that a peer left out is in flight.
 	catchingUp bool
+	// catchUpAgain is set if another one was asked for meanwhile.
+	catchUpAgain bool
 	// fetches are the fetches of the whole topic from peers.
 	fetches feed.FetchQueue
 	// fromCopy is set when the copy was loaded because the topic could not be read.
@@ -73,21 +75,38 @@
 	return err
 }
 
+// catchUp reads the records that a peer left out for this node alone. While another catch-up is in flight, which may have
+// read the store before they were written, it only asks for one more read after it.
+func (f *follower) catchUp(ctx context.Context) (err error) {
+	if !f.beginCatchUp() {
+		return nil
+	}
+	for more := true; more; more = f.endCatchUp() {
+		err = f.readAlone(ctx)
+	}
+	return err
+}
+
 // beginCatchUp reports whether a catch-up may start; it may not while another one is in flight.
 func (f *follower) beginCatchUp() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.catchingUp {
+		f.catchUpAgain = true
 		return false
 	}
 	f.catchingUp = true
 	return true
 }
 
-func (f *follower) endCatchUp() {
+// endCatchUp reports whether another read was asked for meanwhile, which is then in flight.
+func (f *follower) endCatchUp() (more bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.catchingUp = false
+	more = f.catchUpAgain
+	f.catchingUp = more
+	f.catchUpAgain = false
+	return more
 }
 
 func (f *follower) requestFetch(target feed.Target) (start bool) {
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -166,6 +166,7 @@
 						service.HandleUpdate(wire.FeedUpdate{Topic: TopicRoutes, Whole: true, Next: 2})
 					}
 				},
+				after: func() {},
 			}
 			service.Prepare()
 			service.CatchUp(t.Context(), "", TopicRoutes)
@@ -174,13 +175,34 @@
 	}
 }
 
-// readHook calls a function before each read of the newest records.
+// readHook calls functions before and after each read of the newest records.
 type readHook struct {
 	*fakeTopic
-	before func()
+	before, after func()
 }
 
 func (h readHook) Newest(ctx context.Context) (Batch, error) {
 	h.before()
+	defer h.after()
 	return h.fakeTopic.Newest(ctx)
 }
+
+// TestUpdateDuringCatchUpIsRead guards against routes that a node didn't get until the next read of the store by all nodes:
+// they were written while it read the store for the update before.
+func TestUpdateDuringCatchUpIsRead(t *testing.T) {
+	is := is.New(t)
+	routes := newTopic()
+	routes.put("config", "2")
+	service := newNode(&countingPeers{}, routes, newTopic())
+	service.Routes = readHook{
+		fakeTopic: routes,
+		before:    func() {},
+		after: func() {
+			routes.put("config", "3")
+			service.CatchUp(t.Context(), "", TopicRoutes)
+		},
+	}
+	service.Prepare()
+	service.CatchUp(t.Context(), "", TopicRoutes)
+	is.Equal(service.RoutesVersion(), 3)
+}
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -255,12 +255,11 @@
 // address if the store can't be read and no other peer has supplied them meanwhile.
 func (s *Service) CatchUp(ctx context.Context, address, topic string) {
 	f := s.follower(topic)
-	if f == nil || !f.beginCatchUp() {
+	if f == nil {
 		return
 	}
-	defer f.endCatchUp()
 	before := f.position()
-	if f.readAlone(ctx) != nil && f.position() == before {
+	if f.catchUp(ctx) != nil && f.position() == before {
 		s.Refetch(ctx, address, topic)
 	}
 }
@@ -299,9 +298,8 @@
 		s.Logger.Warn().Err(err).Str("step", "fetch "+f.topic.Name).Str("peer", target.Address).
 			Msg("peer call failed; reading the store unless another peer is named")
 	}
-	if err != nil && f.beginCatchUp() {
-		defer f.endCatchUp()
-		_ = f.readAlone(ctx)
+	if err != nil {
+		_ = f.catchUp(ctx)
 	}
 }
 
