feed: a gap closes while pushes go on

A node that missed a push fetches the whole topic from the sender.

The topic keeps the range of offsets whose updates it has applied after a gap. An update that doesn't adjoin the range takes its place; then another fetch follows, as before.

TestGapClosesWhilePushesGoOn failed before.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -31,12 +31,20 @@
 	// have been restored from a copy that is older than what the nodes know.
 	freshFrom int
 	loaded    bool
+	// ahead is the range of offsets after a gap of which the updates were applied.
+	ahead offsets
 	// tombstones is the number of tombstones among the records.
 	tombstones int
 	// forgottenBefore is the offset before which tombstones may have been forgotten, 0 if none were.
 	forgottenBefore int
 }
 
+// offsets is a range of offsets, from inclusive and next exclusive.
+type offsets struct {
+	from int
+	next int
+}
+
 // MaxTombstones is the number of tombstones that a topic keeps; it has up to twice as many before it forgets the oldest.
 const MaxTombstones = 4096
 
@@ -95,17 +103,37 @@
 	}
 	t.forgetTombstones()
 	if !t.loaded || !update.Whole && update.From > t.next {
+		t.extendAhead(update)
 		return changed, true
 	}
 	t.next = max(t.next, update.Next)
+	if t.ahead.from <= t.next {
+		t.next = max(t.next, t.ahead.next)
+		t.ahead = offsets{}
+	}
 	return changed, false
 }
 
+// extendAhead adds an update after the gap to those that were applied, so that the gap has closed once a snapshot reaches
+// the first of them. An update that doesn't adjoin them takes their place.
+func (t *Topic) extendAhead(update wire.FeedUpdate) {
+	if update.From > t.ahead.next || update.Next < t.ahead.from {
+		t.ahead = offsets{
+			from: update.From,
+			next: update.Next,
+		}
+		return
+	}
+	t.ahead.from = min(t.ahead.from, update.From)
+	t.ahead.next = max(t.ahead.next, update.Next)
+}
+
 // beginEra moves the known records to the start of the era of a whole-topic update. What the update holds of it may
 // replace them by rank, and every record written in the era by its offset.
 func (t *Topic) beginEra(update wire.FeedUpdate) {
 	t.era = update.Era
 	t.next = 0
+	t.ahead = offsets{}
 	t.forgottenBefore = 0
 	t.freshFrom = update.FreshFrom
 	for key, record := range t.records {
--- a/internal/coordination/feed/topic_test.go
+++ b/internal/coordination/feed/topic_test.go
@@ -136,3 +136,41 @@
 	_, _ = topic.Apply(write("100", "2")) // it registers again
 	is.Equal(len(topic.Records()), 2)
 }
+
+// TestGapClosesWhilePushesGoOn guards against a node that fetched the whole topic again and again, since pushes came faster
+// than a fetch lasted.
+func TestGapClosesWhilePushesGoOn(t *testing.T) {
+	is := is.New(t)
+	push := func(topic *Topic, offset int) (gap bool) {
+		_, gap = topic.Apply(wire.FeedUpdate{From: offset, Next: offset + 1, Records: []wire.FeedRecord{
+			put(fmt.Sprint(offset), "1", offset),
+		}})
+		return gap
+	}
+	var reader, node Topic
+	reader.Apply(wire.FeedUpdate{Whole: true})
+	node.Apply(wire.FeedUpdate{Whole: true})
+	var snapshot wire.FeedUpdate
+	for offset := range 6 {
+		push(&reader, offset)
+		if offset > 0 { // the first is lost
+			is.True(push(&node, offset))
+		}
+		if offset == 2 {
+			snapshot = reader.Snapshot()
+		}
+	}
+	_, gap := node.Apply(snapshot)
+	is.True(!gap)
+	is.True(!push(&node, 6))
+	push(&reader, 6)
+	is.Equal(node.Snapshot(), reader.Snapshot())
+
+	is.True(push(&node, 9))
+	is.True(push(&node, 11)) // 10 is lost too
+	node.Apply(wire.FeedUpdate{From: 7, Next: 10})
+	is.Equal(node.Next(), 10)
+	is.True(push(&node, 12))
+	node.Apply(wire.FeedUpdate{From: 10, Next: 11})
+	is.Equal(node.Next(), 13)
+}
