peer: a slow answer alone doesn't close the connection

Each call that timed out closed the connection that all calls to its peer share, with the probes that were being answered on it and updates not yet written. A peer that is only slow with one answer so looked dead.

After a timeout the client closes the connection only if the peer has sent nothing during the call, as when it has gone silent.

TestSlowAnswerKeepsTheConnection failed before; TestTimedOutCallReplacesConnection still holds unchanged.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -39,10 +39,13 @@
 	received  atomic.Int64
 }
 
-// conn is a connection that the client keeps, with the time of the last call on it.
+// conn is a connection that the client keeps.
 type conn struct {
-	rpc      *jsonrpc2.Conn
+	rpc *jsonrpc2.Conn
+	// lastUsed is the time of the last call; the client's mu guards it.
 	lastUsed time.Time
+	// reads counts the reads that returned bytes of the peer.
+	reads atomic.Int64
 }
 
 // ByteCounts returns the number of bytes sent and received so far on the connections that this node opened.
@@ -52,17 +55,19 @@
 
 // Call sends a request to a peer and decodes its answer into result.
 //
-// After any error but one that the peer answered with, a timeout included, it closes the connection, so that the next
-// call opens a new one.
+// After any error but one that the peer answered with it closes the connection, so that the next call opens a new one. It
+// does so after a timeout only if the peer has sent nothing meanwhile: else other calls are being answered.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	rpc, err := c.connection(ctx, address)
+	conn, err := c.connection(ctx, address)
 	if err != nil {
 		return eris.Wrapf(err, "connect to peer %s", address)
 	}
-	if err := rpc.Call(ctx, method, params, result); err != nil {
+	readsBefore := conn.reads.Load()
+	if err := conn.rpc.Call(ctx, method, params, result); err != nil {
 		var answered *jsonrpc2.Error
-		if !errors.As(err, &answered) {
-			c.drop(address, rpc)
+		slow := ctx.Err() != nil && errors.Is(err, ctx.Err()) && conn.reads.Load() != readsBefore
+		if !slow && !errors.As(err, &answered) {
+			c.drop(address, conn)
 		}
 		return eris.Wrapf(err, "call %s at peer %s", method, address)
 	}
@@ -109,19 +114,21 @@
 }
 
 // connection returns the connection to an address and opens one if there is none.
-func (c *Client) connection(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
 	c.mu.Lock()
 	cached := c.conns[address]
 	if cached != nil {
 		cached.lastUsed = time.Now()
 		c.mu.Unlock()
-		return cached.rpc, nil
+		return cached, nil
 	}
 	c.mu.Unlock()
-	rpc, err := c.dial(ctx, address, func() {})
+	opened := &conn{lastUsed: time.Now()}
+	rpc, err := c.dial(ctx, address, func() { opened.reads.Add(1) })
 	if err != nil {
 		return nil, err
 	}
+	opened.rpc = rpc
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns == nil {
@@ -129,23 +136,20 @@
 	}
 	if other := c.conns[address]; other != nil {
 		_ = rpc.Close()
-		return other.rpc, nil
+		return other, nil
 	}
-	c.conns[address] = &conn{
-		rpc:      rpc,
-		lastUsed: time.Now(),
-	}
-	return rpc, nil
+	c.conns[address] = opened
+	return opened, nil
 }
 
 // drop closes a connection and removes it, if it is still the one kept for the address.
-func (c *Client) drop(address string, rpc *jsonrpc2.Conn) {
+func (c *Client) drop(address string, dropped *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cached := c.conns[address]; cached != nil && cached.rpc == rpc {
+	if c.conns[address] == dropped {
 		delete(c.conns, address)
 	}
-	_ = rpc.Close()
+	_ = dropped.rpc.Close()
 }
 
 // dial opens a connection and authenticates both sides. It calls progress each time that bytes are received.
--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -224,3 +224,32 @@
 	a.put(60)
 	is.True(a.take(60, 100))
 }
+
+// TestSlowAnswerKeepsTheConnection guards against probes that were lost with the connection when an unrelated answer was
+// slow: the peer goes on to answer other calls.
+func TestSlowAnswerKeepsTheConnection(t *testing.T) {
+	is := is.New(t)
+	hang := make(chan struct{})
+	defer close(hang)
+	address, _ := startServer(t, map[string]Handler{
+		echo: echoHandler,
+		"hang": func(context.Context, json.RawMessage) (any, error) {
+			<-hang
+			return nil, nil
+		},
+	})
+	c := newClient(t, secret)
+	is.NoErr(c.Call(t.Context(), address, echo, nil, nil))
+	shared := c.conns[address].rpc
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Call(ctx, address, "hang", nil, nil) }()
+	for range 20 { // some of them after the slow call was sent
+		is.NoErr(c.Call(t.Context(), address, echo, nil, nil))
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	is.True(errors.Is(<-ended, context.Canceled))
+	is.NoErr(c.Call(t.Context(), address, echo, nil, nil))
+	is.True(c.conns[address].rpc == shared)
+}
