membership: the number of members has a bound

A node kept each name that a digest brought, up to 4096 rows of each digest, until it was dead for ten minutes: the list had no bound, and digests spread it to all nodes. Nobody has seen that happen.

A node knows at most 4096 other members, as many as a digest may hold, and ignores further ones until some are forgotten.

TestMembersAreLimited failed without the check.

--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -36,6 +36,9 @@
 	fullSyncBelow = 0.95
 )
 
+// MaxMembers is the largest number of other members that a node knows. Further ones are ignored until some are forgotten.
+const MaxMembers = 4096
+
 // reconnectRounds is the number of periods between probes of a dead member and of a contact, which rejoin a cluster
 // after a partition.
 const reconnectRounds = 5
--- a/internal/coordination/membership/machine_test.go
+++ b/internal/coordination/membership/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -227,3 +228,18 @@
 	})
 	t.Logf("69 lost members detected by all 341 others after %s", took)
 }
+
+// TestMembersAreLimited guards against a list that grows with each name that peers make up.
+func TestMembersAreLimited(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	m := New(wire.Member{Name: "self"}, nil)
+	m.Start(now)
+	for i := range MaxMembers + 10 {
+		m.merge(wire.Digest{From: wire.Member{Name: "vm-" + strconv.Itoa(i), Incarnation: 1}}, now)
+	}
+	is.Equal(len(m.members), MaxMembers)
+	m.remove("vm-0")
+	m.merge(wire.Digest{From: wire.Member{Name: "late", Incarnation: 1}}, now)
+	is.True(m.members["late"] != nil)
+}
--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -45,7 +45,11 @@
 	m.version++
 }
 
+// add adds a member, unless there are MaxMembers already.
 func (m *Machine) add(row wire.Member, now time.Time) {
+	if len(m.members) >= MaxMembers {
+		return
+	}
 	m.members[row.Name] = &member{
 		row:   row,
 		since: now,
