members: the states of forgotten members are forgotten

The last logged state of each member was kept for ever, so that the process grew with each VM that was replaced.

The states of members that are no longer known are removed when the list is published.

TestStatesOfForgottenMembersAreForgotten failed before.

--- a/internal/transport/members/service.go
+++ b/internal/transport/members/service.go
@@ -20,7 +20,7 @@
 	// tickInterval is the time between two ticks of the membership state machine.
 	tickInterval = 200 * time.Millisecond
 	// maxDigestMembers is the largest number of members in a digest that a peer may send.
-	maxDigestMembers = 4096
+	maxDigestMembers = membership.MaxMembers
 )
 
 // Service maintains the list of members; its exported fields must be set before it is used.
@@ -264,5 +264,12 @@
 			Int("incarnation", row.Incarnation).
 			Msg("member state changed")
 	}
+	if len(s.lastStates) > len(rows) {
+		known := map[string]int{}
+		for _, row := range rows {
+			known[row.Name] = row.State
+		}
+		s.lastStates = known
+	}
 	s.current.Store(&rows)
 }
