catalog: routes that a node can't decode aren't fetched at each digest

A node that can't decode a version of the routes keeps its own, and so fetched all of them again at each digest of a member that has the version: several times a second, for as long as the version was in force.

The node remembers the highest version that it could not decode and doesn't fetch it again; a higher one is fetched. Where the version itself can't be read from the record, nothing changes.

TestUndecodableRoutesAreFetchedOnce failed before.

--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"testing"
@@ -206,3 +207,31 @@
 	service.CatchUp(t.Context(), "", TopicRoutes)
 	is.Equal(service.RoutesVersion(), 3)
 }
+
+// TestUndecodableRoutesAreFetchedOnce guards against a node that can't decode a version of the routes and fetched all of them
+// again at each digest of a member that can.
+func TestUndecodableRoutesAreFetchedOnce(t *testing.T) {
+	is := is.New(t)
+	peers := &countingPeers{answer: wire.FeedUpdate{
+		Topic:   TopicRoutes,
+		Whole:   true,
+		Next:    1,
+		Records: []wire.FeedRecord{{Key: "config", Value: "5"}},
+	}}
+	service := newNode(peers, newTopic(), newTopic())
+	undecodable := "5"
+	service.DecodeRoutes = func(data []byte) (*route.Table, []string, error) {
+		if string(data) == undecodable {
+			return nil, nil, errors.New("unknown field")
+		}
+		return decodeVersion(data)
+	}
+	service.Prepare()
+	for range 10 {
+		service.FetchNewerRoutes(t.Context(), "10.0.0.1:1", 5)
+	}
+	is.Equal(peers.calls, 1)
+	peers.answer.Next, peers.answer.Records = 2, []wire.FeedRecord{{Key: "config", Value: "6", Offset: 1}}
+	service.FetchNewerRoutes(t.Context(), "10.0.0.1:1", 6)
+	is.Equal(service.RoutesVersion(), 6)
+}
--- a/internal/transport/catalog/routes.go
+++ b/internal/transport/catalog/routes.go
@@ -33,6 +33,7 @@
 	table, faults, err := s.DecodeRoutes([]byte(record.Value))
 	if err != nil {
 		s.Logger.Error().Err(err).Str("decision", "routes").Int("offset", record.Offset).Msg("routes record skipped")
+		s.skipVersion(record)
 		return
 	}
 	for _, fault := range faults {
@@ -50,3 +51,17 @@
 	s.Logger.Info().Str("decision", "routes").Int("version", table.Version()).Int("offset", record.Offset).
 		Msg("routes in force")
 }
+
+// skipVersion records that this node can't decode the routes of a record, so that it doesn't fetch their version again.
+func (s *Service) skipVersion(record wire.FeedRecord) {
+	version, err := s.DecodeRoutesVersion([]byte(record.Value))
+	if err != nil {
+		return
+	}
+	s.skippedVersion.Store(max(s.skippedVersion.Load(), int64(version)))
+}
+
+// hasVersion reports whether this node has a version of the routes or a newer one, or one that it can't decode.
+func (s *Service) hasVersion(version int) bool {
+	return version <= max(s.RoutesVersion(), int(s.skippedVersion.Load()))
+}
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -80,8 +80,11 @@
 	Logger zerolog.Logger
 
 	currentRoutes atomic.Pointer[route.Table]
-	routes        *follower
-	upstreams     *follower
+	// skippedVersion is the highest version of the routes that this node could not decode. It is written with the lock of
+	// the routes' follower held.
+	skippedVersion atomic.Int64
+	routes         *follower
+	upstreams      *follower
 	// mu guards roster and decodeErrors.
 	mu     sync.Mutex
 	roster roster.List
@@ -287,7 +290,7 @@
 	}
 	var err error
 	for more := true; more; target, more = f.endFetch() {
-		if target.Version > 0 && target.Version <= s.RoutesVersion() {
+		if target.Version > 0 && s.hasVersion(target.Version) {
 			continue
 		}
 		var update wire.FeedUpdate
