catalog: an ignored update doesn't make a topic current

A topic that has forgotten tombstones ignores updates that end before them, but such an update still counted as a sign that the copy is current. While late ones kept coming the node didn't read the store itself.

Topic.Ignores tells such updates apart, and the schedule of reads leaves them out.

TestIgnoredUpdateDoesNotMakeTheTopicCurrent failed before.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -86,8 +86,7 @@
 	case update.Era < t.era:
 		return t.mergeEarlierEra(update), false
 	}
-	if update.Next <= t.forgottenBefore && t.forgottenBefore > 0 {
-		// It may repeat records whose tombstones were forgotten.
+	if t.Ignores(update) {
 		return nil, false
 	}
 	t.freshFrom = min(t.freshFrom, update.FreshFrom)
@@ -128,6 +127,11 @@
 	t.ahead.next = max(t.ahead.next, update.Next)
 }
 
+// Ignores reports whether an update is so late that Apply ignores it: it may repeat records whose tombstones were forgotten.
+func (t *Topic) Ignores(update wire.FeedUpdate) bool {
+	return update.Era == t.era && t.forgottenBefore > 0 && update.Next <= t.forgottenBefore
+}
+
 // beginEra moves the known records to the start of the era of a whole-topic update. What the update holds of it may
 // replace them by rank, and every record written in the era by its offset.
 func (t *Topic) beginEra(update wire.FeedUpdate) {
--- a/internal/coordination/feed/topic_test.go
+++ b/internal/coordination/feed/topic_test.go
@@ -174,3 +174,22 @@
 	node.Apply(wire.FeedUpdate{From: 10, Next: 11})
 	is.Equal(node.Next(), 13)
 }
+
+// TestIgnoredUpdateIsToldApart guards against a copy that counted as current because of a late update that it ignored.
+func TestIgnoredUpdateIsToldApart(t *testing.T) {
+	is := is.New(t)
+	var topic Topic
+	topic.Apply(wire.FeedUpdate{Whole: true})
+	late := wire.FeedUpdate{Next: 1, Records: []wire.FeedRecord{put("0", "1", 0)}}
+	is.True(!topic.Ignores(late))
+	var tombstones []wire.FeedRecord
+	for i := range 2*MaxTombstones + 1 {
+		tombstones = append(tombstones, put(fmt.Sprint(i), "", i))
+	}
+	topic.Apply(wire.FeedUpdate{Next: len(tombstones), Records: tombstones})
+	is.True(topic.Ignores(late))
+	changed, _ := topic.Apply(late)
+	is.Equal(len(changed), 0)
+	is.True(!topic.Ignores(wire.FeedUpdate{From: len(tombstones), Next: len(tombstones)}))
+	is.True(!topic.Ignores(wire.FeedUpdate{Era: 1, Whole: true}))
+}
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -181,6 +181,7 @@
 // next offset and the update are missing. The caller must hold the lock.
 func (f *follower) merge(update wire.FeedUpdate, now time.Time) (gap bool) {
 	eraBefore, loadedBefore := f.topic.Era(), f.topic.Loaded()
+	ignored := f.topic.Ignores(update)
 	newer, gap := f.topic.Apply(update)
 	restored := loadedBefore && f.topic.Era() != eraBefore
 	if restored {
@@ -200,7 +201,7 @@
 		f.unsaved[record.Key] = record
 		f.changes[record.Offset] = true
 	}
-	if !gap && update.Era == f.topic.Era() {
+	if !gap && !ignored && update.Era == f.topic.Era() {
 		f.readSchedule.MarkCurrent(now)
 	}
 	f.forgetTombstones()
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/route"
 )
@@ -235,3 +236,25 @@
 	service.FetchNewerRoutes(t.Context(), "10.0.0.1:1", 6)
 	is.Equal(service.RoutesVersion(), 6)
 }
+
+// TestIgnoredUpdateDoesNotMakeTheTopicCurrent guards against a node that didn't read the store, since late updates which it
+// ignored made its copy look current.
+func TestIgnoredUpdateDoesNotMakeTheTopicCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := newNode(&countingPeers{}, newTopic(), newTopic())
+		service.Prepare()
+		update := wire.FeedUpdate{Topic: TopicUpstreams, Whole: true}
+		service.HandleUpdate(update)
+		for i := range 2*feed.MaxTombstones + 1 {
+			update.Records = append(update.Records, wire.FeedRecord{Key: strconv.Itoa(i), Offset: i})
+		}
+		update.Whole, update.Next = false, len(update.Records)
+		service.HandleUpdate(update)
+		time.Sleep(time.Second)
+		service.HandleUpdate(wire.FeedUpdate{Topic: TopicUpstreams, Next: 1})
+		is.Equal(service.UpstreamsAge(), time.Second)
+		service.HandleUpdate(wire.FeedUpdate{Topic: TopicUpstreams, From: update.Next, Next: update.Next})
+		is.Equal(service.UpstreamsAge(), time.Duration(0))
+	})
+}
