peer: the unread bytes of opened connections are bounded

The listeners and the connections to upstreams have receive buffers that follow the memory limit, but the connections that a node opens to its peers had those that the kernel chooses, hundreds of kilobytes each.

They get the same buffers. A round trip of 100 ms then limits a transfer of a topic to some hundreds of kilobytes within its 1.5 s, by reckoning; a larger one is read from the store.

TestConnectionsAreOpenedWithControl didn't compile before, since the client had no such option. No memory was measured.

--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -214,8 +214,9 @@
 	p.outgoing.process = p
 	p.outgoing.outbox.MaxBytes = MaxOutgoingBytes
 	p.client = &peer.Client{
-		Name:   p.Name,
-		Secret: p.Secret,
+		Name:    p.Name,
+		Secret:  p.Secret,
+		Control: p.connections.ReceiveBuffer.Control,
 	}
 	p.members = &members.Service{
 		Machine: membership.New(wire.Member{
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,8 @@
 	Name string
 	// Secret is the shared secret of all nodes.
 	Secret []byte
+	// Control, if set, is called for each socket before it connects, as by net.Dialer.
+	Control func(network, address string, raw syscall.RawConn) error
 
 	mu sync.Mutex
 	// conns holds the authenticated connections by address.
@@ -154,7 +157,10 @@
 
 // dial opens a connection and authenticates both sides. It calls progress each time that bytes are received.
 func (c *Client) dial(ctx context.Context, address string, progress func()) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		Control: c.Control,
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -253,3 +254,18 @@
 	is.NoErr(c.Call(t.Context(), address, echo, nil, nil))
 	is.True(c.conns[address].rpc == shared)
 }
+
+// TestConnectionsAreOpenedWithControl guards against connections to peers whose unread bytes nothing bounds.
+func TestConnectionsAreOpenedWithControl(t *testing.T) {
+	is := is.New(t)
+	address, _ := startServer(t, map[string]Handler{echo: echoHandler})
+	c := newClient(t, secret)
+	var controlled atomic.Int64
+	c.Control = func(string, string, syscall.RawConn) error {
+		controlled.Add(1)
+		return nil
+	}
+	is.NoErr(c.Call(t.Context(), address, echo, nil, nil))
+	is.NoErr(c.Download(t.Context(), address, echo, nil, nil, waitTimeout))
+	is.Equal(controlled.Load(), int64(2))
+}
