entryvm: failures of relays are forgotten

The time at which a relay last failed to answer was kept for ever, one entry for each VM that was ever a relay and failed.

Entries that no choice of a relay considers any more are removed with the next failure.

TestFailuresOfRelaysAreForgotten failed without the removal.

--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -130,17 +131,23 @@
 		ctx, relay.Address, peer.MethodRelayLoads, encodeLoads(p.Name, own), &answer); err != nil {
 		p.Logger.Warn().Err(err).Str("decision", "relay").Str("step", peer.MethodRelayLoads).Str("peer", relay.Name).
 			Msg("load relay did not answer; trying another one for a while")
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if l.lastFailure == nil {
-			l.lastFailure = map[string]time.Time{}
-		}
-		l.lastFailure[relay.Name] = time.Now()
+		l.recordFailure(relay.Name, time.Now())
 		return
 	}
 	p.dispatcher.ReceiveSiteDigest(decodeLoads(answer), own, time.Now())
 }
 
+// recordFailure records that a relay did not answer, and forgets the failures that relayOf no longer considers.
+func (l *loadReporter) recordFailure(relay string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lastFailure == nil {
+		l.lastFailure = map[string]time.Time{}
+	}
+	maps.DeleteFunc(l.lastFailure, func(_ string, failed time.Time) bool { return now.Sub(failed) >= relayRetryDelay })
+	l.lastFailure[relay] = now
+}
+
 // reportToOtherZones sends the total of this availability zone to the relays of the others.
 func (l *loadReporter) reportToOtherZones(live []wire.Member, now time.Time) {
 	sum := encodeLoads(l.process.AvailabilityZone, l.process.dispatcher.ZoneSum(now))
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -83,3 +83,14 @@
 	is.Equal(next.AvailabilityZone, "zone-0")
 	is.Equal(reporter.relayOf(live, "zone-0", now.Add(relayRetryDelay)), relay)
 }
+
+// TestFailuresOfRelaysAreForgotten guards against a time kept for each relay that ever failed to answer.
+func TestFailuresOfRelaysAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 31, 8, 0, 0, 0, time.UTC)
+	var reporter loadReporter
+	for i := range 10 {
+		reporter.recordFailure(fmt.Sprintf("node-%d", i), now.Add(time.Duration(i)*relayRetryDelay))
+	}
+	is.Equal(len(reporter.lastFailure), 1)
+}
