Tell other nodes of the parts that matter, beside many others

Callers saw upstreams crash on and on: with many just-begun requests at a crash, or many parts in one prompt, no node but the one that saw the crash learned of the part that caused it. Eight rows were told, and parts of the same crash were ordered by ID, the same at every node, so that a part of a high ID was never told.

Now 32 rows are told: quarantined parts first, then those that never went well and have a crash that counts, those that have gone well since last. Parts of the same importance take turns.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -135,6 +135,20 @@
 // newest returns the time of the last crash.
 func (e *evidence) newest() time.Time { return e.crashes[len(e.crashes)-1].at }
 
+// class returns how important the evidence is, 0 for the most important: that of a quarantined part, of a part that may
+// crash upstreams as far as is known, of one that has gone well before, and of one that has gone well since.
+func (e *evidence) class() int {
+	switch {
+	case e.sentence != (sentence{}):
+		return 0
+	case !slices.ContainsFunc(e.crashes, crash.counts):
+		return 3
+	case e.passed:
+		return 2
+	}
+	return 1
+}
+
 // judge returns the quarantine that follows from crashes in the order of time. A crash before the end of the quarantine
 // is that of a request sent earlier; a later one is that of a probe.
 func judge(times []time.Time, needed int) (s sentence) {
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -451,3 +451,48 @@
 		})
 	}
 }
+
+// TestEvidenceReachesAllNodesBesideManyOtherParts guards against a part that crashes upstreams never being told to other
+// nodes, since the digests are full of parts that ran beside it or came in the same prompt.
+func TestEvidenceReachesAllNodesBesideManyOtherParts(t *testing.T) {
+	const bad = 1 << 60
+	for name, c := range map[string]struct{ beside, same int }{
+		"alone":              {},
+		"4 others":           {beside: 4},
+		"9 others":           {beside: 9},
+		"20 others":          {beside: 20},
+		"a prompt of 63":     {same: 61},
+		"both, a few others": {same: 20, beside: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(26, 20, 20)
+			own, crashes := uint64(rareParts), 0
+			newParts := func(count int) (ids []uint64) {
+				for range count {
+					own++
+					ids = append(ids, own)
+				}
+				return ids
+			}
+			for i, node := range m.nodes {
+				p := newPrompt(append(append([]uint64{firstPart}, newParts(c.same)...), bad, m.random.Uint64())...)
+				for _, other := range m.nodes {
+					other.Passed(modelPool, newPrompt(firstPart, m.random.Uint64()), m.now)
+				}
+				if node.Check(modelPool, p, firstRank, m.now) == nil {
+					crashes++
+					node.Crashed(modelPool, p, m.engines[i].name, m.now)
+					for range c.beside {
+						beside := append(append([]uint64{firstPart}, newParts(2)...), m.random.Uint64())
+						node.Crashed(modelPool, newPrompt(beside...), m.engines[i].name, m.now)
+					}
+				}
+				m.runFor(time.Second)
+			}
+			t.Logf("%d of %d crash", crashes, len(m.nodes))
+			if crashes > 4 {
+				t.Error("not learned by the other nodes")
+			}
+		})
+	}
+}
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -14,7 +14,7 @@
 	// maxParts is the number of parts about which there is evidence at the same time, maxRows the number of them that
 	// are told to other nodes.
 	maxParts = 256
-	maxRows  = 8
+	maxRows  = 32
 	// maxPassed is the number of parts of which it is known when an answer last went well; twice as many are kept for a
 	// while.
 	maxPassed = 2048
@@ -116,11 +116,11 @@
 	return changed
 }
 
-// Rows returns the evidence to tell other nodes, that of quarantined parts and the newest first.
+// Rows returns the evidence to tell other nodes, the most important first.
 func (r *Registry) Rows(now time.Time) []Row {
 	r.forget(now)
 	rows := make([]Row, 0, min(len(r.parts), maxRows))
-	for _, key := range r.ranked()[:cap(rows)] {
+	for _, key := range r.ranked(now)[:cap(rows)] {
 		e := r.parts[key]
 		row := Row{
 			Part:    key,
@@ -240,7 +240,7 @@
 		r.forget(now)
 	}
 	if len(r.parts) >= maxParts {
-		ranked := r.ranked()
+		ranked := r.ranked(now)
 		delete(r.parts, ranked[len(ranked)-1])
 	}
 	e := &evidence{}
@@ -248,24 +248,33 @@
 	return e
 }
 
-// ranked returns the parts in the order of their importance.
-func (r *Registry) ranked() []Part {
+// ranked returns the parts in the order of their importance. Parts of the same importance take turns.
+func (r *Registry) ranked(now time.Time) []Part {
 	keys := make([]Part, 0, len(r.parts))
 	for key := range r.parts {
 		keys = append(keys, key)
 	}
+	turn := uint64(now.UnixNano())
 	slices.SortFunc(keys, func(a, b Part) int {
 		first, second := r.parts[a], r.parts[b]
 		return cmp.Or(
+			cmp.Compare(first.class(), second.class()),
 			cmp.Compare(second.sentence.crashes, first.sentence.crashes),
 			second.newest().Compare(first.newest()),
-			cmp.Compare(a.ID, b.ID),
+			cmp.Compare(mix(a.ID, turn), mix(b.ID, turn)),
 			cmp.Compare(a.Pool, b.Pool),
 		)
 	})
 	return keys
 }
 
+// mix returns a number that depends on a part and a turn; two parts never have the same one in a turn.
+func mix(id, turn uint64) uint64 {
+	const first, second, shift = 0xbf58476d1ce4e5b9, 0x94d049bb133111eb, 31
+	id = (id ^ turn) * first
+	return (id ^ id>>shift) * second
+}
+
 // forget drops the evidence that has expired.
 func (r *Registry) forget(now time.Time) {
 	for key, e := range r.parts {
