Count a crash once, however late other nodes are told of it

A part was quarantined after one crash, and sound requests with it refused for half a minute, if a row of evidence was under way for longer than a second: its crash seemed a second later than the same crash in the next row, and counted as another.

Reports about an upstream within three seconds are now about the same crash. Of an upstream that is back sooner and crashes again, the second crash is not counted.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// sameCrashTime is the time within which two reports about an upstream are about the same crash; a crashed upstream
-	// is down for longer.
-	sameCrashTime = time.Second
+	// sameCrashTime is the time within which two reports about an upstream are about the same crash, however long they
+	// were under way; a crashed upstream seldom runs again sooner.
+	sameCrashTime = 3 * time.Second
 	// burstTime is the time within which crashes count as one, since upstreams that fail together fail for a reason of
 	// their own.
 	burstTime = 100 * time.Millisecond
--- a/internal/coordination/quarantine/registry_test.go
+++ b/internal/coordination/quarantine/registry_test.go
@@ -100,3 +100,20 @@
 	r.Rows(start.Add(time.Hour))
 	is.Equal(len(r.parts), 0)
 }
+
+// TestOneCrashIsCountedOnceHoweverLateItIsTold guards against a quarantine after one crash, because evidence that was
+// under way for a while makes it look like two.
+func TestOneCrashIsCountedOnceHoweverLateItIsTold(t *testing.T) {
+	for _, delay := range []time.Duration{0, 500 * time.Millisecond, 1150 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			is := is.New(t)
+			teller, r, p := &Registry{}, &Registry{}, newPrompt(7, 100)
+			teller.Crashed(modelPool, p, "e1", start)
+			late, now := teller.Rows(start), start.Add(delay)
+			r.Merge(late, now)
+			r.Merge(teller.Rows(now), now)
+			is.Equal(r.Check(modelPool, p, firstRank, now), nil)
+			is.Equal(len(r.Rows(now)[0].Crashes), 1)
+		})
+	}
+}
