Send no probe of a part while another one is open

While a probe of a quarantined part waited at an upstream, its node sent another one each 4 s, and twice as many nodes did with each such window: requests that may crash upstreams, sent before the first one had told anything.

Digests now tell the last probe of a part and whether it has ended. All nodes wait for its end, at most 150 s (a node that dies may never tell); then the windows begin anew. A probe whose upstream may have crashed ends when that is known. Callers who are refused meanwhile are told to come back with the next 4 s window.

The quarantine model passes with unchanged bounds, among them that of a part that is sound again at 60 nodes.

--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -94,6 +94,13 @@
 	return nil, d.quarantine.Sent(request.Pool, request.Prompt, now)
 }
 
+// ProbeEnded records that a request that Admit called a probe runs no more.
+func (d *Dispatcher) ProbeEnded(request Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quarantine.ProbeEnded(request.Pool, request.Prompt)
+}
+
 // rank returns this node's rank for a key among the live nodes, 0 if it knows of no others.
 func (d *Dispatcher) rank(key string) int {
 	if d.Rank == nil {
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -48,6 +48,15 @@
 	// Passed reports that an answer to a prompt with the part went well, before the crashes or after them.
 	Passed  bool
 	Crashes []Crash
+	// Probe is the last probe, nil if there was none.
+	Probe *Probe
+}
+
+// Probe is a request that was sent to find out whether a part still crashes upstreams.
+type Probe struct {
+	Age time.Duration
+	// Ended reports that the request runs no more, whether or not it had a result.
+	Ended bool
 }
 
 // crash is a Crash with its time.
@@ -70,8 +79,28 @@
 	// sentence is derived from the crashes that count, hold from all.
 	sentence sentence
 	hold     sentence
-	// probedAt is when this node last sent a probe.
-	probedAt time.Time
+	probe    lastProbe
+}
+
+// lastProbe is a Probe with its time, which is zero for none.
+type lastProbe struct {
+	at    time.Time
+	ended bool
+}
+
+// merge returns the later one of two probes. Those sent within sameCrashTime count as one.
+func (p lastProbe) merge(other lastProbe) lastProbe {
+	switch later := other.at.Sub(p.at); {
+	case later >= sameCrashTime:
+		return other
+	case later <= -sameCrashTime:
+		return p
+	}
+	if other.at.Before(p.at) {
+		p.at = other.at
+	}
+	p.ended = p.ended || other.ended
+	return p
 }
 
 // sentence is a quarantine; it is zero for none.
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -496,3 +496,30 @@
 		})
 	}
 }
+
+// TestProbesWithoutAResultAreFew guards against many nodes sending probes of a part, or one node several, while the first
+// still waits at an upstream.
+func TestProbesWithoutAResultAreFew(t *testing.T) {
+	for _, nodes := range []int{1, 6, 16, 60} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			m := newModel(26, nodes, 1)
+			p := newPrompt(7, 100)
+			for _, node := range m.nodes {
+				node.Crashed(modelPool, p, "e1", m.now.Add(-10*time.Second))
+				node.Crashed(modelPool, p, "e2", m.now)
+			}
+			probes := 0
+			for end := m.now.Add(baseLength + paroleTime - time.Second); m.now.Before(end); m.runFor(100 * time.Millisecond) {
+				for i, node := range m.nodes {
+					if node.Check(modelPool, p, m.rank(i), m.now) == nil && node.Sent(modelPool, p, m.now) {
+						probes++
+					}
+				}
+			}
+			t.Logf("%d probes", probes)
+			if probes == 0 || probes > 3 {
+				t.Error("not 1 to 3 probes without a result")
+			}
+		})
+	}
+}
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -18,9 +18,11 @@
 	// maxPassed is the number of parts of which it is known when an answer last went well; twice as many are kept for a
 	// while.
 	maxPassed = 2048
-	// probeWindow is the time in which a node may send one probe. The number of nodes that may doubles with each window
-	// that passes without a result, since requests with the part need not come to the first ones.
+	// probeWindow is the shortest time between two probes. The number of nodes that may send one doubles with each window
+	// that passes without any, since requests with the part need not come to the first ones.
 	probeWindow = 4 * time.Second
+	// maxProbeTime is how long all nodes wait for the end of a probe.
+	maxProbeTime = paroleTime / 2
 )
 
 // Registry holds the evidence about the parts of prompts. It is not safe for concurrent use.
@@ -109,6 +111,12 @@
 			changed = true
 		}
 	}
+	if probe := row.Probe; e != nil && probe != nil && probe.Age >= 0 && probe.Age < paroleTime {
+		e.probe = e.probe.merge(lastProbe{
+			at:    now.Add(-probe.Age),
+			ended: probe.Ended,
+		})
+	}
 	if e != nil && !e.passed && (passed || row.Passed) {
 		e.passed = true
 		return true
@@ -134,6 +142,12 @@
 				Cleared:  c.cleared,
 			}
 		}
+		if !e.probe.at.IsZero() {
+			row.Probe = &Probe{
+				Age:   now.Sub(e.probe.at),
+				Ended: e.probe.ended,
+			}
+		}
 		rows = append(rows, row)
 	}
 	return rows
@@ -185,24 +199,41 @@
 			ID:   part.ID,
 		}]
 		if e != nil && e.quarantined(now) {
-			e.probedAt = now
+			e.probe = lastProbe{at: now}
 			probe = true
 		}
 	}
 	return probe
 }
 
-// nextSend returns when this node may send the next request with the part.
+// ProbeEnded records that a request that was a probe runs no more.
+func (r *Registry) ProbeEnded(pool string, p prompt.Prompt) {
+	for _, part := range shared(p) {
+		if e := r.parts[Part{
+			Pool: pool,
+			ID:   part.ID,
+		}]; e != nil {
+			e.probe.ended = true
+		}
+	}
+}
+
+// nextSend returns the earliest time at which this node may send the next request with the part.
 func (e *evidence) nextSend(key string, rank func(key string) int, now time.Time) time.Time {
-	if now.Before(e.sentence.until) {
-		return e.sentence.until
+	from := e.sentence.until
+	if now.Before(from) {
+		return from
 	}
-	window := bits.Len(uint(rank(key)))
-	from := e.sentence.until.Add(time.Duration(window) * probeWindow)
-	if next := e.probedAt.Add(probeWindow); next.After(from) {
-		return next
+	if e.probe.at.After(from.Add(-sameCrashTime)) {
+		from = e.probe.at.Add(probeWindow)
+		if !e.probe.ended {
+			from = e.probe.at.Add(maxProbeTime)
+			if now.Before(from) {
+				return e.probe.at.Add((now.Sub(e.probe.at)/probeWindow + 1) * probeWindow)
+			}
+		}
 	}
-	return from
+	return from.Add(time.Duration(bits.Len(uint(rank(key)))) * probeWindow)
 }
 
 // quarantined reports whether requests with the part are restricted.
--- a/internal/coordination/quarantine/registry_test.go
+++ b/internal/coordination/quarantine/registry_test.go
@@ -117,3 +117,26 @@
 		})
 	}
 }
+
+// TestNodesWaitForAProbeUntilItEnds guards against probes beside one that is open, and against a part that can't be tried
+// again after a probe that ended without a result.
+func TestNodesWaitForAProbeUntilItEnds(t *testing.T) {
+	is := is.New(t)
+	prober, other, p, end := newCondemned(), newCondemned(), newPrompt(7, 102), start.Add(baseLength)
+	is.True(prober.Sent(modelPool, p, end))
+	tell := func(at time.Time) { other.Merge(prober.Rows(at), at) }
+	later := end.Add(5 * probeWindow)
+	tell(end)
+	for _, r := range []*Registry{prober, other} {
+		is.Equal(r.Check(modelPool, p, firstRank, later).Until, later.Add(probeWindow))
+	}
+	prober.ProbeEnded(modelPool, p)
+	tell(later)
+	for _, r := range []*Registry{prober, other} {
+		is.Equal(r.Check(modelPool, p, firstRank, later), nil)
+	}
+	prober.Sent(modelPool, p, later)
+	tell(later)
+	is.True(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime-1)) != nil)
+	is.Equal(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime)), nil)
+}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -616,6 +616,16 @@
 	Upstream string `json:"upstream"`
 }
 
+// PartProbe is a request that was sent to find out whether a part still crashes
+// upstreams.
+type PartProbe struct {
+	// AgeMs corresponds to the JSON schema field "age-ms".
+	AgeMs int `json:"age-ms,omitempty,omitzero"`
+
+	// Ended reports that the request runs no more.
+	Ended bool `json:"ended,omitempty,omitzero"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
@@ -917,6 +927,9 @@
 
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
+
+	// Probe corresponds to the JSON schema field "probe".
+	Probe *PartProbe `json:"probe,omitempty,omitzero"`
 }
 
 // UpstreamLoad is the load of one node on one upstream, in requests past their
--- a/internal/transport/entryvm/suspects.go
+++ b/internal/transport/entryvm/suspects.go
@@ -27,6 +27,12 @@
 				Cleared:  crash.Cleared,
 			})
 		}
+		if row.Probe != nil {
+			part.Probe = &wire.PartProbe{
+				AgeMs: int(row.Probe.Age.Milliseconds()),
+				Ended: row.Probe.Ended,
+			}
+		}
 		encoded = append(encoded, part)
 	}
 	return encoded
@@ -54,6 +60,12 @@
 				Cleared:  crash.Cleared,
 			})
 		}
+		if part.Probe != nil {
+			row.Probe = &quarantine.Probe{
+				Age:   time.Duration(part.Probe.AgeMs) * time.Millisecond,
+				Ended: part.Probe.Ended,
+			}
+		}
 		rows = append(rows, row)
 	}
 	return rows
--- a/internal/transport/entryvm/suspects_test.go
+++ b/internal/transport/entryvm/suspects_test.go
@@ -29,6 +29,10 @@
 			},
 			{Upstream: "i-2"},
 		},
+		Probe: &quarantine.Probe{
+			Age:   2500 * time.Millisecond,
+			Ended: true,
+		},
 	}}
 	data, err := json.Marshal(encodeLoads("a", dispatch.Digest{Suspects: sent}))
 	is.NoErr(err)
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -87,6 +87,7 @@
 
 // run sends the request to one upstream after another until an answer is final.
 func (x *exchange) run() {
+	defer x.endProbe()
 	for {
 		chosen, refusal := x.choose()
 		if refusal != nil {
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -85,7 +85,8 @@
 }
 
 // suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
-// leave. A request that might be repeated although a part of its prompt was suspected before waits for the result.
+// leave. A probe waits for the result, and so does a request that might be repeated although a part of its prompt was
+// suspected before.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
 	x.ranWell = x.ranWell || s.assignment.RanWell()
 	if connectionEnded(cause) && s.assignment.MayHaveCrashed(time.Now()) && !s.upstream.Leaving() {
@@ -107,7 +108,7 @@
 			x.server.checkCrash(s.upstream, now)
 		}()
 	}
-	if whole || !x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest()) {
+	if whole || !x.probe && (!x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest())) {
 		return
 	}
 	select {
@@ -170,12 +171,21 @@
 // known to have run well.
 func (x *exchange) exempt() bool { return x.ranWell || x.probe && !x.attempts.MayHaveRun() }
 
+// endProbe tells the dispatcher that the request is a probe no more, if it was one.
+func (x *exchange) endProbe() {
+	if x.probe {
+		x.probe = false
+		x.server.Dispatcher.ProbeEnded(x.dispatchRequest())
+	}
+}
+
 // quarantined returns the final answer to a request that may not be sent because a part of its prompt crashes upstreams,
 // else nil.
 func (x *exchange) quarantined() *localAnswer {
 	if x.exempt() {
 		return nil
 	}
+	x.endProbe()
 	now := time.Now()
 	refused, probe := x.server.Dispatcher.Admit(x.dispatchRequest(), now)
 	x.probe = probe
@@ -196,6 +206,7 @@
 	if x.exempt() {
 		return false
 	}
+	x.endProbe()
 	now := time.Now()
 	refused := x.server.Dispatcher.Quarantined(x.dispatchRequest(), now)
 	if refused == nil {
