Send a probe to one upstream only

The probe of a quarantined part was exempt from the quarantine until it might have run, so that upstreams that refused it were followed by others: up to four sends of a request that may crash upstreams. Now only a probe that reached no upstream goes on to the next; one that is refused ends, and the next probe may follow 4 s after it.

The new test failed on the old code with 4 sends instead of 1.

--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -84,7 +84,7 @@
 }
 
 // Admit is Quarantined for a request that is sent if it may; probe reports that its answer decides whether a part is
-// still quarantined, so that it may be sent to further upstreams until one runs it.
+// still quarantined, so that it may be sent to further upstreams until it reaches one.
 func (d *Dispatcher) Admit(request Request, now time.Time) (refused *quarantine.Quarantine, probe bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -167,9 +167,9 @@
 
 func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
 
-// exempt reports whether a quarantine does not concern the request: a probe until an upstream has run it, and one that is
-// known to have run well.
-func (x *exchange) exempt() bool { return x.ranWell || x.probe && !x.attempts.MayHaveRun() }
+// exempt reports whether a quarantine does not concern the request: a probe until it has reached an upstream, and one that
+// is known to have run well.
+func (x *exchange) exempt() bool { return x.ranWell || x.probe && x.attempts.Sends() == 0 }
 
 // endProbe tells the dispatcher that the request is a probe no more, if it was one.
 func (x *exchange) endProbe() {
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -385,3 +385,25 @@
 		})
 	}
 }
+
+// TestProbeIsSentToOneUpstream guards against a probe reaching one upstream after the other.
+func TestProbeIsSentToOneUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		var sends int
+		site.answer = func(_ string, conn net.Conn, r *http.Request) bool {
+			sends++
+			writeAnswer(conn, r, "HTTP/1.1 503 X\r\nX-Lagoongw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		site.suspect(2)
+		time.Sleep(31 * time.Second)
+		refused := site.call(t.Context(), 0, soundPrompt)
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		is.Equal(sends, 1)
+		site.answer = func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) }
+		time.Sleep(4 * time.Second)
+		is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusOK)
+	})
+}
