Tell callers of a quarantine that begins while an upstream refuses them

A caller whose request an upstream refused, and whose part was quarantined meanwhile, got 503 "no upstream took the request" with Retry-After 0.2 s, though the part may not be sent for 30 s or more. The request now keeps the quarantine that ends it, and the caller is told its part and its time.

The new test failed on the old code at the Retry-After, which must be 28 to 31 s; a repeat after that time is served.

--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -33,6 +33,9 @@
 func (x *exchange) localAnswerFor(action attempt.Action) localAnswer {
 	switch action {
 	case attempt.Refuse:
+		if x.quarantine != nil {
+			return quarantineAnswer(x.quarantine, time.Now())
+		}
 		return localAnswer{
 			status:     http.StatusServiceUnavailable,
 			reason:     "no upstream took the request; it has not run",
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/quarantine"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
@@ -69,6 +70,8 @@
 	requestMemory memory.Reservation
 	// probe reports that the answer decides whether a part of the prompt is still quarantined.
 	probe bool
+	// quarantine is why the request is not sent again, nil if it is for no quarantine.
+	quarantine *quarantine.Quarantine
 	// ranWell reports that an upstream answered for longer than one that the prompt crashes.
 	ranWell bool
 }
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -193,14 +193,20 @@
 		return nil
 	}
 	x.logQuarantine(refused, now)
+	x.quarantine = refused
 	answer := x.localAnswerFor(x.attempts.Final(now))
-	if answer.retryAfter > 0 {
-		answer.reason = "part " + formatPart(refused.Part.ID) + " of the prompt crashes upstreams; the request has not run"
-		answer.retryAfter = refused.Until.Sub(now)
-	}
 	return &answer
 }
 
+// quarantineAnswer returns the refusal of a request that has not run because a part of its prompt crashes upstreams.
+func quarantineAnswer(refused *quarantine.Quarantine, now time.Time) localAnswer {
+	return localAnswer{
+		status:     http.StatusServiceUnavailable,
+		reason:     "part " + formatPart(refused.Part.ID) + " of the prompt crashes upstreams; the request has not run",
+		retryAfter: max(refused.Until.Sub(now), retryAfterRefused),
+	}
+}
+
 // repeatQuarantined reports whether the request may not be sent again because a part of its prompt crashes upstreams.
 func (x *exchange) repeatQuarantined() bool {
 	if x.exempt() {
@@ -212,6 +218,7 @@
 	if refused == nil {
 		return false
 	}
+	x.quarantine = refused
 	x.logQuarantine(refused, now)
 	return true
 }
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -407,3 +407,25 @@
 		is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusOK)
 	})
 }
+
+// TestCallerIsToldTheTimeOfAQuarantineFoundAfterARefusal guards against a caller being told to come back at once, although
+// the part was quarantined while an upstream refused the request.
+func TestCallerIsToldTheTimeOfAQuarantineFoundAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newCrashSite(t)
+		site.answer = func(_ string, conn net.Conn, r *http.Request) bool {
+			site.suspect(2)
+			writeAnswer(conn, r, "HTTP/1.1 503 X\r\nX-Lagoongw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		refused := site.call(t.Context(), 0, soundPrompt)
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds > 28 && seconds <= 31)
+		site.answer = func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) }
+		time.Sleep(time.Duration(seconds * float64(time.Second)))
+		is.Equal(site.call(t.Context(), 0, soundPrompt).status, http.StatusOK)
+	})
+}
