Find the evidence to drop without sorting it all

A crash whose suspects have many new parts had all evidence sorted for each part that found the registry full, while all choices of the node waited for the dispatcher's lock. The least important evidence is now searched for.

--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"strconv"
@@ -276,22 +277,35 @@
 		r.forget(now)
 	}
 	if len(r.parts) >= maxParts {
-		ranked := r.ranked(now)
-		delete(r.parts, ranked[len(ranked)-1])
+		r.evict(now)
 	}
 	e := &evidence{}
 	r.parts[key] = e
 	return e
 }
 
-// ranked returns the parts in the order of their importance. Parts of the same importance take turns.
-func (r *Registry) ranked(now time.Time) []Part {
-	keys := make([]Part, 0, len(r.parts))
+// evict drops the least important evidence.
+func (r *Registry) evict(now time.Time) {
+	compare := r.byImportance(now)
+	var last Part
+	found := false
 	for key := range r.parts {
-		keys = append(keys, key)
+		if !found || compare(key, last) > 0 {
+			last, found = key, true
+		}
 	}
+	delete(r.parts, last)
+}
+
+// ranked returns the parts in the order of their importance.
+func (r *Registry) ranked(now time.Time) []Part {
+	return slices.SortedFunc(maps.Keys(r.parts), r.byImportance(now))
+}
+
+// byImportance returns the order of parts by their importance. Parts of the same importance take turns.
+func (r *Registry) byImportance(now time.Time) func(a, b Part) int {
 	turn := uint64(now.UnixNano())
-	slices.SortFunc(keys, func(a, b Part) int {
+	return func(a, b Part) int {
 		first, second := r.parts[a], r.parts[b]
 		return cmp.Or(
 			cmp.Compare(first.class(), second.class()),
@@ -300,8 +314,7 @@
 			cmp.Compare(mix(a.ID, turn), mix(b.ID, turn)),
 			cmp.Compare(a.Pool, b.Pool),
 		)
-	})
-	return keys
+	}
 }
 
 // mix returns a number that depends on a part and a turn; two parts never have the same one in a turn.
--- a/internal/coordination/quarantine/registry_test.go
+++ b/internal/coordination/quarantine/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -140,3 +141,25 @@
 	is.True(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime-1)) != nil)
 	is.Equal(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime)), nil)
 }
+
+// TestCrashOfManyNewPartsSortsNothing guards against a node whose choices all wait while the evidence is put in order for
+// each new part of a crash.
+func TestCrashOfManyNewPartsSortsNothing(t *testing.T) {
+	is := is.New(t)
+	r := newCondemned()
+	newParts := func(from uint64) (p prompt.Prompt) {
+		for i := range uint64(1000) {
+			p = append(p, prompt.Part{ID: from + i})
+		}
+		return p
+	}
+	r.Crashed(modelPool, "e3", start.Add(time.Second), newParts(1000))
+	var before, after runtime.MemStats
+	p := newParts(5000)
+	runtime.ReadMemStats(&before)
+	r.Crashed(modelPool, "e4", start.Add(2*time.Second), p)
+	runtime.ReadMemStats(&after)
+	t.Logf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+	is.True(after.TotalAlloc-before.TotalAlloc < 1<<20)
+	is.True(r.Check(modelPool, newPrompt(7, 1), firstRank, start.Add(2*time.Second)) != nil)
+}
