quarantine: name what restricts a part in the field's terms

The types and constants were named after a court's sentence and parole, which a reader has to translate. They are a restriction, the retention of its evidence, and the time of probes.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -20,8 +20,8 @@
 	// baseLength is the length of the first quarantine of a part; it doubles with each failed probe up to maxLength.
 	baseLength = 30 * time.Second
 	maxLength  = 5 * time.Minute
-	// paroleTime is how long after a quarantine requests with the part are sent as probes only.
-	paroleTime = maxLength
+	// probeTime is how long after a quarantine requests with the part are sent as probes only.
+	probeTime = maxLength
 	// suspicionTime is how long a crash counts that has led to no quarantine.
 	suspicionTime = time.Minute
 	// maxCrashes is the number of crashes kept for one part, the newest ones.
@@ -76,10 +76,10 @@
 	passed bool
 	// crashes is in the order of time.
 	crashes []crash
-	// sentence is derived from the crashes that count, hold from all.
-	sentence sentence
-	hold     sentence
-	probe    lastProbe
+	// restriction follows from the crashes that count, retention from all: it tells how long the evidence is kept.
+	restriction restriction
+	retention   restriction
+	probe       lastProbe
 }
 
 // lastProbe is a Probe with its time, which is zero for none.
@@ -103,15 +103,15 @@
 	return p
 }
 
-// sentence is a quarantine; it is zero for none.
-type sentence struct {
+// restriction is the quarantine of a part; it is zero for none.
+type restriction struct {
 	crashes int
 	until   time.Time
 	length  time.Duration
 }
 
 // end is when the part is forgotten unless a probe decides before.
-func (s sentence) end() time.Time { return s.until.Add(paroleTime) }
+func (r restriction) end() time.Time { return r.until.Add(probeTime) }
 
 // add merges a report of a crash, and reports whether it changed anything.
 func (e *evidence) add(reported crash) (changed bool) {
@@ -155,8 +155,8 @@
 // expired reports whether the evidence is to be forgotten. It depends on no clearing, so that all nodes forget at the
 // same time.
 func (e *evidence) expired(now time.Time) bool {
-	if e.hold != (sentence{}) {
-		return !now.Before(e.hold.end())
+	if e.retention != (restriction{}) {
+		return !now.Before(e.retention.end())
 	}
 	return len(e.crashes) == 0 || now.Sub(e.newest()) >= suspicionTime
 }
@@ -168,7 +168,7 @@
 // crash upstreams as far as is known, of one that has gone well before, and of one that has gone well since.
 func (e *evidence) class() int {
 	switch {
-	case e.sentence != (sentence{}):
+	case e.restriction != (restriction{}):
 		return 0
 	case !slices.ContainsFunc(e.crashes, crash.counts):
 		return 3
@@ -178,31 +178,31 @@
 	return 1
 }
 
-// judge returns the quarantine that follows from crashes in the order of time. A crash before the end of the quarantine
+// restrict returns the quarantine that follows from crashes in the order of time. A crash before the end of the quarantine
 // is that of a request sent earlier; a later one is that of a probe.
-func judge(times []time.Time, needed int) (s sentence) {
+func restrict(times []time.Time, needed int) (r restriction) {
 	var last time.Time
 	for _, at := range times {
-		if s.crashes > 0 && at.Sub(last) < burstTime {
+		if r.crashes > 0 && at.Sub(last) < burstTime {
 			continue
 		}
-		if s.crashes < needed && at.Sub(last) >= suspicionTime {
-			s.crashes = 0
+		if r.crashes < needed && at.Sub(last) >= suspicionTime {
+			r.crashes = 0
 		}
 		last = at
-		s.crashes++
+		r.crashes++
 		switch {
-		case s.crashes < needed:
+		case r.crashes < needed:
 			continue
-		case s.crashes == needed:
-			s.length = baseLength
-		case !at.Before(s.until):
-			s.length = min(2*s.length, maxLength)
+		case r.crashes == needed:
+			r.length = baseLength
+		case !at.Before(r.until):
+			r.length = min(2*r.length, maxLength)
 		}
-		s.until = at.Add(s.length)
+		r.until = at.Add(r.length)
 	}
-	if s.crashes < needed {
-		return sentence{}
+	if r.crashes < needed {
+		return restriction{}
 	}
-	return s
+	return r
 }
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -509,7 +509,7 @@
 				node.Crashed(modelPool, "e2", m.now, p)
 			}
 			probes := 0
-			for end := m.now.Add(baseLength + paroleTime - time.Second); m.now.Before(end); m.runFor(100 * time.Millisecond) {
+			for end := m.now.Add(baseLength + probeTime - time.Second); m.now.Before(end); m.runFor(100 * time.Millisecond) {
 				for i, node := range m.nodes {
 					if node.Check(modelPool, p, m.rank(i), m.now) == nil && node.Sent(modelPool, p, m.now) {
 						probes++
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -23,7 +23,7 @@
 	// that passes without any, since requests with the part need not come to the first ones.
 	probeWindow = 4 * time.Second
 	// maxProbeTime is how long all nodes wait for the end of a probe.
-	maxProbeTime = paroleTime / 2
+	maxProbeTime = probeTime / 2
 )
 
 // Registry holds the evidence about the parts of prompts. It is not safe for concurrent use.
@@ -53,7 +53,7 @@
 			}, upstream, at)
 		}
 	}
-	r.judgeAll()
+	r.restrictAll()
 }
 
 func (r *Registry) recordCrash(key Part, upstream string, at time.Time) {
@@ -81,7 +81,7 @@
 		}
 	}
 	if changed {
-		r.judgeAll()
+		r.restrictAll()
 	}
 }
 
@@ -94,7 +94,7 @@
 		}
 	}
 	if changed {
-		r.judgeAll()
+		r.restrictAll()
 	}
 }
 
@@ -102,7 +102,7 @@
 	passedAt, passed := r.passedAt(row.Part)
 	e := r.parts[row.Part]
 	for _, c := range row.Crashes[:min(len(row.Crashes), maxCrashes)] {
-		if c.Age < 0 || c.Age >= maxLength+paroleTime {
+		if c.Age < 0 || c.Age >= maxLength+probeTime {
 			continue
 		}
 		if e == nil {
@@ -117,7 +117,7 @@
 			changed = true
 		}
 	}
-	if probe := row.Probe; e != nil && probe != nil && probe.Age >= 0 && probe.Age < paroleTime {
+	if probe := row.Probe; e != nil && probe != nil && probe.Age >= 0 && probe.Age < probeTime {
 		e.probe = e.probe.merge(lastProbe{
 			at:    now.Add(-probe.Age),
 			ended: probe.Ended,
@@ -226,7 +226,7 @@
 
 // nextSend returns the earliest time at which this node may send the next request with the part.
 func (e *evidence) nextSend(key string, rank func(key string) int, now time.Time) time.Time {
-	from := e.sentence.until
+	from := e.restriction.until
 	if now.Before(from) {
 		return from
 	}
@@ -244,14 +244,14 @@
 
 // quarantined reports whether requests with the part are restricted.
 func (e *evidence) quarantined(now time.Time) bool {
-	return e.sentence != (sentence{}) && now.Before(e.sentence.end())
+	return e.restriction != (restriction{}) && now.Before(e.restriction.end())
 }
 
 // describe describes the quarantine of a part.
 func (e *evidence) describe(key Part, until time.Time) *Quarantine {
 	q := &Quarantine{
 		Part:    key,
-		Crashes: e.sentence.crashes,
+		Crashes: e.restriction.crashes,
 		Until:   until,
 	}
 	for _, c := range e.crashes {
@@ -309,7 +309,7 @@
 		first, second := r.parts[a], r.parts[b]
 		return cmp.Or(
 			cmp.Compare(first.class(), second.class()),
-			cmp.Compare(second.sentence.crashes, first.sentence.crashes),
+			cmp.Compare(second.restriction.crashes, first.restriction.crashes),
 			second.newest().Compare(first.newest()),
 			cmp.Compare(mix(a.ID, turn), mix(b.ID, turn)),
 			cmp.Compare(a.Pool, b.Pool),
--- a/internal/coordination/quarantine/judgement.go
+++ b/internal/coordination/quarantine/restriction.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// judgeAll derives the quarantines from the evidence. A crash that a part with more crashes explains does not count
+// restrictAll derives the quarantines from the evidence. A crash that a part with more crashes explains does not count
 // against the other parts of the request, and of requests that ran beside it.
-func (r *Registry) judgeAll() {
+func (r *Registry) restrictAll() {
 	for _, e := range r.parts {
-		e.hold = judge(e.times(func(crash) bool { return true }), minCrashes)
-		e.sentence = judge(e.times(crash.counts), e.needed())
+		e.retention = restrict(e.times(func(crash) bool { return true }), minCrashes)
+		e.restriction = restrict(e.times(crash.counts), e.needed())
 	}
 	var quarantined []*evidence
 	for _, e := range r.parts {
-		if e.sentence != (sentence{}) {
+		if e.restriction != (restriction{}) {
 			quarantined = append(quarantined, e)
 		}
 	}
-	judged := make([]sentence, len(quarantined))
+	updated := make([]restriction, len(quarantined))
 	for i, e := range quarantined {
-		judged[i] = judge(e.times(func(c crash) bool { return c.counts() && !explained(c, e, quarantined) }), e.needed())
+		updated[i] = restrict(e.times(func(c crash) bool { return c.counts() && !explained(c, e, quarantined) }), e.needed())
 	}
 	for i, e := range quarantined {
-		e.sentence = judged[i]
+		e.restriction = updated[i]
 	}
 }
 
@@ -31,7 +31,7 @@
 // answers never went well rather than one whose answers did, then one with more crashes.
 func explained(c crash, by *evidence, quarantined []*evidence) bool {
 	return slices.ContainsFunc(quarantined, func(other *evidence) bool {
-		likelier := other.sentence.crashes > by.sentence.crashes
+		likelier := other.restriction.crashes > by.restriction.crashes
 		if other.passed != by.passed {
 			likelier = by.passed
 		}
