Test that an upstream's limit holds for all nodes together

Fails on this code: five nodes send an upstream that has named a limit of 1 a second 27 requests in 4 s (11 allowed), 32 at a limit of 0.5 (8 allowed) and 62 at 5 (35 allowed).

--- /dev/null
+++ b/internal/transport/gateway/limit_test.go
@@ -0,0 +1,144 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// limitWindow is the time over which arrivals at a limited upstream are counted. They may exceed what the limit
+	// allows in it by half, and by limitSlack requests.
+	limitWindow = 4 * time.Second
+	limitSlack  = 5
+)
+
+// limitedSite is a site whose engines record the arrivals, and may name a limit in their answers.
+type limitedSite struct {
+	*crashSite
+	// limits holds the value of the header by engine; it and arrivals are guarded by mu.
+	limits   map[string]string
+	arrivals map[string][]time.Time
+}
+
+func newLimitedSite(t *testing.T) *limitedSite {
+	t.Helper()
+	s := &limitedSite{
+		crashSite: newCrashSite(t),
+		limits:    map[string]string{},
+		arrivals:  map[string][]time.Time{},
+	}
+	s.answer = s.shortAnswer
+	return s
+}
+
+// shortAnswer answers after 20 ms, with the engine's limit if it has one.
+func (s *limitedSite) shortAnswer(engine string, conn net.Conn, r *http.Request) bool {
+	s.mu.Lock()
+	s.arrivals[engine] = append(s.arrivals[engine], time.Now())
+	limit := s.limits[engine]
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	if limit != "" {
+		limit = "Server-Limit: " + limit + "\r\n"
+	}
+	text := eventText(1)
+	writeAnswer(conn, r, fmt.Sprintf("HTTP/1.1 200 X\r\n%s%sContent-Length: %d\r\n\r\n%s", answerHeaders, limit, len(text), text))
+	return true
+}
+
+// setLimit sets the limit of an engine; an empty one ends it.
+func (s *limitedSite) setLimit(engine, limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits[engine] = limit
+}
+
+// busiestWindow returns the largest number of arrivals at an engine within limitWindow, among those in a span of time.
+func (s *limitedSite) busiestWindow(engine string, from, until time.Time) (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var times []time.Time
+	for _, at := range s.arrivals[engine] {
+		if !at.Before(from) && at.Before(until) {
+			times = append(times, at)
+		}
+	}
+	for i, end := range times {
+		first, _ := slices.BinarySearchFunc(times, end.Add(-limitWindow), time.Time.Compare)
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// arrivalsBetween returns the number of arrivals at an engine in a span of time.
+func (s *limitedSite) arrivalsBetween(engine string, from, until time.Time) (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.arrivals[engine] {
+		if !at.Before(from) && at.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// callers sends requests at an interval until a time, through all nodes in turn, and counts the answers by status.
+func (s *limitedSite) callers(t *testing.T, every time.Duration, until time.Time) map[int]int {
+	statuses := map[int]int{}
+	s.load(t, soundPrompt, every, until, func(_ time.Time, r callResult) { statuses[r.status]++ })
+	return statuses
+}
+
+// TestLimitOfAnUpstreamHoldsForAllNodesTogether guards against nodes that send an upstream more than the limit that it has
+// named, each by its own choice.
+func TestLimitOfAnUpstreamHoldsForAllNodesTogether(t *testing.T) {
+	for _, c := range []struct {
+		limit   float64
+		every   time.Duration
+		engines int
+	}{
+		{limit: 1, every: 25 * time.Millisecond, engines: 2},
+		{limit: 0.5, every: 25 * time.Millisecond, engines: 1},
+		{limit: 5, every: 10 * time.Millisecond, engines: 3},
+	} {
+		t.Run(fmt.Sprint(c.limit, " a second"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				site := newLimitedSite(t)
+				named := time.Now().Add(2 * time.Second)
+				ended := named.Add(20 * time.Second)
+				end := ended.Add(10 * time.Second)
+				go func() {
+					time.Sleep(time.Until(named))
+					for i := range c.engines {
+						site.setLimit(fmt.Sprint("e", i), fmt.Sprint(c.limit))
+					}
+					time.Sleep(time.Until(ended))
+					for i := range c.engines {
+						site.setLimit(fmt.Sprint("e", i), "")
+					}
+				}()
+				statuses := site.callers(t, c.every, end)
+				allowed := 1.5*c.limit*limitWindow.Seconds() + limitSlack
+				for i := range c.engines {
+					engine := fmt.Sprint("e", i)
+					most := site.busiestWindow(engine, named.Add(contactTime), ended)
+					during := site.arrivalsBetween(engine, named.Add(contactTime), ended)
+					after := site.arrivalsBetween(engine, ended.Add(contactTime), end)
+					t.Logf("%s: %d in 4 s, %.0f allowed; %d while limited, %d afterwards", engine, most, allowed, during, after)
+					is.True(float64(most) <= allowed)
+					is.True(float64(during) >= 0.6*c.limit*(20-contactTime.Seconds())) // the limit is used
+					is.True(float64(after) > 2*c.limit*(10-contactTime.Seconds()))     // and forgotten
+				}
+				is.Equal(statuses[http.StatusOK], int(end.Sub(named.Add(-2*time.Second))/c.every)) // the others served
+			})
+		})
+	}
+}
