Test that a request that crashes upstreams is sent no more

A request that comes again with the same path, caller and body crashes its upstream before the head of any answer.

--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -51,6 +51,9 @@
 	soundPrompt = "a:800,b:400,%x:20"
 )
 
+// beforeHead is the value of X-Test-Bad in a request that crashes its engine before the head of an answer.
+const beforeHead = "before head"
+
 // crashSite is several gateways that share engines; a request with the part "bad" crashes the engine that begins to
 // answer it, and with it all other answers of that engine.
 type crashSite struct {
@@ -62,11 +65,19 @@
 	badSends []time.Time
 	// answer answers a sound request; it returns false to close the connection.
 	answer func(engine string, conn net.Conn, r *http.Request) bool
+	// engines is the number of engines.
+	engines int
 }
 
 func newCrashSite(t *testing.T) *crashSite {
+	t.Helper()
+	return newCrashSiteOf(t, siteEngines)
+}
+
+func newCrashSiteOf(t *testing.T, engines int) *crashSite {
 	t.Helper()
 	site := &crashSite{
+		engines:  engines,
 		conns:    map[string]map[net.Conn]bool{},
 		downTill: map[string]time.Time{},
 		answer:   func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
@@ -86,7 +97,7 @@
 	t.Helper()
 	upstreams := replica.NewTable()
 	var rows []wire.Machine
-	for i := range siteEngines {
+	for i := range c.engines {
 		name := fmt.Sprintf("e%d", i)
 		rows = append(rows, wire.Machine{
 			Name:    name,
@@ -197,7 +208,9 @@
 			c.mu.Lock()
 			c.badSends = append(c.badSends, time.Now())
 			c.mu.Unlock()
-			writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+			if r.Header.Get("X-Test-Bad") != beforeHead {
+				writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+			}
 			time.Sleep(crashDelay)
 			c.crash(engine)
 			return
