--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	// Exclude lists the names of upstreams that must not be chosen, such as those that the request was already sent
 	// to.
 	Exclude []string
+	// Digest identifies a request that comes again with the same content; 0 means that it is not known.
+	Digest uint64
 	// AvoidLimited prefers the upstreams that have named no limit.
 	AvoidLimited bool
 }
@@ -105,7 +107,7 @@
 	peers map[string]peerDigest
 	// peerLoads is the sum of the peers' loads by upstream.
 	peerLoads map[string]*Load
-	// quarantine holds the evidence about parts of prompts that crash upstreams, of all nodes.
+	// quarantine holds the evidence about what crashes upstreams, of all nodes.
 	quarantine quarantine.Registry
 	// limits holds the limits that upstreams have named, of all nodes; grants are the sends that this node grants.
 	limits ratelimit.Limits
@@ -123,6 +125,8 @@
 	forecast forecast
 	// peerLoad is the sum of the loads that the other nodes advertise.
 	peerLoad *Load
+	// suspects is the number of this node's requests there that are suspected of a crash.
+	suspects int
 	// deniedUntil is when the next send within the upstream's limit may be granted.
 	deniedUntil time.Time
 	// hashRank is the index among the upstreams of the pool in hash order. The first ones are reserved for
@@ -177,10 +181,10 @@
 	c.interactive = known.isInteractive(request, pool.Engine, now)
 	c.limits = &d.limits
 	c.rankHomes()
-	if request.AvoidLimited {
-		c.avoidLimited = true
+	c.isolated = d.quarantine.Suspected(request.causes())
+	if c.avoidLimited = request.AvoidLimited; c.avoidLimited || c.isolated {
 		c.compareAll()
-		c.avoidLimited = false
+		c.avoidLimited, c.isolated = false, false
 	}
 	if c.best.Replica == nil {
 		c.compareCacheHolders()
--- a/internal/coordination/dispatch/forecast.go
+++ b/internal/coordination/dispatch/forecast.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"lagoongw/internal/state/prompt"
+	"lagoongw/internal/coordination/quarantine"
 	"lagoongw/internal/state/replica"
 )
 
@@ -103,9 +103,10 @@
 	events      int
 	lastEventAt time.Time
 	ended       bool
-	// prompt is the prompt, answeringAt when the upstream began to answer it, and passed whether the answer has gone on
-	// for longer than one that crashes its upstream.
-	prompt      prompt.Prompt
+	// request is what may crash the upstream, answeringAt when it began to answer, and passed whether the answer has gone
+	// on for longer than one that crashes its upstream. suspect reports that the request was suspected when it was sent.
+	request     quarantine.Request
+	suspect     bool
 	answeringAt time.Time
 	passed      bool
 }
@@ -120,7 +121,7 @@
 		uncached:   choice.Uncached,
 		predicted:  choice.Predicted,
 		sent:       now,
-		prompt:     request.Prompt,
+		request:    request.causes(),
 	}
 	r.Begin()
 	d.mu.Lock()
@@ -129,6 +130,9 @@
 	p := request.Prompt
 	upstream.forecast.inFlight++
 	upstream.health.recordSend(now)
+	if assignment.suspect = d.quarantine.Suspected(assignment.request); assignment.suspect {
+		upstream.suspects++
+	}
 	if len(p) == 0 {
 		return assignment
 	}
@@ -185,7 +189,11 @@
 	a.replica.End()
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
-	f := &a.dispatcher.state(a.replica).forecast
+	upstream := a.dispatcher.state(a.replica)
+	if a.suspect {
+		upstream.suspects--
+	}
+	f := &upstream.forecast
 	f.inFlight--
 	if _, waiting := f.waiting[a]; waiting {
 		delete(f.waiting, a)
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -58,7 +58,7 @@
 	Evidence map[string]calibration.Evidence
 	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
 	Leaving map[string]int
-	// Suspects is the evidence about parts of prompts that crash upstreams. A node repeats what it was told, so that it
+	// Suspects is the evidence about what crashes upstreams. A node repeats what it was told, so that it
 	// passes through relays.
 	Suspects []quarantine.Row
 	// Limits are the limits that upstreams have named, repeated in the same way.
--- a/internal/coordination/dispatch/quarantine_test.go
+++ b/internal/coordination/dispatch/quarantine_test.go
@@ -23,7 +23,7 @@
 	node, relay, otherRelay, otherNode := newDispatcher(3), newDispatcher(3), newDispatcher(3), newDispatcher(3)
 	upstreams := node.Table.Load().PoolReplicas("p")
 	for i, at := range []time.Time{start, start.Add(time.Second)} {
-		node.Crashed(upstreams[i], []prompt.Prompt{badRequest(uint64(100 + i)).Prompt}, at, at)
+		node.Crashed(upstreams[i], []Request{badRequest(uint64(100 + i))}, at, at)
 	}
 	now := start.Add(2 * time.Second)
 	is.True(node.Quarantined(badRequest(7), now) != nil)
@@ -65,9 +65,10 @@
 			end := start.Add(c.after)
 			assignment.Events(c.events, end)
 			if c.completed {
-				assignment.Completed(end)
+				assignment.Completed(badRequest(7), end)
 			}
-			is.Equal(assignment.MayHaveCrashed(end), c.suspected)
+			suspect := assignment.Suspect(badRequest(7))
+			is.Equal(assignment.MayHaveCrashed(end) && len(suspect.Prompt) > 0, c.suspected)
 		})
 	}
 }
@@ -79,15 +80,18 @@
 	node := newDispatcher(3)
 	upstreams, now := node.Table.Load().PoolReplicas("p"), start
 	crash := func(suspects int) float64 {
-		var prompts []prompt.Prompt
+		var requests []Request
 		for i := range suspects {
-			prompts = append(prompts, badRequest(uint64(i)).Prompt)
+			requests = append(requests, badRequest(uint64(i)))
 		}
-		return testing.AllocsPerRun(10, func() { node.Crashed(upstreams[0], prompts, now, now) })
+		return testing.AllocsPerRun(10, func() { node.Crashed(upstreams[0], requests, now, now) })
 	}
-	var known []prompt.Prompt
+	var known []Request
 	for id := range uint64(200) {
-		known = append(known, prompt.Prompt{{ID: 1000 + id}, {ID: 7}})
+		known = append(known, Request{
+			Pool:   "p",
+			Prompt: prompt.Prompt{{ID: 1000 + id}, {ID: 7}},
+		})
 	}
 	for i := range 12 {
 		at := now.Add(time.Duration(i/3)*4*time.Second + time.Duration(i)*time.Second)
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -34,9 +34,11 @@
 	// for such requests.
 	interactive        bool
 	interactiveEngines int
-	// backedOff selects the upstreams in backoff instead of the others; avoidLimited omits those that have named a limit.
+	// backedOff selects the upstreams in backoff instead of the others; avoidLimited omits those that have named a limit, and
+	// isolated those that run a request that is suspected of a crash.
 	backedOff    bool
 	avoidLimited bool
+	isolated     bool
 	limits       *ratelimit.Limits
 	candidates   int
 	best         Choice
@@ -46,8 +48,12 @@
 // of other pools and removed ones.
 func (c *selection) eligible(s *upstreamState) bool {
 	return s.view == c.view && !s.replica.Leaving() && !s.health.paused(c.now) && s.backedOff(c.now) == c.backedOff &&
-		!slices.Contains(c.request.Exclude, s.replica.Name()) && !c.denied(s) &&
-		!(c.avoidLimited && c.limit(s) > 0)
+		!slices.Contains(c.request.Exclude, s.replica.Name()) && !c.denied(s) && !c.avoided(s)
+}
+
+// avoided reports whether an upstream is omitted as long as there are others.
+func (c *selection) avoided(s *upstreamState) bool {
+	return c.avoidLimited && c.limit(s) > 0 || c.isolated && s.suspects > 0
 }
 
 // limit returns the limit that an upstream has named in requests a second, 0 for none.
--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -1,4 +1,4 @@
-// Package quarantine finds the parts of prompts that crash upstreams, and decides when requests with such a part may be
-// sent. It tells a part that crashes upstreams from the parts of requests that merely ran beside it by how answers go on
-// elsewhere: an answer to a prompt with the former never goes on for more than a moment.
+// Package quarantine finds what crashes upstreams, a part of prompts or a request that comes again, and decides when it may
+// be sent. It tells it from what merely ran beside it by how requests go on elsewhere: one with the former never goes on for
+// more than a moment.
 package quarantine
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -14,45 +14,59 @@
 	// their own.
 	burstTime = 100 * time.Millisecond
 	// minCrashes is the number of crashes after which a part is quarantined, minCrashesOfPassed the same for a part whose
-	// answers have gone well before.
+	// answers have gone well before, and for a request, since any that waits at an upstream breaks off when it crashes.
 	minCrashes         = 2
 	minCrashesOfPassed = 3
-	// baseLength is the length of the first quarantine of a part; it doubles with each failed probe up to maxLength.
+	// baseLength is the length of the first quarantine of a cause; it doubles with each failed probe up to maxLength.
 	baseLength = 30 * time.Second
 	maxLength  = 5 * time.Minute
-	// probeTime is how long after a quarantine requests with the part are sent as probes only.
+	// probeTime is how long after a quarantine requests with the cause are sent as probes only.
 	probeTime = maxLength
 	// suspicionTime is how long a crash counts that has led to no quarantine.
 	suspicionTime = time.Minute
-	// maxCrashes is the number of crashes kept for one part, the newest ones.
+	// maxCrashes is the number of crashes kept for one cause, the newest ones.
 	maxCrashes = 6
 )
 
-// Part identifies a shared part of the prompts to one pool.
-type Part struct {
+// Kind is what may crash an upstream.
+type Kind int
+
+// The kinds of causes.
+const (
+	// Part is a shared part of prompts.
+	Part Kind = iota
+	// Repeat is a request that comes again.
+	Repeat
+	kinds
+)
+
+// Cause identifies what may crash the upstreams of one pool.
+type Cause struct {
 	Pool string
-	ID   uint64
+	Kind Kind
+	// ID is the ID of the part, or the digest of the request.
+	ID uint64
 }
 
-// Crash is the crash of an upstream that had just begun to answer a prompt with the part.
+// Crash is the crash of an upstream at which the cause was at work.
 type Crash struct {
 	Upstream string
 	Age      time.Duration
-	// Cleared reports that an answer to a prompt with the part went well later.
+	// Cleared reports that a request with the cause went well later.
 	Cleared bool
 }
 
-// Row is the evidence about one part that nodes exchange. Merging rows is commutative and idempotent.
+// Row is the evidence about one cause that nodes exchange. Merging rows is commutative and idempotent.
 type Row struct {
-	Part Part
-	// Passed reports that an answer to a prompt with the part went well, before the crashes or after them.
+	Cause Cause
+	// Passed reports that a request with the cause went well, before the crashes or after them.
 	Passed  bool
 	Crashes []Crash
 	// Probe is the last probe, nil if there was none.
 	Probe *Probe
 }
 
-// Probe is a request that was sent to find out whether a part still crashes upstreams.
+// Probe is a request that was sent to find out whether a cause still crashes upstreams.
 type Probe struct {
 	Age time.Duration
 	// Ended reports that the request runs no more, whether or not it had a result.
@@ -71,8 +85,9 @@
 	return c.upstream == other.upstream && c.at.Sub(other.at).Abs() < sameCrashTime
 }
 
-// evidence is what is known about one part.
+// evidence is what is known about one cause.
 type evidence struct {
+	kind   Kind
 	passed bool
 	// crashes is in the order of time.
 	crashes []crash
@@ -103,14 +118,14 @@
 	return p
 }
 
-// restriction is the quarantine of a part; it is zero for none.
+// restriction is the quarantine of a cause; it is zero for none.
 type restriction struct {
 	crashes int
 	until   time.Time
 	length  time.Duration
 }
 
-// end is when the part is forgotten unless a probe decides before.
+// end is when the cause is forgotten unless a probe decides before.
 func (r restriction) end() time.Time { return r.until.Add(probeTime) }
 
 // add merges a report of a crash, and reports whether it changed anything.
@@ -164,7 +179,7 @@
 // newest returns the time of the last crash.
 func (e *evidence) newest() time.Time { return e.crashes[len(e.crashes)-1].at }
 
-// class returns how important the evidence is, 0 for the most important: that of a quarantined part, of a part that may
+// class returns how important the evidence is, 0 for the most important: that of a quarantined cause, of one that may
 // crash upstreams as far as is known, of one that has gone well before, and of one that has gone well since.
 func (e *evidence) class() int {
 	switch {
--- a/internal/coordination/quarantine/model_test.go
+++ b/internal/coordination/quarantine/model_test.go
@@ -24,6 +24,9 @@
 	rareParts       = 100 // and the following ones
 	rarePartCount   = 40
 	badParts        = 1000
+	badRepeat       = 2000 // the digest of a request that crashes upstreams before it is answered
+	soundRepeats    = 3000 // the digests of sound requests that come again, and the following ones
+	soundRepeatNum  = 30
 	fullMeshNodes   = 16
 	nodesPerZone    = 10
 	meshInterval    = 250 * time.Millisecond
@@ -53,7 +56,7 @@
 // run is a request at an engine.
 type run struct {
 	node      int
-	prompt    prompt.Prompt
+	request   Request
 	bad       bool
 	attempts  int
 	answering time.Time
@@ -175,14 +178,14 @@
 
 // request sends a request with the given shared parts to a random node.
 func (m *model) request(bad bool, shared ...uint64) {
-	var p prompt.Prompt
-	for _, id := range append(shared, m.random.Uint64()) {
-		p = append(p, prompt.Part{ID: id})
-	}
 	r := &run{
-		node:   m.random.IntN(len(m.nodes)),
-		prompt: p,
-		bad:    bad,
+		node:    m.random.IntN(len(m.nodes)),
+		request: newPrompt(append(shared, m.random.Uint64())...),
+		bad:     bad,
+	}
+	r.request.Digest = m.random.Uint64()
+	if !bad && m.random.IntN(2) == 0 {
+		r.request.Digest = soundRepeats + m.random.Uint64N(soundRepeatNum)
 	}
 	if !bad {
 		m.sound++
@@ -190,26 +193,38 @@
 	m.send(r)
 }
 
+// repeatBad sends the request that comes again to a random node.
+func (m *model) repeatBad() {
+	m.send(&run{
+		node: m.random.IntN(len(m.nodes)),
+		request: Request{
+			Pool:   modelPool,
+			Digest: badRepeat,
+		},
+		bad: true,
+	})
+}
+
 func (m *model) send(r *run) {
 	registry := m.nodes[r.node]
-	if refused := registry.Check(modelPool, r.prompt, m.rank(r.node), m.now); refused != nil {
+	if refused := registry.Check(r.request, m.rank(r.node), m.now); refused != nil {
 		switch {
 		case r.bad:
 			m.badRefused++
 		case r.attempts == 0:
-			m.refused[refused.Part.ID] = append(m.refused[refused.Part.ID], m.now)
+			m.refused[refused.Cause.ID] = append(m.refused[refused.Cause.ID], m.now)
 		}
 		return
 	}
-	registry.Sent(modelPool, r.prompt, m.now)
-	e := m.home(r.prompt)
+	registry.Sent(r.request, m.now)
+	e := m.home(r.request.Prompt)
 	if e == nil {
 		return
 	}
 	r.attempts++
 	if r.bad {
-		for _, part := range shared(r.prompt) {
-			m.badSends[part.ID] = append(m.badSends[part.ID], m.now)
+		for _, cause := range r.request.all() {
+			m.badSends[cause.ID] = append(m.badSends[cause.ID], m.now)
 		}
 	}
 	attempt := r.attempts
@@ -223,21 +238,30 @@
 		})
 	}
 	ends(m.uniform(time.Millisecond, 600*time.Millisecond), func() {
+		if r.request.Digest == badRepeat && !m.cured {
+			m.crashBy(e, r)
+			return
+		}
 		r.answering = m.now
 		if r.bad && !m.cured {
 			ends(m.uniform(16*time.Millisecond, 110*time.Millisecond), func() {
-				for _, part := range shared(r.prompt) {
-					m.crashes[part.ID] = append(m.crashes[part.ID], m.now)
-				}
-				m.crash(e)
+				m.crashBy(e, r)
 			})
 			return
 		}
-		ends(m.uniform(modelWindow, 2*time.Second), func() { m.nodes[r.node].Passed(modelPool, r.prompt, m.now) })
+		ends(m.uniform(modelWindow, 2*time.Second), func() { m.nodes[r.node].Passed(r.request, m.now) })
 		ends(m.uniform(2*time.Second, 6*time.Second), func() { m.end(e, r) })
 	})
 }
 
+// crashBy crashes an engine because of a request.
+func (m *model) crashBy(e *engine, r *run) {
+	for _, cause := range r.request.all() {
+		m.crashes[cause.ID] = append(m.crashes[cause.ID], m.now)
+	}
+	m.crash(e)
+}
+
 // home returns one of the first engines that are up in the order of a prompt's last shared part, nil if there is none.
 func (m *model) home(p prompt.Prompt) *engine {
 	var up []string
@@ -269,13 +293,17 @@
 	runs, at := e.runs, m.now
 	e.runs = nil
 	for _, r := range runs {
-		if !r.answering.IsZero() && m.now.Sub(r.answering) < modelWindow {
-			m.after(50*time.Millisecond, func() { m.nodes[r.node].Crashed(modelPool, e.name, at, r.prompt) })
+		suspect := r.request
+		if r.answering.IsZero() {
+			suspect.Prompt = nil
+		}
+		if r.answering.IsZero() || m.now.Sub(r.answering) < modelWindow {
+			m.after(50*time.Millisecond, func() { m.nodes[r.node].Crashed(e.name, at, suspect) })
 		}
 		r.answering = time.Time{}
 		if r.attempts++; r.attempts == 2 {
 			r.attempts--
-			m.send(r)
+			m.after(51*time.Millisecond, func() { m.send(r) })
 		}
 	}
 }
@@ -302,9 +330,14 @@
 	})
 }
 
-// lateBad returns how many requests with a bad part were sent later than the contact time after its fifth crash.
+// lateBad returns how many requests with a bad part were sent later than the contact time after its fifth crash, or after
+// the third one of the bad request that comes again.
 func (m *model) lateBad(bad uint64) (late int) {
-	if len(m.crashes[bad]) < 5 {
+	learned := 5
+	if bad == badRepeat {
+		learned = 3
+	}
+	if len(m.crashes[bad]) < learned {
 		return 0
 	}
 	contact := modelContact
@@ -312,7 +345,7 @@
 		contact += time.Second
 	}
 	for _, at := range m.badSends[bad] {
-		if at.After(m.crashes[bad][4].Add(contact)) {
+		if at.After(m.crashes[bad][learned-1].Add(contact)) {
 			late++
 		}
 	}
@@ -388,6 +421,40 @@
 	}
 }
 
+// TestBadRequestIsLearnedAndSoundOnesServed guards against a request that comes again and crashes engines before it is
+// answered being sent on and on, and against sound requests being refused beside it.
+func TestBadRequestIsLearnedAndSoundOnesServed(t *testing.T) {
+	for name, c := range map[string]modelCase{
+		"small pool":         {nodes: 9, engines: 3, seeds: 10, mean: 700 * time.Millisecond},
+		"usual":              {nodes: 6, engines: 12, seeds: 20, mean: 500 * time.Millisecond},
+		"often":              {nodes: 6, engines: 12, seeds: 10, mean: 100 * time.Millisecond},
+		"seldom":             {nodes: 6, engines: 12, seeds: 10, mean: 8 * time.Second},
+		"two nodes":          {nodes: 2, engines: 4, seeds: 10, mean: 500 * time.Millisecond},
+		"beside a bad part":  {nodes: 6, engines: 12, seeds: 10, badParts: 1, mean: 500 * time.Millisecond},
+		"digests lost":       {nodes: 6, engines: 12, seeds: 10, mean: 500 * time.Millisecond, lossy: 0.3},
+		"nodes restart":      {nodes: 6, engines: 12, seeds: 10, mean: 500 * time.Millisecond, restarts: true},
+		"relays, much lost":  {nodes: 60, engines: 60, seeds: 2, mean: 500 * time.Millisecond, lossy: 0.2},
+		"relays, large site": {nodes: 195, engines: 140, seeds: 1, mean: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(c.seeds) {
+				m, end := newModelOf(c, seed, 45*time.Second)
+				m.every(c.mean, end, m.repeatBad)
+				m.runFor(end.Sub(m.now))
+				refused, longest := m.refusedSound()
+				t.Logf("seed %d: %d crashes, %d late; %d of %d sound refused, longest %v", seed, len(m.crashes[badRepeat]),
+					m.lateBad(badRepeat), refused, m.sound, longest)
+				if m.lateBad(badRepeat) > modelMaxBad {
+					t.Errorf("seed %d: bad request sent too often", seed)
+				}
+				if float64(refused) > modelMaxRefused*float64(m.sound) {
+					t.Errorf("seed %d: too many sound requests refused", seed)
+				}
+			}
+		})
+	}
+}
+
 // TestCrashesOfOtherCausesQuarantineNoPartForLong guards against parts being taken for the cause of crashes that they
 // merely saw.
 func TestCrashesOfOtherCausesQuarantineNoPartForLong(t *testing.T) {
@@ -477,14 +544,14 @@
 			for i, node := range m.nodes {
 				p := newPrompt(append(append([]uint64{firstPart}, newParts(c.same)...), bad, m.random.Uint64())...)
 				for _, other := range m.nodes {
-					other.Passed(modelPool, newPrompt(firstPart, m.random.Uint64()), m.now)
+					other.Passed(newPrompt(firstPart, m.random.Uint64()), m.now)
 				}
-				if node.Check(modelPool, p, firstRank, m.now) == nil {
+				if node.Check(p, firstRank, m.now) == nil {
 					crashes++
-					node.Crashed(modelPool, m.engines[i].name, m.now, p)
+					node.Crashed(m.engines[i].name, m.now, p)
 					for range c.beside {
 						beside := append(append([]uint64{firstPart}, newParts(2)...), m.random.Uint64())
-						node.Crashed(modelPool, m.engines[i].name, m.now, newPrompt(beside...))
+						node.Crashed(m.engines[i].name, m.now, newPrompt(beside...))
 					}
 				}
 				m.runFor(time.Second)
@@ -505,13 +572,13 @@
 			m := newModel(26, nodes, 1)
 			p := newPrompt(7, 100)
 			for _, node := range m.nodes {
-				node.Crashed(modelPool, "e1", m.now.Add(-10*time.Second), p)
-				node.Crashed(modelPool, "e2", m.now, p)
+				node.Crashed("e1", m.now.Add(-10*time.Second), p)
+				node.Crashed("e2", m.now, p)
 			}
 			probes := 0
 			for end := m.now.Add(baseLength + probeTime - time.Second); m.now.Before(end); m.runFor(100 * time.Millisecond) {
 				for i, node := range m.nodes {
-					if node.Check(modelPool, p, m.rank(i), m.now) == nil && node.Sent(modelPool, p, m.now) {
+					if node.Check(p, m.rank(i), m.now) == nil && node.Sent(p, m.now) {
 						probes++
 					}
 				}
--- a/internal/coordination/quarantine/registry.go
+++ b/internal/coordination/quarantine/registry.go
@@ -12,51 +12,79 @@
 )
 
 const (
-	// maxParts is the number of parts about which there is evidence at the same time, maxRows the number of them that
-	// are told to other nodes.
-	maxParts = 256
-	maxRows  = 32
-	// maxPassed is the number of parts of which it is known when an answer last went well; twice as many are kept for a
+	// maxCauses is the number of causes of each kind about which there is evidence at the same time, maxRows the number of
+	// them that are told to other nodes.
+	maxCauses = 256
+	maxRows   = 32
+	// maxPassed is the number of causes of which it is known when a request last went well; twice as many are kept for a
 	// while.
 	maxPassed = 2048
 	// probeWindow is the shortest time between two probes. The number of nodes that may send one doubles with each window
-	// that passes without any, since requests with the part need not come to the first ones.
+	// that passes without any, since requests with the cause need not come to the first ones.
 	probeWindow = 4 * time.Second
 	// maxProbeTime is how long all nodes wait for the end of a probe.
 	maxProbeTime = probeTime / 2
 )
 
-// Registry holds the evidence about the parts of prompts. It is not safe for concurrent use.
+// Registry holds the evidence about what crashes upstreams. It is not safe for concurrent use.
 type Registry struct {
-	parts map[Part]*evidence
-	// passed and passedBefore hold when answers last went well; the latter is the former of the time before.
-	passed, passedBefore map[Part]time.Time
+	causes map[Cause]*evidence
+	// counts is the number of causes by kind.
+	counts [kinds]int
+	// passed and passedBefore hold when requests last went well; the latter is the former of the time before.
+	passed, passedBefore map[Cause]time.Time
+}
+
+// Request is what may be a cause in a request.
+type Request struct {
+	Pool   string
+	Prompt prompt.Prompt
+	// Digest identifies a request that comes again; 0 means that it is not known.
+	Digest uint64
+}
+
+// all returns the causes in a request: the parts of its prompt, but for the last one, which belongs to one request, and the
+// request itself.
+func (q Request) all() []Cause {
+	causes := make([]Cause, 0, len(q.Prompt))
+	for _, part := range q.Prompt[:max(len(q.Prompt)-1, 0)] {
+		causes = append(causes, Cause{
+			Pool: q.Pool,
+			Kind: Part,
+			ID:   part.ID,
+		})
+	}
+	if q.Digest != 0 {
+		causes = append(causes, Cause{
+			Pool: q.Pool,
+			Kind: Repeat,
+			ID:   q.Digest,
+		})
+	}
+	return causes
 }
 
 // Quarantine says why a request may not be sent now.
 type Quarantine struct {
-	Part Part
+	Cause Cause
 	// Crashes is the number of crashes that count, Upstreams the names of the upstreams.
 	Crashes   int
 	Upstreams []string
-	// Until is when the next request with the part may be sent.
+	// Until is when the next request with the cause may be sent.
 	Until time.Time
 }
 
-// Crashed records that an upstream crashed at a time just after it had begun to answer prompts.
-func (r *Registry) Crashed(pool, upstream string, at time.Time, prompts ...prompt.Prompt) {
-	for _, p := range prompts {
-		for _, part := range shared(p) {
-			r.recordCrash(Part{
-				Pool: pool,
-				ID:   part.ID,
-			}, upstream, at)
+// Crashed records that an upstream crashed at a time while requests were at work.
+func (r *Registry) Crashed(upstream string, at time.Time, requests ...Request) {
+	for _, q := range requests {
+		for _, cause := range q.all() {
+			r.recordCrash(cause, upstream, at)
 		}
 	}
 	r.restrictAll()
 }
 
-func (r *Registry) recordCrash(key Part, upstream string, at time.Time) {
+func (r *Registry) recordCrash(key Cause, upstream string, at time.Time) {
 	e := r.evidenceOf(key, at)
 	passedAt, passed := r.passedAt(key)
 	e.passed = e.passed || passed
@@ -67,16 +95,15 @@
 	})
 }
 
-// Passed records that the answer to a prompt has gone on for longer than one that crashes its upstream ever does.
-func (r *Registry) Passed(pool string, p prompt.Prompt, now time.Time) {
+// Passed records that a request has gone on for longer than one that crashes its upstream ever does.
+func (r *Registry) Passed(q Request, now time.Time) {
 	changed := false
-	for _, part := range shared(p) {
-		key := Part{
-			Pool: pool,
-			ID:   part.ID,
+	for _, key := range q.all() {
+		e := r.causes[key]
+		if key.Kind == Part || e != nil {
+			r.remember(key, now)
 		}
-		r.remember(key, now)
-		if e := r.parts[key]; e != nil && e.clear(now) {
+		if e != nil && e.clear(now) {
 			changed = true
 		}
 	}
@@ -85,11 +112,14 @@
 	}
 }
 
+// KnowsRepeats reports whether there is evidence about requests that come again, so that the digest of a request matters.
+func (r *Registry) KnowsRepeats() bool { return r.counts[Repeat] > 0 }
+
 // Merge adds the evidence of another node.
 func (r *Registry) Merge(rows []Row, now time.Time) {
 	changed := false
-	for _, row := range rows[:min(len(rows), maxRows)] {
-		if r.mergeRow(row, now) {
+	for _, row := range rows[:min(len(rows), int(kinds)*maxRows)] {
+		if row.Cause.Kind >= 0 && row.Cause.Kind < kinds && r.mergeRow(row, now) {
 			changed = true
 		}
 	}
@@ -99,14 +129,14 @@
 }
 
 func (r *Registry) mergeRow(row Row, now time.Time) (changed bool) {
-	passedAt, passed := r.passedAt(row.Part)
-	e := r.parts[row.Part]
+	passedAt, passed := r.passedAt(row.Cause)
+	e := r.causes[row.Cause]
 	for _, c := range row.Crashes[:min(len(row.Crashes), maxCrashes)] {
 		if c.Age < 0 || c.Age >= maxLength+probeTime {
 			continue
 		}
 		if e == nil {
-			e = r.evidenceOf(row.Part, now)
+			e = r.evidenceOf(row.Cause, now)
 		}
 		at := now.Add(-c.Age)
 		if e.add(crash{
@@ -130,48 +160,50 @@
 	return changed
 }
 
-// Rows returns the evidence to tell other nodes, the most important first.
+// Rows returns the evidence to tell other nodes, the most important of each kind first.
 func (r *Registry) Rows(now time.Time) []Row {
 	r.forget(now)
-	rows := make([]Row, 0, min(len(r.parts), maxRows))
-	for _, key := range r.ranked(now)[:cap(rows)] {
-		e := r.parts[key]
-		row := Row{
-			Part:    key,
-			Passed:  e.passed,
-			Crashes: make([]Crash, len(e.crashes)),
+	rows := make([]Row, 0, len(r.causes))
+	var told [kinds]int
+	for _, key := range r.ranked(now) {
+		if told[key.Kind]++; told[key.Kind] <= maxRows {
+			rows = append(rows, r.causes[key].row(key, now))
 		}
-		for i, c := range e.crashes {
-			row.Crashes[i] = Crash{
-				Upstream: c.upstream,
-				Age:      now.Sub(c.at),
-				Cleared:  c.cleared,
-			}
+	}
+	return rows
+}
+
+func (e *evidence) row(key Cause, now time.Time) Row {
+	row := Row{
+		Cause:   key,
+		Passed:  e.passed,
+		Crashes: make([]Crash, len(e.crashes)),
+	}
+	for i, c := range e.crashes {
+		row.Crashes[i] = Crash{
+			Upstream: c.upstream,
+			Age:      now.Sub(c.at),
+			Cleared:  c.cleared,
 		}
-		if !e.probe.at.IsZero() {
-			row.Probe = &Probe{
-				Age:   now.Sub(e.probe.at),
-				Ended: e.probe.ended,
-			}
+	}
+	if !e.probe.at.IsZero() {
+		row.Probe = &Probe{
+			Age:   now.Sub(e.probe.at),
+			Ended: e.probe.ended,
 		}
-		rows = append(rows, row)
 	}
-	return rows
+	return row
 }
 
 // Check returns nil if a request may be sent now. Rank returns this node's rank for a key among the live nodes, 0 for the
 // first.
-func (r *Registry) Check(pool string, p prompt.Prompt, rank func(key string) int, now time.Time) *Quarantine {
-	if len(r.parts) == 0 {
+func (r *Registry) Check(q Request, rank func(key string) int, now time.Time) *Quarantine {
+	if len(r.causes) == 0 {
 		return nil
 	}
 	var longest *Quarantine
-	for _, part := range shared(p) {
-		key := Part{
-			Pool: pool,
-			ID:   part.ID,
-		}
-		e := r.parts[key]
+	for _, key := range q.all() {
+		e := r.causes[key]
 		if e == nil || !e.quarantined(now) {
 			continue
 		}
@@ -183,28 +215,24 @@
 	return longest
 }
 
-// Suspected reports whether a shared part of a prompt has seen a crash and is not known to have ever gone well.
-func (r *Registry) Suspected(pool string, p prompt.Prompt) bool {
-	return slices.ContainsFunc(shared(p), func(part prompt.Part) bool {
-		e := r.parts[Part{
-			Pool: pool,
-			ID:   part.ID,
-		}]
+// Suspected reports whether a cause in a request has seen a crash and is not known to have ever gone well.
+func (r *Registry) Suspected(q Request) bool {
+	if len(r.causes) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(q.all(), func(key Cause) bool {
+		e := r.causes[key]
 		return e != nil && !e.passed
 	})
 }
 
-// Sent records that a request is sent that Check allowed, and reports whether it is a probe of a quarantined part.
-func (r *Registry) Sent(pool string, p prompt.Prompt, now time.Time) (probe bool) {
-	if len(r.parts) == 0 {
+// Sent records that a request is sent that Check allowed, and reports whether it is a probe of a quarantined cause.
+func (r *Registry) Sent(q Request, now time.Time) (probe bool) {
+	if len(r.causes) == 0 {
 		return false
 	}
-	for _, part := range shared(p) {
-		e := r.parts[Part{
-			Pool: pool,
-			ID:   part.ID,
-		}]
-		if e != nil && e.quarantined(now) {
+	for _, key := range q.all() {
+		if e := r.causes[key]; e != nil && e.quarantined(now) {
 			e.probe = lastProbe{at: now}
 			probe = true
 		}
@@ -213,18 +241,15 @@
 }
 
 // ProbeEnded records that a request that was a probe runs no more.
-func (r *Registry) ProbeEnded(pool string, p prompt.Prompt) {
-	for _, part := range shared(p) {
-		if e := r.parts[Part{
-			Pool: pool,
-			ID:   part.ID,
-		}]; e != nil {
+func (r *Registry) ProbeEnded(q Request) {
+	for _, key := range q.all() {
+		if e := r.causes[key]; e != nil {
 			e.probe.ended = true
 		}
 	}
 }
 
-// nextSend returns the earliest time at which this node may send the next request with the part.
+// nextSend returns the earliest time at which this node may send the next request with the cause.
 func (e *evidence) nextSend(key string, rank func(key string) int, now time.Time) time.Time {
 	from := e.restriction.until
 	if now.Before(from) {
@@ -242,15 +267,15 @@
 	return from.Add(time.Duration(bits.Len(uint(rank(key)))) * probeWindow)
 }
 
-// quarantined reports whether requests with the part are restricted.
+// quarantined reports whether requests with the cause are restricted.
 func (e *evidence) quarantined(now time.Time) bool {
 	return e.restriction != (restriction{}) && now.Before(e.restriction.end())
 }
 
-// describe describes the quarantine of a part.
-func (e *evidence) describe(key Part, until time.Time) *Quarantine {
+// describe describes the quarantine of a cause.
+func (e *evidence) describe(key Cause, until time.Time) *Quarantine {
 	q := &Quarantine{
-		Part:    key,
+		Cause:   key,
 		Crashes: e.restriction.crashes,
 		Until:   until,
 	}
@@ -262,62 +287,67 @@
 	return q
 }
 
-// shared returns the parts of a prompt that requests may share; the last one belongs to one request.
-func shared(p prompt.Prompt) prompt.Prompt { return p[:max(len(p)-1, 0)] }
-
-// evidenceOf returns the evidence about a part, creating it if needed.
-func (r *Registry) evidenceOf(key Part, now time.Time) *evidence {
-	if e := r.parts[key]; e != nil {
+// evidenceOf returns the evidence about a cause, creating it if needed.
+func (r *Registry) evidenceOf(key Cause, now time.Time) *evidence {
+	if e := r.causes[key]; e != nil {
 		return e
 	}
-	if r.parts == nil {
-		r.parts = map[Part]*evidence{}
+	if r.causes == nil {
+		r.causes = map[Cause]*evidence{}
 	}
-	if len(r.parts) >= maxParts {
+	if r.counts[key.Kind] >= maxCauses {
 		r.forget(now)
 	}
-	if len(r.parts) >= maxParts {
-		r.evict(now)
+	if r.counts[key.Kind] >= maxCauses {
+		r.evict(key.Kind, now)
 	}
-	e := &evidence{}
-	r.parts[key] = e
+	e := &evidence{kind: key.Kind}
+	r.causes[key] = e
+	r.counts[key.Kind]++
 	return e
 }
 
-// evict drops the least important evidence.
-func (r *Registry) evict(now time.Time) {
+// drop forgets a cause.
+func (r *Registry) drop(key Cause) {
+	delete(r.causes, key)
+	r.counts[key.Kind]--
+}
+
+// evict drops the least important evidence of a kind.
+func (r *Registry) evict(kind Kind, now time.Time) {
 	compare := r.byImportance(now)
-	var last Part
+	var last Cause
 	found := false
-	for key := range r.parts {
-		if !found || compare(key, last) > 0 {
+	for key := range r.causes {
+		if key.Kind == kind && (!found || compare(key, last) > 0) {
 			last, found = key, true
 		}
 	}
-	delete(r.parts, last)
+	r.drop(last)
 }
 
-// ranked returns the parts in the order of their importance.
-func (r *Registry) ranked(now time.Time) []Part {
-	return slices.SortedFunc(maps.Keys(r.parts), r.byImportance(now))
+// ranked returns the causes in the order of their importance.
+func (r *Registry) ranked(now time.Time) []Cause {
+	return slices.SortedFunc(maps.Keys(r.causes), r.byImportance(now))
 }
 
-// byImportance returns the order of parts by their importance. Parts of the same importance take turns.
-func (r *Registry) byImportance(now time.Time) func(a, b Part) int {
+// byImportance returns the order of causes by their importance. Those of the same importance take turns.
+func (r *Registry) byImportance(now time.Time) func(a, b Cause) int {
 	turn := uint64(now.UnixNano())
-	return func(a, b Part) int {
-		first, second := r.parts[a], r.parts[b]
+	return func(a, b Cause) int {
+		first, second := r.causes[a], r.causes[b]
 		return cmp.Or(
 			cmp.Compare(first.class(), second.class()),
 			cmp.Compare(second.restriction.crashes, first.restriction.crashes),
 			second.newest().Compare(first.newest()),
 			cmp.Compare(mix(a.ID, turn), mix(b.ID, turn)),
 			cmp.Compare(a.Pool, b.Pool),
+			cmp.Compare(a.Kind, b.Kind),
 		)
 	}
 }
 
-// mix returns a number that depends on a part and a turn; two parts never have the same one in a turn.
+// mix returns a number that depends on an ID and a turn; two IDs never have the same one in a turn.
 func mix(id, turn uint64) uint64 {
 	const first, second, shift = 0xbf58476d1ce4e5b9, 0x94d049bb133111eb, 31
 	id = (id ^ turn) * first
@@ -326,15 +356,15 @@
 
 // forget drops the evidence that has expired.
 func (r *Registry) forget(now time.Time) {
-	for key, e := range r.parts {
+	for key, e := range r.causes {
 		if e.expired(now) {
-			delete(r.parts, key)
+			r.drop(key)
 		}
 	}
 }
 
-// passedAt returns when an answer to a prompt with a part last went well.
-func (r *Registry) passedAt(key Part) (at time.Time, known bool) {
+// passedAt returns when a request with a cause last went well.
+func (r *Registry) passedAt(key Cause) (at time.Time, known bool) {
 	if at, known = r.passed[key]; known {
 		return at, true
 	}
@@ -342,10 +372,10 @@
 	return at, known
 }
 
-// remember records that an answer to a prompt with a part went well.
-func (r *Registry) remember(key Part, now time.Time) {
+// remember records that a request with a cause went well.
+func (r *Registry) remember(key Cause, now time.Time) {
 	if r.passed == nil || len(r.passed) >= maxPassed {
-		r.passedBefore, r.passed = r.passed, map[Part]time.Time{}
+		r.passedBefore, r.passed = r.passed, map[Cause]time.Time{}
 	}
 	r.passed[key] = now
 }
--- a/internal/coordination/quarantine/registry_test.go
+++ b/internal/coordination/quarantine/registry_test.go
@@ -16,18 +16,19 @@
 
 func firstRank(string) int { return 0 }
 
-func newPrompt(ids ...uint64) (p prompt.Prompt) {
+func newPrompt(ids ...uint64) Request {
+	q := Request{Pool: modelPool}
 	for _, id := range ids {
-		p = append(p, prompt.Part{ID: id})
+		q.Prompt = append(q.Prompt, prompt.Part{ID: id})
 	}
-	return p
+	return q
 }
 
 // newCondemned returns a registry in which part 7 is quarantined for baseLength from start on.
 func newCondemned() *Registry {
 	r := &Registry{}
-	r.Crashed(modelPool, "e1", start.Add(-time.Second), newPrompt(7, 100))
-	r.Crashed(modelPool, "e2", start, newPrompt(7, 101))
+	r.Crashed("e1", start.Add(-time.Second), newPrompt(7, 100))
+	r.Crashed("e2", start, newPrompt(7, 101))
 	return r
 }
 
@@ -35,22 +36,22 @@
 func TestQuarantineEndsWithAProbe(t *testing.T) {
 	is := is.New(t)
 	r, p, end := newCondemned(), newPrompt(7, 102), start.Add(baseLength)
-	is.Equal(r.Check(modelPool, p, firstRank, start).Until, end)
-	is.Equal(r.Check("other", p, firstRank, start), nil)
-	is.Equal(r.Check(modelPool, newPrompt(8, 7), firstRank, start), nil) // the last part is one of the request's own
+	is.Equal(r.Check(p, firstRank, start).Until, end)
+	is.Equal(r.Check(Request{Pool: "other", Prompt: p.Prompt}, firstRank, start), nil)
+	is.Equal(r.Check(newPrompt(8, 7), firstRank, start), nil) // the last part is one of the request's own
 	second := func(string) int { return 1 }
-	is.Equal(r.Check(modelPool, p, second, end).Until, end.Add(probeWindow))
-	is.Equal(r.Check(modelPool, p, firstRank, end), nil)
-	is.True(r.Sent(modelPool, p, end))
-	is.Equal(r.Check(modelPool, p, firstRank, end.Add(time.Second)).Until, end.Add(probeWindow))
+	is.Equal(r.Check(p, second, end).Until, end.Add(probeWindow))
+	is.Equal(r.Check(p, firstRank, end), nil)
+	is.True(r.Sent(p, end))
+	is.Equal(r.Check(p, firstRank, end.Add(time.Second)).Until, end.Add(probeWindow))
 	failed := end.Add(2 * time.Second)
-	r.Crashed(modelPool, "e3", failed, p)
-	is.Equal(r.Check(modelPool, p, firstRank, failed).Until, failed.Add(2*baseLength))
-	r.Passed(modelPool, p, failed.Add(2*baseLength))
-	is.Equal(r.Check(modelPool, p, firstRank, failed.Add(time.Second)), nil)
+	r.Crashed("e3", failed, p)
+	is.Equal(r.Check(p, firstRank, failed).Until, failed.Add(2*baseLength))
+	r.Passed(p, failed.Add(2*baseLength))
+	is.Equal(r.Check(p, firstRank, failed.Add(time.Second)), nil)
 	other := newCondemned()
 	other.Merge(r.Rows(failed), failed)
-	is.Equal(other.Check(modelPool, p, firstRank, failed), nil)
+	is.Equal(other.Check(p, firstRank, failed), nil)
 }
 
 // TestMergingIsCommutativeAndIdempotent guards against nodes that disagree for good, whatever the order of digests.
@@ -61,7 +62,7 @@
 		var rows []Row
 		for range 5 {
 			row := Row{
-				Part:   Part{ID: 7},
+				Cause:  Cause{ID: 7},
 				Passed: random.IntN(4) == 0,
 			}
 			for range 1 + random.IntN(2) {
@@ -91,15 +92,15 @@
 	r := newCondemned()
 	for i := range uint64(5_000) {
 		at := start.Add(time.Duration(i) * time.Millisecond)
-		r.Crashed(modelPool, fmt.Sprint("e", i), at, newPrompt(1000+i, 1))
-		r.Passed(modelPool, newPrompt(1000+i, 1), at)
+		r.Crashed(fmt.Sprint("e", i), at, newPrompt(1000+i, 1))
+		r.Passed(newPrompt(1000+i, 1), at)
 	}
-	is.True(len(r.parts) <= maxParts)
+	is.True(len(r.causes) <= maxCauses)
 	is.True(len(r.passed)+len(r.passedBefore) <= 2*maxPassed)
 	is.Equal(len(r.Rows(start)), maxRows)
-	is.True(r.Check(modelPool, newPrompt(7, 1), firstRank, start) != nil) // what is quarantined is kept
+	is.True(r.Check(newPrompt(7, 1), firstRank, start) != nil) // what is quarantined is kept
 	r.Rows(start.Add(time.Hour))
-	is.Equal(len(r.parts), 0)
+	is.Equal(len(r.causes), 0)
 }
 
 // TestOneCrashIsCountedOnceHoweverLateItIsTold guards against a quarantine after one crash, because evidence that was
@@ -109,11 +110,11 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			is := is.New(t)
 			teller, r, p := &Registry{}, &Registry{}, newPrompt(7, 100)
-			teller.Crashed(modelPool, "e1", start, p)
+			teller.Crashed("e1", start, p)
 			late, now := teller.Rows(start), start.Add(delay)
 			r.Merge(late, now)
 			r.Merge(teller.Rows(now), now)
-			is.Equal(r.Check(modelPool, p, firstRank, now), nil)
+			is.Equal(r.Check(p, firstRank, now), nil)
 			is.Equal(len(r.Rows(now)[0].Crashes), 1)
 		})
 	}
@@ -124,22 +125,22 @@
 func TestNodesWaitForAProbeUntilItEnds(t *testing.T) {
 	is := is.New(t)
 	prober, other, p, end := newCondemned(), newCondemned(), newPrompt(7, 102), start.Add(baseLength)
-	is.True(prober.Sent(modelPool, p, end))
+	is.True(prober.Sent(p, end))
 	tell := func(at time.Time) { other.Merge(prober.Rows(at), at) }
 	later := end.Add(5 * probeWindow)
 	tell(end)
 	for _, r := range []*Registry{prober, other} {
-		is.Equal(r.Check(modelPool, p, firstRank, later).Until, later.Add(probeWindow))
+		is.Equal(r.Check(p, firstRank, later).Until, later.Add(probeWindow))
 	}
-	prober.ProbeEnded(modelPool, p)
+	prober.ProbeEnded(p)
 	tell(later)
 	for _, r := range []*Registry{prober, other} {
-		is.Equal(r.Check(modelPool, p, firstRank, later), nil)
+		is.Equal(r.Check(p, firstRank, later), nil)
 	}
-	prober.Sent(modelPool, p, later)
+	prober.Sent(p, later)
 	tell(later)
-	is.True(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime-1)) != nil)
-	is.Equal(other.Check(modelPool, p, firstRank, later.Add(maxProbeTime)), nil)
+	is.True(other.Check(p, firstRank, later.Add(maxProbeTime-1)) != nil)
+	is.Equal(other.Check(p, firstRank, later.Add(maxProbeTime)), nil)
 }
 
 // TestCrashOfManyNewPartsSortsNothing guards against a node whose choices all wait while the evidence is put in order for
@@ -147,19 +148,20 @@
 func TestCrashOfManyNewPartsSortsNothing(t *testing.T) {
 	is := is.New(t)
 	r := newCondemned()
-	newParts := func(from uint64) (p prompt.Prompt) {
-		for i := range uint64(1000) {
-			p = append(p, prompt.Part{ID: from + i})
+	newParts := func(from uint64) Request {
+		ids := make([]uint64, 1000)
+		for i := range ids {
+			ids[i] = from + uint64(i)
 		}
-		return p
+		return newPrompt(ids...)
 	}
-	r.Crashed(modelPool, "e3", start.Add(time.Second), newParts(1000))
+	r.Crashed("e3", start.Add(time.Second), newParts(1000))
 	var before, after runtime.MemStats
 	p := newParts(5000)
 	runtime.ReadMemStats(&before)
-	r.Crashed(modelPool, "e4", start.Add(2*time.Second), p)
+	r.Crashed("e4", start.Add(2*time.Second), p)
 	runtime.ReadMemStats(&after)
 	t.Logf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
 	is.True(after.TotalAlloc-before.TotalAlloc < 1<<20)
-	is.True(r.Check(modelPool, newPrompt(7, 1), firstRank, start.Add(2*time.Second)) != nil)
+	is.True(r.Check(newPrompt(7, 1), firstRank, start.Add(2*time.Second)) != nil)
 }
--- a/internal/coordination/quarantine/restriction.go
+++ b/internal/coordination/quarantine/restriction.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// restrictAll derives the quarantines from the evidence. A crash that a part with more crashes explains does not count
-// against the other parts of the request, and of requests that ran beside it.
+// restrictAll derives the quarantines from the evidence. A crash that a cause with more crashes explains does not count
+// against the others that were at work.
 func (r *Registry) restrictAll() {
-	for _, e := range r.parts {
-		e.retention = restrict(e.times(func(crash) bool { return true }), minCrashes)
+	for _, e := range r.causes {
+		e.retention = restrict(e.times(func(crash) bool { return true }), e.neededAtFirst())
 		e.restriction = restrict(e.times(crash.counts), e.needed())
 	}
 	var quarantined []*evidence
-	for _, e := range r.parts {
+	for _, e := range r.causes {
 		if e.restriction != (restriction{}) {
 			quarantined = append(quarantined, e)
 		}
@@ -27,8 +27,8 @@
 	}
 }
 
-// explained reports whether a part that is the likelier cause had begun to be answered at the same crash: one whose
-// answers never went well rather than one whose answers did, then one with more crashes.
+// explained reports whether a likelier cause was at work at the same crash: one that never went well rather than one that
+// did, then one with more crashes.
 func explained(c crash, by *evidence, quarantined []*evidence) bool {
 	return slices.ContainsFunc(quarantined, func(other *evidence) bool {
 		likelier := other.restriction.crashes > by.restriction.crashes
@@ -40,14 +40,22 @@
 	})
 }
 
-// counts reports whether no answer to a prompt with the part has gone well since the crash.
+// counts reports whether no request with the cause has gone well since the crash.
 func (c crash) counts() bool { return !c.cleared }
 
-// needed returns how many crashes quarantine the part.
+// needed returns how many crashes quarantine the cause.
 func (e *evidence) needed() int {
 	if e.passed {
 		return minCrashesOfPassed
 	}
+	return e.neededAtFirst()
+}
+
+// neededAtFirst returns how many crashes quarantine a cause of this kind that is not known to have gone well.
+func (e *evidence) neededAtFirst() int {
+	if e.kind == Repeat {
+		return minCrashesOfPassed
+	}
 	return minCrashes
 }
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -616,8 +616,7 @@
 	Weight float64 `json:"weight"`
 }
 
-// PartCrash is the crash of an upstream that had just begun to answer a prompt
-// with a part.
+// PartCrash is the crash of an upstream at which a part or a request was at work.
 type PartCrash struct {
 	// AgeMs corresponds to the JSON schema field "age-ms".
 	AgeMs int `json:"age-ms,omitempty,omitzero"`
@@ -926,13 +925,13 @@
 	ID string `json:"id"`
 }
 
-// SuspectPart is the evidence that a part of the prompts to a pool crashes
-// upstreams.
+// SuspectPart is the evidence that a part of the prompts to a pool, or a request
+// that comes again, crashes upstreams.
 type SuspectPart struct {
 	// Crashes corresponds to the JSON schema field "crashes".
 	Crashes []PartCrash `json:"crashes,omitempty,omitzero"`
 
-	// Part is the ID of the part in hexadecimal digits.
+	// Part is the ID of the part or the digest of the request in hexadecimal digits.
 	Part string `json:"part"`
 
 	// Passed reports that an answer to a prompt with the part has ever gone well.
@@ -943,6 +942,9 @@
 
 	// Probe corresponds to the JSON schema field "probe".
 	Probe *PartProbe `json:"probe,omitempty,omitzero"`
+
+	// Repeat reports that Part is the digest of a request.
+	Repeat bool `json:"repeat,omitempty,omitzero"`
 }
 
 // UpstreamLimit is what a run of an upstream last said of the limit for all nodes
--- a/internal/transport/entryvm/suspects.go
+++ b/internal/transport/entryvm/suspects.go
@@ -16,8 +16,9 @@
 	encoded := make([]wire.SuspectPart, 0, len(rows))
 	for _, row := range rows {
 		part := wire.SuspectPart{
-			Pool:   row.Part.Pool,
-			Part:   strconv.FormatUint(row.Part.ID, partBase),
+			Pool:   row.Cause.Pool,
+			Part:   strconv.FormatUint(row.Cause.ID, partBase),
+			Repeat: row.Cause.Kind == quarantine.Repeat,
 			Passed: row.Passed,
 		}
 		for _, crash := range row.Crashes {
@@ -38,7 +39,7 @@
 	return encoded
 }
 
-// decodeSuspects decodes the evidence about parts of prompts; a row whose part is no hexadecimal number is left out.
+// decodeSuspects decodes the evidence about what crashes upstreams; a row whose ID is no hexadecimal number is left out.
 func decodeSuspects(encoded []wire.SuspectPart) []quarantine.Row {
 	var rows []quarantine.Row
 	for _, part := range encoded {
@@ -47,12 +48,15 @@
 			continue
 		}
 		row := quarantine.Row{
-			Part: quarantine.Part{
+			Cause: quarantine.Cause{
 				Pool: part.Pool,
 				ID:   id,
 			},
 			Passed: part.Passed,
 		}
+		if part.Repeat {
+			row.Cause.Kind = quarantine.Repeat
+		}
 		for _, crash := range part.Crashes {
 			row.Crashes = append(row.Crashes, quarantine.Crash{
 				Upstream: crash.Upstream,
--- a/internal/transport/entryvm/suspects_test.go
+++ b/internal/transport/entryvm/suspects_test.go
@@ -16,8 +16,9 @@
 func TestSuspectsSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	sent := []quarantine.Row{{
-		Part: quarantine.Part{
+		Cause: quarantine.Cause{
 			Pool: "p",
+			Kind: quarantine.Repeat,
 			ID:   1<<64 - 3,
 		},
 		Passed: true,
--- a/internal/transport/gateway/crashing_request_test.go
+++ b/internal/transport/gateway/crashing_request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -116,3 +117,45 @@
 		is.True(statuses[http.StatusOK]*100 >= 99*4000)
 	})
 }
+
+// TestQuarantineOfARequestConcernsNoOther guards against requests being refused that differ from a quarantined one in their
+// path, caller or body, and against the quarantined one being refused without the reason and the time.
+func TestQuarantineOfARequestConcernsNoOther(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		headers    map[string]string
+		status     int
+	}{
+		"the same":       {path: "/safe/x", body: "bad", status: http.StatusServiceUnavailable},
+		"as unsafe":      {path: "/unsafe/x", body: "bad", status: http.StatusOK},
+		"another path":   {path: "/safe/y", body: "bad", status: http.StatusOK},
+		"another query":  {path: "/safe/x?a", body: "bad", status: http.StatusOK},
+		"another body":   {path: "/safe/x", body: "bad ", status: http.StatusOK},
+		"no body":        {path: "/safe/x", status: http.StatusOK},
+		"another caller": {path: "/safe/x", body: "bad", headers: map[string]string{"Authorization": "Token k1"}, status: http.StatusOK},
+		"another prompt": {path: "/safe/x", body: "bad", status: http.StatusServiceUnavailable,
+			headers: map[string]string{"X-Lagoongw-Prompt-Prefix": "a:1,b:2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				site := newServiceSite(t, 8)
+				for node := range siteNodes {
+					status := site.callBad(t.Context(), node).status
+					is.True(status == http.StatusBadGateway || status == http.StatusServiceUnavailable)
+					time.Sleep(time.Second)
+				}
+				is.Equal(len(site.crashes), 3)
+				got := site.nodes[4].call(t.Context(), c.path, c.body, c.headers)
+				is.Equal(got.status, c.status)
+				if c.status == http.StatusOK {
+					return
+				}
+				is.Equal(got.body, "a request with the same path, caller and body crashes upstreams; the request has not run\n")
+				seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(seconds > 20 && seconds <= 30) // what is left of the quarantine
+			})
+		})
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -70,10 +70,12 @@
 	// oldCaller reports whether the caller speaks HTTP/1.0, which has no chunks.
 	oldCaller     bool
 	requestMemory memory.Reservation
-	// probe reports that the answer decides whether a part of the prompt is still quarantined.
+	// probe reports that the answer decides whether the request or a part of its prompt is still quarantined.
 	probe bool
 	// quarantine is why the request is not sent again, nil if it is for no quarantine.
 	quarantine *quarantine.Quarantine
+	// digest identifies the request when it comes again, 0 until identifyRepeat.
+	digest uint64
 	// ranWell reports that an upstream answered for longer than one that the prompt crashes.
 	ranWell bool
 }
@@ -153,11 +155,15 @@
 }
 
 func (x *exchange) dispatchRequest() dispatch.Request {
+	if x.server.Dispatcher.KnowsRepeats() {
+		x.identifyRepeat()
+	}
 	return dispatch.Request{
 		Pool:    x.pool,
 		Prompt:  x.call.Prompt,
 		Tier:    x.priorityLevel,
 		Gap:     x.route.TargetGap(),
+		Digest:  x.digest,
 		Exclude: x.excluded,
 		// Each denial may have taken a round trip to the holder of a limit.
 		AvoidLimited: x.denials > 0,
@@ -216,6 +222,7 @@
 	if err != nil {
 		x.server.Dispatcher.Failed(upstream, time.Now())
 		if sent {
+			x.suspectCrash(s, err)
 			return attempt.Lost, err
 		}
 		return attempt.Unsent, err
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -151,6 +151,7 @@
 	t.Cleanup(func() {
 		g.client.CloseIdleConnections()
 		_ = g.server.Close()
+		time.Sleep(time.Second) // checks of upstreams that have broken off an answer end
 		pool.CloseIdle(time.Now().Add(time.Hour))
 		time.Sleep(time.Minute) // the server closes its last connections
 	})
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -11,8 +14,8 @@
 	"syscall"
 	"time"
 
+	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/quarantine"
-	"lagoongw/internal/state/prompt"
 	"lagoongw/internal/state/replica"
 )
 
@@ -21,13 +24,14 @@
 	// closed its listener.
 	crashCheckDelay = 50 * time.Millisecond
 	// maxSuspects is the number of requests that are suspected of one crash.
-	maxSuspects = 16
+	maxSuspects = 64
 )
 
-// suspect is a prompt whose answer ended just after it had begun; whole reports that it may have come to its end.
+// suspect is a request that ended before its answer or just after it had begun; whole reports that it may have come to its
+// end.
 type suspect struct {
-	prompt prompt.Prompt
-	whole  bool
+	request dispatch.Request
+	whole   bool
 }
 
 // crashCheck holds the suspects of a crash until it is known whether the upstream has crashed.
@@ -70,23 +74,29 @@
 	return c.byUpstream[upstream].suspects
 }
 
-// recordWhole records that an answer has come to its end, which shows that the upstream can run the prompt. The end of an
+// recordWhole records that an answer has come to its end, which shows that the upstream can run the request. The end of an
 // answer that ends with its connection may be that of the upstream.
 func (x *exchange) recordWhole(s *upstreamSend) {
-	if s.response.StatusCode >= http.StatusMultipleChoices {
-		return
-	}
 	endsWithConnection := s.response.ContentLength < 0 && len(s.response.TransferEncoding) == 0
 	if endsWithConnection && s.assignment.MayHaveCrashed(time.Now()) {
 		x.checkCrash(s, true)
 		return
 	}
-	s.assignment.Completed(time.Now())
+	s.assignment.Completed(x.answeredRequest(s), time.Now())
 }
 
-// suspectCrash has the upstream checked if its connection ended just after the answer had begun, unless it was about to
-// leave. A probe waits for the result, and so does a request that might be repeated although a part of its prompt was
-// suspected before.
+// answeredRequest returns what a whole answer shows to run well: not the prompt if the answer is an error.
+func (x *exchange) answeredRequest(s *upstreamSend) dispatch.Request {
+	request := x.dispatchRequest()
+	if s.response.StatusCode >= http.StatusMultipleChoices {
+		request.Prompt = nil
+	}
+	return request
+}
+
+// suspectCrash has the upstream checked if its connection ended before its answer or just after it had begun, unless it was
+// about to leave. A probe waits for the result, and so does a request that might be repeated, if nothing of its answer has
+// come or a cause in it was suspected before.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
 	x.ranWell = x.ranWell || s.assignment.RanWell()
 	if connectionEnded(cause) && s.assignment.MayHaveCrashed(time.Now()) && !s.upstream.Leaving() {
@@ -98,9 +108,14 @@
 // end.
 func (x *exchange) checkCrash(s *upstreamSend, whole bool) {
 	now := time.Now()
+	x.identifyRepeat()
+	request := x.dispatchRequest()
+	if whole {
+		request = x.answeredRequest(s)
+	}
 	check, first := x.server.crashes.add(s.upstream, suspect{
-		prompt: x.call.Prompt,
-		whole:  whole,
+		request: s.assignment.Suspect(request),
+		whole:   whole,
 	})
 	if first {
 		go func() {
@@ -108,7 +123,8 @@
 			x.server.checkCrash(s.upstream, now)
 		}()
 	}
-	if whole || !x.probe && (!x.route.Repeatable() || !x.server.Dispatcher.Suspected(x.dispatchRequest())) {
+	unanswered := s.response == nil
+	if whole || !x.probe && (!x.route.Repeatable() || !unanswered && !x.server.Dispatcher.Suspected(request)) {
 		return
 	}
 	select {
@@ -119,7 +135,7 @@
 
 // connectionEnded reports whether an answer broke off because the upstream's connection ended.
 func connectionEnded(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedStream, syscall.ECONNRESET} {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedStream, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, end) {
 			return true
 		}
@@ -133,11 +149,11 @@
 	time.Sleep(crashCheckDelay)
 	suspects := s.crashes.take(upstream)
 	err := s.Connections.Probe(context.Background(), upstream.Address())
-	var crashed []prompt.Prompt
+	var crashed []dispatch.Request
 	for _, suspect := range suspects {
-		crashed = append(crashed, suspect.prompt)
+		crashed = append(crashed, suspect.request)
 		if err == nil && suspect.whole {
-			s.Dispatcher.RanWell(upstream, suspect.prompt, time.Now())
+			s.Dispatcher.RanWell(suspect.request, time.Now())
 		}
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) || upstream.Leaving() {
@@ -148,24 +164,53 @@
 		Str("decision", "quarantine").
 		Str("upstream", upstream.Name()).
 		Strs("parts", partIDs(crashed)).
-		Msg("upstream crashed just after it had begun to answer; the parts of those prompts are suspected")
+		Strs("requests", digests(crashed)).
+		Msg("upstream crashed; the requests that it had not answered are suspected, and the parts of those prompts that it " +
+			"had just begun to answer")
 }
 
-// partIDs returns the IDs of the shared parts of prompts.
-func partIDs(prompts []prompt.Prompt) (ids []string) {
+// partIDs returns the IDs of the shared parts of the prompts of requests.
+func partIDs(requests []dispatch.Request) (ids []string) {
 	seen := map[uint64]bool{}
-	for _, p := range prompts {
+	for _, request := range requests {
+		p := request.Prompt
 		for _, part := range p[:max(len(p)-1, 0)] {
 			if !seen[part.ID] {
 				seen[part.ID] = true
-				ids = append(ids, formatPart(part.ID))
+				ids = append(ids, formatID(part.ID))
 			}
 		}
 	}
 	return ids
 }
 
-func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
+// digests returns the digests of requests.
+func digests(requests []dispatch.Request) (ids []string) {
+	for _, request := range requests {
+		ids = append(ids, formatID(request.Digest))
+	}
+	return ids
+}
+
+func formatID(id uint64) string { return strconv.FormatUint(id, 16) }
+
+// identifyRepeat computes the digest of the request, by which it is recognized when it comes again: of its method, target,
+// caller and body.
+func (x *exchange) identifyRepeat() {
+	if x.digest != 0 {
+		return
+	}
+	hash := sha256.New()
+	caller := cmp.Or(x.team, x.call.Key)
+	for _, text := range []string{x.method, x.host, x.target, caller} {
+		_, _ = hash.Write(binary.AppendUvarint(nil, uint64(len(text))))
+		_, _ = io.WriteString(hash, text)
+	}
+	for _, block := range x.body {
+		_, _ = hash.Write(block)
+	}
+	x.digest = max(binary.BigEndian.Uint64(hash.Sum(nil)), 1)
+}
 
 // exempt reports whether a quarantine does not concern the request: a probe until it has reached an upstream, and one that
 // is known to have run well.
@@ -179,8 +224,8 @@
 	}
 }
 
-// quarantined returns the final answer to a request that may not be sent because a part of its prompt crashes upstreams,
-// else nil.
+// quarantined returns the final answer to a request that may not be sent because it or a part of its prompt crashes
+// upstreams, else nil.
 func (x *exchange) quarantined() *localAnswer {
 	if x.exempt() {
 		return nil
@@ -198,16 +243,24 @@
 	return &answer
 }
 
-// quarantineAnswer returns the refusal of a request that has not run because a part of its prompt crashes upstreams.
+// quarantineAnswer returns the refusal of a request that has not run because it or a part of its prompt crashes upstreams.
 func quarantineAnswer(refused *quarantine.Quarantine, now time.Time) localAnswer {
 	return localAnswer{
 		status:     http.StatusServiceUnavailable,
-		reason:     "part " + formatPart(refused.Part.ID) + " of the prompt crashes upstreams; the request has not run",
+		reason:     causeText(refused.Cause) + " crashes upstreams; the request has not run",
 		retryAfter: max(refused.Until.Sub(now), retryAfterRefused),
 	}
 }
 
-// repeatQuarantined reports whether the request may not be sent again because a part of its prompt crashes upstreams.
+// causeText names a cause.
+func causeText(cause quarantine.Cause) string {
+	if cause.Kind == quarantine.Repeat {
+		return "a request with the same path, caller and body"
+	}
+	return "part " + formatID(cause.ID) + " of the prompt"
+}
+
+// repeatQuarantined reports whether the request may not be sent again because it or a part of its prompt crashes upstreams.
 func (x *exchange) repeatQuarantined() bool {
 	if x.exempt() {
 		return false
@@ -229,11 +282,12 @@
 	x.server.Logger.Warn().
 		Str("decision", "quarantine").
 		Str("request-id", x.call.ID).
-		Str("pool", refused.Part.Pool).
-		Str("part", formatPart(refused.Part.ID)).
+		Str("pool", refused.Cause.Pool).
+		Str("cause", causeText(refused.Cause)).
+		Str("id", formatID(refused.Cause.ID)).
 		Int("crashes", refused.Crashes).
 		Str("upstreams", strings.Join(refused.Upstreams, " ")).
 		Dur("until-ms", refused.Until.Sub(now)).
 		Int("sends", x.attempts.Sends()).
-		Msg("upstreams crashed as they began to answer prompts with this part; not sent until then, ask the caller to leave it out")
+		Msg("upstreams crash when they run this; not sent until then, ask the caller to change the request")
 }
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -140,6 +140,7 @@
 	t.Cleanup(func() {
 		g.client.CloseIdleConnections()
 		_ = g.server.Close()
+		time.Sleep(time.Second) // checks of upstreams that have broken off an answer end
 		pool.CloseIdle(time.Now().Add(time.Hour))
 		time.Sleep(time.Minute)
 	})
@@ -277,7 +278,11 @@
 	node := c.nodes[0].gateway.Dispatcher
 	for i := range crashes {
 		at := time.Now().Add(time.Duration(i) * 110 * time.Millisecond)
-		node.Crashed(node.Lookup(fmt.Sprintf("e%d", i)), []prompt.Prompt{{{ID: 0xa}, {ID: 0xb}, {ID: 1}}}, at, time.Now())
+		suspect := dispatch.Request{
+			Pool:   "s",
+			Prompt: prompt.Prompt{{ID: 0xa}, {ID: 0xb}, {ID: 1}},
+		}
+		node.Crashed(node.Lookup(fmt.Sprintf("e%d", i)), []dispatch.Request{suspect}, at, time.Now())
 	}
 }
 
