Give prompts one other home while theirs is limited

An engine that names a limit stayed the home of the prompts whose parts it had cached. Most requests with these parts were denied there and went to any other engine, each of which had to read the parts again. A limited engine is no home now, so that all nodes choose the same other one; it still takes requests when the others are down or busy, within its limit.

--- a/internal/coordination/dispatch/homes.go
+++ b/internal/coordination/dispatch/homes.go
@@ -25,19 +25,28 @@
 }
 
 // rankHomes ranks the upstreams for the shared parts of the prompt by rendezvous hashing, which gives the same order
-// at every node. The first maxHomes of them are the homes of the prompt.
+// at every node. The first maxHomes of them are the homes of the prompt. An upstream that has named a limit is none, since
+// most requests with the shared parts would go elsewhere, unless there is no other one.
 func (c *selection) rankHomes() {
 	if len(c.request.Prompt) == 0 {
 		return
 	}
 	c.homes = make([]scoredUpstream, 0, maxHomes+1)
+	if c.insertHomes(false); len(c.homes) == 0 {
+		c.insertHomes(true)
+	}
+}
+
+// insertHomes inserts the homes among the eligible upstreams, counting them; limited includes those that have named a limit.
+func (c *selection) insertHomes(limited bool) {
+	c.candidates = 0
 	key := c.request.Prompt.AffinityKey()
 	for _, s := range c.view.states {
 		if !c.eligible(s) {
 			continue
 		}
 		c.candidates++
-		if c.reservedForOthers(s) {
+		if c.reservedForOthers(s) || !limited && c.limit(s) > 0 {
 			continue
 		}
 		c.insertHome(s, rendezvous.Mix(key, s.replica.Hash()))
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -57,7 +57,12 @@
 }
 
 // limit returns the limit that an upstream has named in requests a second, 0 for none.
-func (c *selection) limit(s *upstreamState) float64 { return c.limits.Limit(limitKey(s.replica)) }
+func (c *selection) limit(s *upstreamState) float64 {
+	if c.limits.Empty() {
+		return 0
+	}
+	return c.limits.Limit(limitKey(s.replica))
+}
 
 // denied reports whether no send to an upstream is left within its limit for now.
 func (c *selection) denied(s *upstreamState) bool {
--- a/internal/coordination/ratelimit/limits.go
+++ b/internal/coordination/ratelimit/limits.go
@@ -93,6 +93,9 @@
 // Limit returns the limit of an upstream in requests a second, 0 for none.
 func (l *Limits) Limit(u Upstream) float64 { return l.statements[u].limit }
 
+// Empty reports whether no upstream has, or had of late, a limit.
+func (l *Limits) Empty() bool { return len(l.statements) == 0 }
+
 // Count returns the number of upstreams that have a limit.
 func (l *Limits) Count() (count int) {
 	for _, s := range l.statements {
