Look limits up only where an upstream has named one

The choice among 600 engines took 13 to 17 us instead of 7 to 9 since each of them was compared with limits and suspicions.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -180,9 +180,10 @@
 	c.profile = known.profile
 	c.interactive = known.isInteractive(request, pool.Engine, now)
 	c.limits = &d.limits
+	isolated := d.quarantine.Suspected(request.causes())
+	c.selective = !d.limits.Empty() || isolated
 	c.rankHomes()
-	c.isolated = d.quarantine.Suspected(request.causes())
-	if c.avoidLimited = request.AvoidLimited; c.avoidLimited || c.isolated {
+	if c.avoidLimited, c.isolated = request.AvoidLimited, isolated; c.avoidLimited || c.isolated {
 		c.compareAll()
 		c.avoidLimited, c.isolated = false, false
 	}
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -39,16 +39,19 @@
 	backedOff    bool
 	avoidLimited bool
 	isolated     bool
-	limits       *ratelimit.Limits
-	candidates   int
-	best         Choice
+	// selective reports whether any upstream has a limit or is to be avoided.
+	selective  bool
+	limits     *ratelimit.Limits
+	candidates int
+	best       Choice
 }
 
 // eligible reports whether an upstream is compared. It checks the view because the part index also contains upstreams
 // of other pools and removed ones.
 func (c *selection) eligible(s *upstreamState) bool {
 	return s.view == c.view && !s.replica.Leaving() && !s.health.paused(c.now) && s.backedOff(c.now) == c.backedOff &&
-		!slices.Contains(c.request.Exclude, s.replica.Name()) && !c.denied(s) && !c.avoided(s)
+		!slices.Contains(c.request.Exclude, s.replica.Name()) &&
+		(!c.selective || !c.denied(s) && !c.avoided(s))
 }
 
 // avoided reports whether an upstream is omitted as long as there are others.
@@ -58,7 +61,7 @@
 
 // limit returns the limit that an upstream has named in requests a second, 0 for none.
 func (c *selection) limit(s *upstreamState) float64 {
-	if c.limits.Empty() {
+	if !c.selective {
 		return 0
 	}
 	return c.limits.Limit(limitKey(s.replica))
