Try requests that saw the same crashes again soon

A sound request that came again and broke off with the bad one at each of three crashes was quarantined like it, for 30 s, since either may be the cause. Such requests are tried again after 2 s: the sound one's answer acquits it, and then the other is the only cause left.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -20,6 +20,8 @@
 	// baseLength is the length of the first quarantine of a cause; it doubles with each failed probe up to maxLength.
 	baseLength = 30 * time.Second
 	maxLength  = 5 * time.Minute
+	// twinLength is the length of the quarantine of requests of which any may be the cause, so that a probe soon tells which.
+	twinLength = 2 * time.Second
 	// probeTime is how long after a quarantine requests with the cause are sent as probes only.
 	probeTime = maxLength
 	// suspicionTime is how long a crash counts that has led to no quarantine.
--- a/internal/coordination/quarantine/registry_test.go
+++ b/internal/coordination/quarantine/registry_test.go
@@ -165,3 +165,31 @@
 	is.True(after.TotalAlloc-before.TotalAlloc < 1<<20)
 	is.True(r.Check(newPrompt(7, 1), firstRank, start.Add(2*time.Second)) != nil)
 }
+
+// TestRequestsThatCrashedTogetherAreTriedSoon guards against a sound request being refused for long because it ran beside the
+// bad one at each crash.
+func TestRequestsThatCrashedTogetherAreTriedSoon(t *testing.T) {
+	is := is.New(t)
+	bad := Request{
+		Pool:   modelPool,
+		Digest: 7,
+	}
+	sound := Request{
+		Pool:   modelPool,
+		Digest: 8,
+	}
+	var r Registry
+	last := start
+	for i := range 3 {
+		last = start.Add(time.Duration(i) * time.Second)
+		r.Crashed(fmt.Sprint("e", i), last, bad, sound)
+	}
+	soon := last.Add(twinLength)
+	is.Equal(r.Check(bad, firstRank, last).Until, soon)
+	is.Equal(r.Check(sound, firstRank, last).Until, soon)
+	is.Equal(r.Check(sound, firstRank, soon), nil)
+	is.True(r.Sent(sound, soon))
+	r.Passed(sound, soon.Add(time.Second))
+	is.Equal(r.Check(sound, firstRank, soon.Add(time.Second)), nil)
+	is.Equal(r.Check(bad, firstRank, soon.Add(time.Second)).Until, last.Add(baseLength)) // no other may be the cause now
+}
--- a/internal/coordination/quarantine/restriction.go
+++ b/internal/coordination/quarantine/restriction.go
@@ -25,6 +25,24 @@
 	for i, e := range quarantined {
 		e.restriction = updated[i]
 	}
+	for i, e := range quarantined {
+		if updated[i] != (restriction{}) && hasTwin(e, quarantined) {
+			e.restriction.until = e.newest().Add(twinLength)
+		}
+	}
+}
+
+// hasTwin reports whether another request was at work at the same crashes, so that either may be the cause of all of them.
+func hasTwin(e *evidence, quarantined []*evidence) bool {
+	return e.kind == Repeat && slices.ContainsFunc(quarantined, func(other *evidence) bool {
+		return other != e && other.kind == Repeat && other.restriction.crashes == e.restriction.crashes &&
+			!slices.ContainsFunc(e.crashes, func(c crash) bool { return c.counts() && !other.crashedAt(c) })
+	})
+}
+
+// crashedAt reports whether the cause was at work at a crash, and nothing has cleared it of that since.
+func (e *evidence) crashedAt(c crash) bool {
+	return slices.ContainsFunc(e.crashes, func(own crash) bool { return own.counts() && own.same(&c) })
 }
 
 // explained reports whether a likelier cause was at work at the same crash: one that never went well rather than one that
@@ -35,8 +53,7 @@
 		if other.passed != by.passed {
 			likelier = by.passed
 		}
-		return likelier &&
-			slices.ContainsFunc(other.crashes, func(theirs crash) bool { return theirs.counts() && theirs.same(&c) })
+		return likelier && other.crashedAt(c)
 	})
 }
 
