Separate the time that callers may pause from that of upstreams

A stream to a caller that paused for longer than upstreams may be silent was cut off, as was one that this node itself couldn't write in that time: the setting for upstreams limited the reads of bodies and the writes of answers too.

--caller-stall (10 s) limits what callers may pause; the end of a stream gets a new write timeout like each event before it. The new test fails with both at 400 ms, as one setting made them.

--- a/internal/transport/caller/admit.go
+++ b/internal/transport/caller/admit.go
@@ -58,7 +58,7 @@
 	body, err := s.readHeld(j, deadlineReader{
 		body: http.MaxBytesReader(w, r.Body, MaxBodyBytes),
 		setDeadline: func() {
-			_ = controller.SetReadDeadline(time.Now().Add(s.StreamIdleTimeout))
+			_ = controller.SetReadDeadline(time.Now().Add(s.CallerStallTimeout))
 		},
 	})
 	_ = controller.SetReadDeadline(time.Time{})
--- a/internal/transport/caller/answer.go
+++ b/internal/transport/caller/answer.go
@@ -82,14 +82,14 @@
 	s.writeBody(w, answer.body)
 }
 
-// writeBody writes a body in pieces. A caller that does not take the next piece within StreamIdleTimeout is cut off, since
+// writeBody writes a body in pieces. A caller that does not take the next piece within CallerStallTimeout is cut off, since
 // the body and the permit are held until it is written.
 func (s *Server) writeBody(w http.ResponseWriter, body []byte) {
 	const pieceBytes = 64 << 10
 	controller := http.NewResponseController(w)
 	for len(body) > 0 {
 		piece := body[:min(len(body), pieceBytes)]
-		_ = controller.SetWriteDeadline(time.Now().Add(s.StreamIdleTimeout))
+		_ = controller.SetWriteDeadline(time.Now().Add(s.CallerStallTimeout))
 		if _, err := w.Write(piece); err != nil {
 			return
 		}
--- a/internal/transport/caller/events.go
+++ b/internal/transport/caller/events.go
@@ -123,8 +123,7 @@
 		sw.w.Header().Set("Trailer", HeaderOutcome)
 		sw.w.WriteHeader(http.StatusOK)
 	}
-	// Without a deadline, a caller that stops reading would hold its permit forever.
-	_ = sw.controller.SetWriteDeadline(time.Now().Add(sw.writeTimeout))
+	sw.extendDeadline()
 	event := make([]byte, 0, len(data)+8)
 	event = append(event, dataPrefix...)
 	event = append(event, data...)
@@ -135,6 +134,11 @@
 	return sw.controller.Flush()
 }
 
+// extendDeadline begins a new write timeout. Without one, a caller that stops reading would hold its permit forever.
+func (sw *streamWriter) extendDeadline() {
+	_ = sw.controller.SetWriteDeadline(time.Now().Add(sw.writeTimeout))
+}
+
 // finish ends the stream with its outcome, as a comment line and as a trailer. Only a complete answer ends with
 // doneMarker; any other ends with an error event.
 func (sw *streamWriter) finish(result outcome.Outcome, message string) {
@@ -151,6 +155,7 @@
 		})
 		_ = sw.writeEvent(detail)
 	}
+	sw.extendDeadline()
 	_, _ = io.WriteString(sw.w, ": outcome="+string(result)+"\n\n")
 	sw.w.Header().Set(HeaderOutcome, string(result))
 	_ = sw.controller.Flush()
--- a/internal/transport/caller/held_test.go
+++ b/internal/transport/caller/held_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -103,7 +104,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s, _ := newHeldServer(t)
-				s.StreamIdleTimeout = 10 * time.Second
+				s.CallerStallTimeout = 10 * time.Second
 				written := make(chan struct{})
 				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					s.writeBody(w, make([]byte, 1<<20))
@@ -125,7 +126,7 @@
 				}
 				began := time.Now()
 				<-written
-				is.True(time.Since(began) <= s.StreamIdleTimeout)
+				is.True(time.Since(began) <= s.CallerStallTimeout)
 				is.Equal(received > 1<<20, test.reads)
 			})
 		})
@@ -148,7 +149,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s, j := newHeldServer(t)
-				s.StreamIdleTimeout = 10 * time.Second
+				s.CallerStallTimeout = 10 * time.Second
 				result := make(chan *errorAnswer, 1)
 				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					e := s.readBody(w, r, j)
@@ -199,3 +200,37 @@
 
 func (*oneConnListener) Close() error   { return nil }
 func (*oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestCallerThatPausesIsNotCutOffLikeASilentUpstream guards against answers that broke off because a caller, or this node on
+// a busy machine, paused for longer than upstreams may be silent.
+func TestCallerThatPausesIsNotCutOffLikeASilentUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const events, eventBytes = 10, 16 << 10
+		s, _ := newHeldServer(t)
+		s.StreamIdleTimeout, s.CallerStallTimeout = 400*time.Millisecond, 10*time.Second
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			out := newStreamWriter(w, "id-1", s.CallerStallTimeout)
+			for range events {
+				is.NoErr(out.writeEvent(make([]byte, eventBytes)))
+			}
+			out.finish(outcome.Completed, "")
+		})}
+		client, conn := net.Pipe()
+		defer func() { _ = client.Close() }()
+		go func() { _ = server.Serve(&oneConnListener{conn: conn}) }()
+		_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		is.NoErr(err)
+		defer func() { _ = response.Body.Close() }()
+		received := 0
+		for buffer := make([]byte, eventBytes); err == nil; {
+			time.Sleep(4 * time.Second)
+			var n int
+			n, err = io.ReadFull(response.Body, buffer)
+			received += n
+		}
+		is.True(received > events*eventBytes)
+		is.Equal(response.Trailer.Get(HeaderOutcome), string(outcome.Completed))
+	})
+}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -46,9 +46,10 @@
 	EntryAnswerTTL time.Duration
 	// KeyLifetime is how long an idempotency key is valid.
 	KeyLifetime time.Duration
-	// StreamIdleTimeout is the longest time between two events of an upstream before its stream is resumed elsewhere,
-	// and the timeout of a read from the caller's body and of a write to the caller.
+	// StreamIdleTimeout is the longest time between two events of an upstream before its stream is resumed elsewhere.
 	StreamIdleTimeout time.Duration
+	// CallerStallTimeout is the longest time in which a caller sends nothing of its body, or accepts nothing of its answer.
+	CallerStallTimeout time.Duration
 	// MaxHeldBytes is the size of the request and answer bodies that this node holds at the same time, by default
 	// DefaultMaxHeldBytes. Requests beyond it are refused.
 	MaxHeldBytes int64
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	out := newStreamWriter(w, j.id, s.StreamIdleTimeout)
+	out := newStreamWriter(w, j.id, s.CallerStallTimeout)
 	result, e := s.streamWithRetries(ctx, j, out)
 	s.closeClaim(j, result, upstreamAnswer{
 		streamed: true,
--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -67,6 +67,7 @@
 		ClaimPartitions:      settings.ClaimPartitions,
 		ClaimHolders:         settings.ClaimHolders,
 		StreamIdleTimeout:    settings.StreamIdleTimeout,
+		CallerStallTimeout:   settings.CallerStallTimeout,
 		LogTimeout:           settings.LogTimeout,
 		LeaseLength:          node.DefaultLeaseLength,
 		DemandReportInterval: node.DefaultDemandReportInterval,
--- a/internal/transport/command/settings.go
+++ b/internal/transport/command/settings.go
@@ -33,6 +33,7 @@
 	ClaimPartitions    int           `long:"claim-partitions" env:"LAGOONGW_CLAIM_PARTITIONS" default:"1" description:"number of claims streams, the same at all entry VMs"`
 	ClaimHolders       int           `long:"claim-holders" env:"LAGOONGW_CLAIM_HOLDERS" default:"3" description:"number of entry VMs of a zone that read each claims stream"`
 	StreamIdleTimeout  time.Duration `long:"stream-silence" env:"LAGOONGW_STREAM_SILENCE" default:"10s" description:"longest silence of a stream before it is resumed elsewhere"`
+	CallerStallTimeout time.Duration `long:"caller-stall" env:"LAGOONGW_CALLER_STALL" default:"10s" description:"longest time in which a caller sends or accepts nothing before it is cut off"`
 	LogTimeout         time.Duration `long:"log-timeout" env:"LAGOONGW_LOG_TIMEOUT" default:"2s" description:"longest wait for one call to the platform"`
 	LinkBytesPerSecond float64       `long:"link-bytes-per-second" env:"LAGOONGW_LINK_BYTES_PER_SECOND" default:"0" description:"this VM's share of the link between regions, 0 for no limit"`
 	LogLevel           string        `long:"log-level" env:"LAGOONGW_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
@@ -69,6 +70,7 @@
 	errs.require(s.ClaimPartitions >= 1 && s.ClaimPartitions <= maxPartitions, "claim-partitions", "1 to 256")
 	errs.require(s.ClaimHolders >= 1, "claim-holders", "1 or more")
 	errs.require(s.StreamIdleTimeout >= 100*time.Millisecond, "stream-silence", "at least 100ms")
+	errs.require(s.CallerStallTimeout >= time.Second, "caller-stall", "at least 1s")
 	errs.require(s.LogTimeout >= 50*time.Millisecond && s.LogTimeout <= time.Minute, "log-timeout", "50ms to 1m")
 	errs.require(s.LinkBytesPerSecond >= 0, "link-bytes-per-second", "zero or more")
 	if len(errs) > 0 {
--- a/internal/transport/node/drain_test.go
+++ b/internal/transport/node/drain_test.go
@@ -31,6 +31,7 @@
 		ClaimPartitions:      1,
 		ClaimHolders:         1,
 		StreamIdleTimeout:    time.Second,
+		CallerStallTimeout:   10 * time.Second,
 		LogTimeout:           time.Second,
 		LeaseLength:          DefaultLeaseLength,
 		DemandReportInterval: DefaultDemandReportInterval,
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -79,6 +79,8 @@
 	// is the timeout of a call to the platform.
 	StreamIdleTimeout time.Duration
 	LogTimeout        time.Duration
+	// CallerStallTimeout is the longest time in which a caller sends nothing of its body, or accepts nothing of its answer.
+	CallerStallTimeout time.Duration
 	// LeaseLength is the length of the engine pool's lease, whose holder alone sends placement orders to the engines;
 	// DemandReportInterval is the time between two reports of this node's demand for the models to the lease holder.
 	LeaseLength          time.Duration
--- a/test/lab/lab.go
+++ b/test/lab/lab.go
@@ -164,6 +164,7 @@
 		LeaseLength:          1200 * time.Millisecond,
 		DemandReportInterval: 300 * time.Millisecond,
 		StreamIdleTimeout:    400 * time.Millisecond,
+		CallerStallTimeout:   10 * time.Second,
 		LogTimeout:           500 * time.Millisecond,
 		Logger:               zerolog.Nop(),
 	}
