Let tests of peers wait for connections as long as for answers

TestOneLargeAnswerIsHeldAtATime failed once on a busy machine: 30 clients connect at once, and one of them had no connection and handshake within the half second that the client allows. The client's limit is a field now, and the tests of this package set it to the time that they wait for answers; nothing else in them changes.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,10 +18,10 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-const (
-	dialTimeout = 500 * time.Millisecond
-	maxIdleTime = 5 * time.Minute
-)
+// DefaultDialTimeout is the time for a connection and its handshake if Client.DialTimeout is not set.
+const DefaultDialTimeout = 500 * time.Millisecond
+
+const maxIdleTime = 5 * time.Minute
 
 // ErrAuthentication is returned when the other side did not prove that it holds the shared secret.
 var ErrAuthentication = eris.New("peer does not hold the shared secret")
@@ -31,6 +32,8 @@
 	Name string
 	// Secret is the shared secret of all nodes.
 	Secret []byte
+	// DialTimeout, if set, limits the time to connect and to authenticate in place of DefaultDialTimeout.
+	DialTimeout time.Duration
 	// Control, if set, is called for each socket before it connects, as by net.Dialer.
 	Control func(network, address string, raw syscall.RawConn) error
 
@@ -84,7 +87,7 @@
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(dialTimeout, cancel)
+	silent := time.AfterFunc(c.dialTimeout(), cancel)
 	defer silent.Stop()
 	rpc, err := c.dial(ctx, address, func() { silent.Reset(silence) })
 	if err != nil {
@@ -94,6 +97,8 @@
 	return eris.Wrapf(rpc.Call(ctx, method, params, result), "call %s at peer %s", method, address)
 }
 
+func (c *Client) dialTimeout() time.Duration { return cmp.Or(c.DialTimeout, DefaultDialTimeout) }
+
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -158,7 +163,7 @@
 // dial opens a connection and authenticates both sides. It calls progress each time that bytes are received.
 func (c *Client) dial(ctx context.Context, address string, progress func()) (*jsonrpc2.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: c.dialTimeout(),
 		Control: c.Control,
 	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
--- a/internal/transport/peer/server_test.go
+++ b/internal/transport/peer/server_test.go
@@ -52,8 +52,9 @@
 
 func newClient(t *testing.T, clientSecret []byte) *Client {
 	c := &Client{
-		Name:   "entry-1",
-		Secret: clientSecret,
+		Name:        "entry-1",
+		Secret:      clientSecret,
+		DialTimeout: waitTimeout,
 	}
 	t.Cleanup(c.Close)
 	return c
