Give a transfer that was cut off more time at its next try

A node that fetched a whole topic from peers gave each transfer 1.5 s, however steadily it arrived. A node that is too slow for that began the same transfer over and over; the store, which it reads in between, may not have the topic yet or be out of reach.

After a transfer that was cut off while it still arrived, the next one of that topic may take twice the time, up to 12 s. TestSlowTransferArrivesInTheEnd fails without that: five transfers of a topic that takes 2 to 3 s are cut off.

--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -19,9 +20,11 @@
 	// peerTimeout bounds a call to a peer; it covers several round trips between regions.
 	peerTimeout = 400 * time.Millisecond
 	// fetchSilence is how long a peer that sends a whole topic may send nothing. It covers the time in which a small node
-	// encodes it. maxFetchTime limits the transfer, however steadily it arrives, so that the store can be read in time after it.
-	fetchSilence = 800 * time.Millisecond
-	maxFetchTime = 1500 * time.Millisecond
+	// encodes it. maxFetchTime limits the transfer, however steadily it arrives, so that the store can be read in time after
+	// it; after transfers that were cut off, up to longestFetchTime.
+	fetchSilence     = 800 * time.Millisecond
+	maxFetchTime     = 1500 * time.Millisecond
+	longestFetchTime = 12 * time.Second
 	// pushTimeout bounds the push of an update to a peer, which shares the link of this node with those to all others.
 	pushTimeout = 1500 * time.Millisecond
 	// linkBytesPerSecond is the rate of the slowest link of a node, 10 Mbit/s.
@@ -105,10 +108,11 @@
 }
 
 func (p *Process) fetch(ctx context.Context, address, topic string) (wire.FeedUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxFetchTime)
+	ctx, cancel := context.WithTimeout(ctx, p.fetchTimes.limit(topic))
 	defer cancel()
 	var update wire.FeedUpdate
 	err := p.client.Download(ctx, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update, fetchSilence)
+	p.fetchTimes.ended(topic, err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded))
 	return update, err
 }
 
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -106,6 +106,7 @@
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
+	fetchTimes     fetchTimes
 	memoryBudget   *memory.Budget
 	callers        connectionLimit
 	budgetsMu      sync.Mutex
