--- a/internal/transport/gateway/limit_test.go
+++ b/internal/transport/gateway/limit_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,12 +198,11 @@
 			"u2": answer(200, "good"),
 		})
 		dial := g.gateway.Connections.Dial
-		first := true
+		var dialed atomic.Bool
 		g.gateway.Connections.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			if address == "u1" && !first {
+			if address == "u1" && dialed.Swap(true) {
 				time.Sleep(200 * time.Millisecond)
 			}
-			first = false
 			return dial(ctx, address)
 		}
 		var group sync.WaitGroup
