Tests: the sites of several nodes in files of their own

quarantine_test.go of the gateway and model_test.go of the quarantine held a site and its tests, of which the tests of limits and of crashing requests use the former.

--- /dev/null
+++ b/internal/transport/gateway/site_test.go
@@ -0,0 +1,270 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/dispatch"
+	"lagoongw/internal/coordination/drain"
+	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/ratelimit"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+	"lagoongw/internal/state/route"
+	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/gateway"
+	"lagoongw/platform"
+)
+
+const (
+	siteNodes   = 5
+	siteEngines = 8
+	// crashDelay is how long an engine runs a request with the bad part before it crashes, crashDowntime how long it
+	// is down.
+	crashDelay    = 60 * time.Millisecond
+	crashDowntime = 3 * time.Second
+	// peerDelay is the time from one node to another.
+	peerDelay = 5 * time.Millisecond
+	// contactTime is the time after which all nodes must have learned what one of them has: a bad part or request after its
+	// last crash that counts, or a limit.
+	contactTime = 4 * time.Second
+)
+
+// Prompts; the last part is one of a request's own.
+const (
+	badPrompt   = "a:800,b:400,bad:90,%x:20"
+	soundPrompt = "a:800,b:400,%x:20"
+)
+
+// beforeHead is the value of X-Test-Bad in a request that crashes its engine before the head of an answer.
+const beforeHead = "before head"
+
+// crashSite is several gateways that share engines; a request with the part "bad" crashes the engine that begins to
+// answer it, and with it all other answers of that engine.
+type crashSite struct {
+	nodes    []*testGateway
+	mu       sync.Mutex
+	conns    map[string]map[net.Conn]bool
+	downTill map[string]time.Time
+	crashes  []time.Time
+	badSends []time.Time
+	// answer answers a sound request; it returns false to close the connection.
+	answer func(engine string, conn net.Conn, r *http.Request) bool
+	// engines is the number of engines.
+	engines int
+}
+
+func newCrashSite(t *testing.T) *crashSite {
+	t.Helper()
+	return newCrashSiteOf(t, siteEngines)
+}
+
+func newCrashSiteOf(t *testing.T, engines int) *crashSite {
+	t.Helper()
+	site := &crashSite{
+		engines:  engines,
+		conns:    map[string]map[net.Conn]bool{},
+		downTill: map[string]time.Time{},
+		answer:   func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
+	}
+	table, _, err := platform.ParseManifest([]byte(manifest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range siteNodes {
+		site.nodes = append(site.nodes, site.newNode(t, fmt.Sprint(i), table))
+	}
+	go site.exchangeDigests(t.Context())
+	return site
+}
+
+func (c *crashSite) newNode(t *testing.T, name string, table *route.Table) *testGateway {
+	t.Helper()
+	upstreams := replica.NewTable()
+	var rows []wire.Machine
+	for i := range c.engines {
+		name := fmt.Sprintf("e%d", i)
+		rows = append(rows, wire.Machine{
+			Name:    name,
+			Kind:    replica.KindService,
+			Pool:    "s",
+			Address: name,
+			Region:  "near",
+			Slots:   8,
+		})
+	}
+	upstreams.Update(rows)
+	g := &testGateway{}
+	pool := connection.NewPool()
+	pool.Dial = c.dial
+	g.gateway = &gateway.Server{
+		Codec:  platform.Headers{},
+		Routes: func() *route.Table { return table },
+		Dispatcher: &dispatch.Dispatcher{
+			Name:   name,
+			Region: "near",
+			Table:  upstreams,
+			Pool:   table.Pool,
+			Nodes:  func() int { return siteNodes },
+		},
+		Connections: pool,
+		AskHolder:   c.askHolder,
+		RetryBudget: g.budget(),
+		Phase:       func() drain.Phase { return drain.Serving },
+		Memory:      memory.NewBudget(0),
+		Metrics:     gateway.NewMetrics(),
+		Logger:      zerolog.Nop(),
+	}
+	listener := &pipeListener{
+		conns:  make(chan net.Conn),
+		closed: make(chan struct{}),
+	}
+	g.server = &http.Server{Handler: g.gateway}
+	g.client = &http.Client{Transport: &http.Transport{DialContext: listener.dial}}
+	go func() { _ = g.server.Serve(listener) }()
+	t.Cleanup(func() {
+		g.client.CloseIdleConnections()
+		_ = g.server.Close()
+		time.Sleep(time.Second) // checks of upstreams that have broken off an answer end
+		pool.CloseIdle(time.Now().Add(time.Hour))
+		time.Sleep(time.Minute)
+	})
+	return g
+}
+
+// askHolder asks the node with a name for a send to a limited upstream.
+func (c *crashSite) askHolder(_ context.Context, permit dispatch.Permit) (ratelimit.Grant, error) {
+	time.Sleep(peerDelay)
+	number, err := strconv.Atoi(permit.Holder)
+	if err != nil {
+		return ratelimit.Grant{}, err
+	}
+	grant := c.nodes[number].gateway.Dispatcher.GrantPermit(permit.Report, time.Now())
+	time.Sleep(peerDelay)
+	return grant, nil
+}
+
+// exchangeDigests sends each node's digest to all others, as nodes of a small site do.
+func (c *crashSite) exchangeDigests(ctx context.Context) {
+	var names []string
+	for i := range c.nodes {
+		names = append(names, fmt.Sprint(i))
+	}
+	for ctx.Err() == nil {
+		time.Sleep(250 * time.Millisecond)
+		now := time.Now()
+		for _, node := range c.nodes {
+			node.gateway.Dispatcher.Tick(names, len(names), now)
+		}
+		for i, from := range c.nodes {
+			for j, to := range c.nodes {
+				if i != j {
+					to.gateway.Dispatcher.ReceiveDigest(fmt.Sprint(i), from.gateway.Dispatcher.Advertise(now), now)
+				}
+			}
+		}
+	}
+}
+
+func (c *crashSite) dial(_ context.Context, engine string) (net.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downTill[engine]) {
+		return nil, syscall.ECONNREFUSED
+	}
+	gatewaySide, engineSide := net.Pipe()
+	if c.conns[engine] == nil {
+		c.conns[engine] = map[net.Conn]bool{}
+	}
+	c.conns[engine][engineSide] = true
+	go c.serve(engine, engineSide)
+	return gatewaySide, nil
+}
+
+func (c *crashSite) serve(engine string, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Header.Get("X-Test-Bad") != "" {
+			c.mu.Lock()
+			c.badSends = append(c.badSends, time.Now())
+			c.mu.Unlock()
+			if r.Header.Get("X-Test-Bad") != beforeHead {
+				writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+			}
+			time.Sleep(crashDelay)
+			c.crash(engine)
+			return
+		}
+		if !c.answer(engine, conn, r) {
+			return
+		}
+	}
+}
+
+func (c *crashSite) crash(engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, time.Now())
+	c.downTill[engine] = time.Now().Add(crashDowntime)
+	for conn := range c.conns[engine] {
+		_ = conn.Close()
+	}
+	delete(c.conns, engine)
+}
+
+// longStream streams events for 800 ms.
+func longStream(conn net.Conn, r *http.Request) bool {
+	writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+	for i := 1; i <= 20; i++ {
+		time.Sleep(40 * time.Millisecond)
+		if _, err := io.WriteString(conn, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))); err != nil {
+			return false
+		}
+	}
+	writeAnswer(conn, r, "0\r\n\r\n")
+	return true
+}
+
+// call sends one request and returns the caller's answer.
+func (c *crashSite) call(ctx context.Context, number int, shared string) callResult {
+	headers := map[string]string{"X-Lagoongw-Prompt-Prefix": fmt.Sprintf(shared, 1000+number)}
+	if shared == badPrompt {
+		headers["X-Test-Bad"] = "1"
+	}
+	return c.nodes[number%siteNodes].call(ctx, "/resumable/x", "{}", headers)
+}
+
+// load sends requests at an interval until a time; answered is called with each answer and the time of the request.
+func (c *crashSite) load(
+	t *testing.T, shared string, every time.Duration, until time.Time, answered func(at time.Time, r callResult),
+) {
+	var group sync.WaitGroup
+	for i := 0; time.Now().Before(until); i++ {
+		at := time.Now()
+		group.Go(func() {
+			r := c.call(t.Context(), i, shared)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			answered(at, r)
+		})
+		time.Sleep(every)
+	}
+	group.Wait()
+}
