--- a/internal/transport/gateway/limit_test.go
+++ b/internal/transport/gateway/limit_test.go
@@ -29,14 +29,17 @@
 	// limits holds the value of the header by engine; it and arrivals are guarded by mu.
 	limits   map[string]string
 	arrivals map[string][]time.Time
+	// limitSetAt is when a limit began or ended, by engine.
+	limitSetAt map[string]time.Time
 }
 
 func newLimitedSite(t *testing.T) *limitedSite {
 	t.Helper()
 	s := &limitedSite{
-		crashSite: newCrashSite(t),
-		limits:    map[string]string{},
-		arrivals:  map[string][]time.Time{},
+		crashSite:  newCrashSite(t),
+		limits:     map[string]string{},
+		arrivals:   map[string][]time.Time{},
+		limitSetAt: map[string]time.Time{},
 	}
 	s.answer = s.shortAnswer
 	return s
@@ -62,6 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits[engine] = limit
+	s.limitSetAt[engine] = time.Now()
 }
 
 // busiestWindow returns the largest number of arrivals at an engine within limitWindow, among those in a span of time.
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -63,6 +63,56 @@
 	answer func(engine string, conn net.Conn, r *http.Request) bool
 	// engines is the number of engines.
 	engines int
+	table   *route.Table
+	// cuts holds, by the number of a node, since when and until when no other node reaches it.
+	cuts map[int][2]time.Time
+}
+
+// noticeDelay is the time after which nodes notice that another one doesn't answer.
+const noticeDelay = 2 * time.Second
+
+// node returns the node with a number.
+func (c *crashSite) node(number int) *testGateway {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[number]
+}
+
+// restart replaces a node by one that knows nothing.
+func (c *crashSite) restart(t *testing.T, number int) {
+	started := c.newNode(t, number, c.table)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[number] = started
+}
+
+// cut keeps the other nodes from reaching a node for a while.
+func (c *crashSite) cut(number int, length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts[number] = [2]time.Time{time.Now(), time.Now().Add(length)}
+}
+
+// reaches reports whether two nodes reach each other, or did so a while ago.
+func (c *crashSite) reaches(a, b int, ago time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := time.Now().Add(-ago)
+	isCut := func(number int) bool {
+		cut, found := c.cuts[number]
+		return found && !at.Before(cut[0]) && time.Now().Before(cut[1])
+	}
+	return a == b || !isCut(a) && !isCut(b)
+}
+
+// live returns the names of the nodes that one believes alive.
+func (c *crashSite) live(number int) (names []string) {
+	for other := range siteNodes {
+		if c.reaches(number, other, noticeDelay) {
+			names = append(names, fmt.Sprint(other))
+		}
+	}
+	return names
 }
 
 func newCrashSite(t *testing.T) *crashSite {
@@ -74,6 +124,7 @@
 	t.Helper()
 	site := &crashSite{
 		engines:  engines,
+		cuts:     map[int][2]time.Time{},
 		conns:    map[string]map[net.Conn]bool{},
 		downTill: map[string]time.Time{},
 		answer:   func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
@@ -82,14 +133,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	site.table = table
 	for i := range siteNodes {
-		site.nodes = append(site.nodes, site.newNode(t, fmt.Sprint(i), table))
+		site.nodes = append(site.nodes, site.newNode(t, i, table))
 	}
 	go site.exchangeDigests(t.Context())
 	return site
 }
 
-func (c *crashSite) newNode(t *testing.T, name string, table *route.Table) *testGateway {
+func (c *crashSite) newNode(t *testing.T, number int, table *route.Table) *testGateway {
 	t.Helper()
 	upstreams := replica.NewTable()
 	var rows []wire.Machine
@@ -112,14 +164,14 @@
 		Codec:  platform.Headers{},
 		Routes: func() *route.Table { return table },
 		Dispatcher: &dispatch.Dispatcher{
-			Name:   name,
+			Name:   fmt.Sprint(number),
 			Region: "near",
 			Table:  upstreams,
 			Pool:   table.Pool,
 			Nodes:  func() int { return siteNodes },
 		},
 		Connections: pool,
-		AskHolder:   c.askHolder,
+		AskHolder:   c.askHolder(number),
 		RetryBudget: g.budget(),
 		Phase:       func() drain.Phase { return drain.Serving },
 		Memory:      memory.NewBudget(0),
@@ -143,34 +195,35 @@
 	return g
 }
 
-// askHolder asks the node with a name for a send to a limited upstream.
-func (c *crashSite) askHolder(_ context.Context, permit dispatch.Permit) (ratelimit.Grant, error) {
-	time.Sleep(peerDelay)
-	number, err := strconv.Atoi(permit.Holder)
-	if err != nil {
-		return ratelimit.Grant{}, err
+// askHolder returns how a node asks another one for a send to a limited upstream.
+func (c *crashSite) askHolder(from int) gateway.AskHolder {
+	return func(_ context.Context, permit dispatch.Permit) (ratelimit.Grant, error) {
+		time.Sleep(peerDelay)
+		number, err := strconv.Atoi(permit.Holder)
+		if err == nil && !c.reaches(from, number, 0) {
+			err = errRefused
+		}
+		if err != nil {
+			return ratelimit.Grant{}, err
+		}
+		grant := c.node(number).gateway.Dispatcher.GrantPermit(permit.Report, time.Now())
+		time.Sleep(peerDelay)
+		return grant, nil
 	}
-	grant := c.nodes[number].gateway.Dispatcher.GrantPermit(permit.Report, time.Now())
-	time.Sleep(peerDelay)
-	return grant, nil
 }
 
 // exchangeDigests sends each node's digest to all others, as nodes of a small site do.
 func (c *crashSite) exchangeDigests(ctx context.Context) {
-	var names []string
-	for i := range c.nodes {
-		names = append(names, fmt.Sprint(i))
-	}
 	for ctx.Err() == nil {
 		time.Sleep(250 * time.Millisecond)
 		now := time.Now()
-		for _, node := range c.nodes {
-			node.gateway.Dispatcher.Tick(names, len(names), now)
-		}
-		for i, from := range c.nodes {
-			for j, to := range c.nodes {
-				if i != j {
-					to.gateway.Dispatcher.ReceiveDigest(fmt.Sprint(i), from.gateway.Dispatcher.Advertise(now), now)
+		for i := range siteNodes {
+			from := c.node(i).gateway.Dispatcher
+			from.Tick(c.live(i), siteNodes, now)
+			digest := from.Advertise(now)
+			for j := range siteNodes {
+				if i != j && c.reaches(i, j, 0) {
+					c.node(j).gateway.Dispatcher.ReceiveDigest(fmt.Sprint(i), digest, now)
 				}
 			}
 		}
@@ -248,7 +301,7 @@
 	if shared == badPrompt {
 		headers["X-Test-Bad"] = "1"
 	}
-	return c.nodes[number%siteNodes].call(ctx, "/resumable/x", "{}", headers)
+	return c.node(number%siteNodes).call(ctx, "/resumable/x", "{}", headers)
 }
 
 // load sends requests at an interval until a time; answered is called with each answer and the time of the request.
