Limits: say that a limit is no number, and keep the waits together

Found in the last reading: a comparison of a value with itself stood for a test for NaN, and one wait stood apart from the others. Nothing changes in what they do.

--- a/internal/coordination/dispatch/limit.go
+++ b/internal/coordination/dispatch/limit.go
@@ -13,6 +13,8 @@
 	maxDenial = 30 * time.Second
 	// maxReturn is the longest time that a caller is told to wait because upstreams are at their limits.
 	maxReturn = 30 * time.Second
+	// unknownWait is how long a node waits that could not ask the holder, or asked one that does not know the upstream.
+	unknownWait = 500 * time.Millisecond
 )
 
 // Permit says whether a request may be sent to an upstream that may have named a limit.
@@ -108,9 +110,6 @@
 	return d.grants.Take(report.Upstream, limit, now)
 }
 
-// unknownWait is how long a node waits that could not ask the holder, or asked one that does not know the upstream.
-const unknownWait = 500 * time.Millisecond
-
 // PermitAnswered records the answer of a holder.
 func (d *Dispatcher) PermitAnswered(r *replica.Replica, grant ratelimit.Grant, now time.Time) {
 	d.mu.Lock()
--- a/internal/coordination/ratelimit/limits.go
+++ b/internal/coordination/ratelimit/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -77,7 +78,7 @@
 	at := now.Add(-max(r.Age, 0))
 	known, found := l.statements[r.Upstream]
 	switch {
-	case limit <= 0 && (!found || known.limit == 0), limit != limit:
+	case limit <= 0 && (!found || known.limit == 0), math.IsNaN(limit):
 		return
 	case found && limit == known.limit && at.Sub(known.at) < refreshTime:
 		return
