Log the software version of the upstream and what a stream takes up

Which version an upstream runs, and which earlier request a caller's stream goes on from, stood in no line, so that streams that mix versions could not be told from the logs of an incident. The version is read from the upstream's entry, and an entry that changes it describes another upstream. No choice depends on it yet.

--- a/internal/coordination/roster/list.go
+++ b/internal/coordination/roster/list.go
@@ -42,7 +42,7 @@
 // sameEntry reports whether two upstreams agree in the fields that an entry of the registry sets, apart from the name.
 func sameEntry(a, b wire.Machine) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.AvailabilityZone == b.AvailabilityZone &&
-		a.State == b.State && a.Slots == b.Slots && a.Boot == b.Boot
+		a.State == b.State && a.Slots == b.Slots && a.Boot == b.Boot && a.Version == b.Version
 }
 
 // Remove removes an upstream whose entry is gone and reports whether the list changed. For Hold after an outage the
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -531,6 +531,9 @@
 
 	// State corresponds to the JSON schema field "state".
 	State string `json:"state"`
+
+	// Version is the version of the upstream's software.
+	Version string `json:"version,omitempty,omitzero"`
 }
 
 // MachineList is the platform's list of live and leaving VMs.
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -74,7 +74,7 @@
 // sameUpstream reports whether a row of a machine with the same name is about this run of this upstream.
 func (r *Replica) sameUpstream(machine wire.Machine) bool {
 	return r.machine.Address == machine.Address && r.machine.Boot == machine.Boot &&
-		r.machine.Kind == machine.Kind && r.machine.Pool == machine.Pool &&
+		r.machine.Kind == machine.Kind && r.machine.Pool == machine.Pool && r.machine.Version == machine.Version &&
 		r.machine.AvailabilityZone == machine.AvailabilityZone && r.machine.Region == machine.Region
 }
 
@@ -90,6 +90,9 @@
 // Boot identifies the current run of the upstream among those under the same name; it is 0 if unknown.
 func (r *Replica) Boot() int { return r.machine.Boot }
 
+// Version returns the version of the upstream's software, empty if unknown.
+func (r *Replica) Version() string { return r.machine.Version }
+
 // Pool returns the pool that the upstream belongs to.
 func (r *Replica) Pool() string { return r.machine.Pool }
 
--- a/internal/transport/catalog/upstreams.go
+++ b/internal/transport/catalog/upstreams.go
@@ -110,6 +110,7 @@
 			Str("decision", "upstreams").
 			Str("upstream", row.Name).
 			Str("pool", row.Pool).
+			Str("version", row.Version).
 			Str("state", row.State).
 			Msg("upstream added or updated")
 	}
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -175,6 +175,9 @@
 		Int("uncached-tokens", choice.Uncached).
 		Str("reason", choice.Reason).
 		Str("upstream", choice.Replica.Name()).
+		Str("version", choice.Replica.Version()).
+		Str("resumes", x.call.Resumes).
+		Str("resume-after", x.resumeAfter()).
 		Msg("upstream chosen")
 }
 
--- a/internal/transport/gateway/call.go
+++ b/internal/transport/gateway/call.go
@@ -19,6 +19,8 @@
 	Prompt prompt.Prompt
 	// ResumeAfter is the ID of the last event that the caller has received, empty for none.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of the stream which this one takes up, empty for none.
+	Resumes string
 	// Header holds the caller's headers that are sent to the upstream unchanged.
 	Header http.Header
 }
