--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -90,6 +90,14 @@
 	"services": [{"name": "s"}], "limits": {"max_body_bytes": 100, "max_header_bytes": 2000},
 	"tenants": [{"name": "t1", "api_keys": ["k1"]}]}`
 
+// defaultVersion is the software version of an upstream whose name is not in versionsByName.
+const defaultVersion = "v1"
+
+var versionsByName = map[string]string{
+	"other":         "v2",
+	"without entry": "",
+}
+
 // newTestGateway starts a gateway whose upstreams, by name, follow the scripts; one with a nil script refuses
 // connections. Only u1 is in the gateway's region, so it is tried before u2.
 func newTestGateway(t *testing.T, scripts map[string]script) *testGateway {
@@ -112,6 +120,10 @@
 			Address: name,
 			Region:  "near",
 			Slots:   8,
+			Version: defaultVersion,
+		}
+		if version, found := versionsByName[name]; found {
+			row.Version = version
 		}
 		if name != "u1" {
 			row.AvailabilityZone, row.Region = "b", "far"
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -61,9 +61,10 @@
 	badSends []time.Time
 	// answer answers a sound request; it returns false to close the connection.
 	answer func(engine string, conn net.Conn, r *http.Request) bool
-	// engines is the number of engines.
-	engines int
-	table   *route.Table
+	// engines is the number of engines, and versions are those of their software in turn.
+	engines  int
+	versions []string
+	table    *route.Table
 	// cuts holds, by the number of a node, since when and until when no other node reaches it.
 	cuts map[int][2]time.Time
 }
@@ -120,10 +121,11 @@
 	return newCrashSiteOf(t, siteEngines)
 }
 
-func newCrashSiteOf(t *testing.T, engines int) *crashSite {
+func newCrashSiteOf(t *testing.T, engines int, versions ...string) *crashSite {
 	t.Helper()
 	site := &crashSite{
 		engines:  engines,
+		versions: append(versions, defaultVersion)[:max(len(versions), 1)],
 		cuts:     map[int][2]time.Time{},
 		conns:    map[string]map[net.Conn]bool{},
 		downTill: map[string]time.Time{},
@@ -154,6 +156,7 @@
 			Address: name,
 			Region:  "near",
 			Slots:   8,
+			Version: c.versions[i%len(c.versions)],
 		})
 	}
 	upstreams.Update(rows)
