Keep a stream at the software version that began it

Cause: no code read the version of an upstream; every engine of a pool stood for every other. Ruled out: an out-of-date list of upstreams (the engines had run for long), and callers who come back alone (within one answer versions mixed as well).

A request that goes on with a stream is bound to the version that brought its first event. The node where a stream begins tells three keepers as it passes on that event, and again until they answer; a caller who takes a stream up names its first request in Resumes, and the node asks who knows it. A stream of unknown origin is refused with 503 and has not run. Callers who don't name the request, as on the platform's earlier installations, go on only where one version alone has served for as long as a stream may last.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -48,6 +48,10 @@
 	Exclude []string
 	// Digest identifies a request that comes again with the same content; 0 means that it is not known.
 	Digest uint64
+	// Bound reports whether the request goes on with a stream, which only upstreams with the software version that began it
+	// may do. An empty Version is unknown and is that of none.
+	Bound   bool
+	Version string
 	// AvoidLimited prefers the upstreams that have named no limit.
 	AvoidLimited bool
 }
@@ -172,7 +176,7 @@
 		peerScale:    d.expirePeers(now),
 		best: Choice{
 			Cost:   math.MaxInt64,
-			Reason: "no usable upstream in the pool",
+			Reason: request.noUpstreamReason(),
 		},
 	}
 	c.interactiveEngines = d.interactiveEngines(request.Pool, len(v.states), c.peerScale, now)
@@ -204,6 +208,19 @@
 	return c.best
 }
 
+// noUpstreamReason explains why no upstream can be chosen, unless more is known.
+func (r *Request) noUpstreamReason() string {
+	if r.Bound {
+		return "no usable upstream with the software version that began the stream"
+	}
+	return "no usable upstream in the pool"
+}
+
+// accepts reports whether the request may be sent to upstreams with a software version.
+func (r *Request) accepts(version string) bool {
+	return !r.Bound || r.Version != "" && r.Version == version
+}
+
 // refuse explains why no upstream can be chosen; the lock must be held.
 func (d *Dispatcher) refuse(c *selection) {
 	at, limited := c.endOfPauses()
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -50,7 +50,7 @@
 // of other pools and removed ones.
 func (c *selection) eligible(s *upstreamState) bool {
 	return s.view == c.view && !s.replica.Leaving() && !s.health.paused(c.now) && s.backedOff(c.now) == c.backedOff &&
-		!slices.Contains(c.request.Exclude, s.replica.Name()) &&
+		!slices.Contains(c.request.Exclude, s.replica.Name()) && c.request.accepts(s.replica.Version()) &&
 		(!c.selective || !c.denied(s) && !c.avoided(s))
 }
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -344,6 +344,43 @@
 	Whole bool `json:"whole,omitempty,omitzero"`
 }
 
+// FindOrigin asks a node where a stream began.
+type FindOrigin struct {
+	// Stream corresponds to the JSON schema field "stream".
+	Stream string `json:"stream"`
+}
+
+// FindVersions asks a node which software versions it has seen in a pool.
+type FindVersions struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+}
+
+// FoundOrigin is what a node knows of a stream.
+type FoundOrigin struct {
+	// Ambiguous reports that the node was told several origins.
+	Ambiguous bool `json:"ambiguous,omitempty,omitzero"`
+
+	// Known corresponds to the JSON schema field "known".
+	Known bool `json:"known,omitempty,omitzero"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version,omitempty,omitzero"`
+}
+
+// FoundVersions holds the software versions that a node has seen in a pool of
+// late.
+type FoundVersions struct {
+	// ObservedMs is how long the node has seen all versions.
+	ObservedMs int `json:"observed-ms,omitempty,omitzero"`
+
+	// Versions corresponds to the JSON schema field "versions".
+	Versions []string `json:"versions"`
+}
+
 // Hello proves that the connecting peer holds the shared secret.
 type Hello struct {
 	// Name corresponds to the JSON schema field "name".
@@ -928,6 +965,22 @@
 	ID string `json:"id"`
 }
 
+// StreamOrigin says at which software version of a pool a stream began.
+type StreamOrigin struct {
+	// AgeMs corresponds to the JSON schema field "age-ms".
+	AgeMs int `json:"age-ms,omitempty,omitzero"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Stream is the digest of the ID of the request that began the stream in
+	// hexadecimal.
+	Stream string `json:"stream"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
+
 // SuspectPart is the evidence that a part of the prompts to a pool, or a request
 // that comes again, crashes upstreams.
 type SuspectPart struct {
@@ -950,6 +1003,12 @@
 	Repeat bool `json:"repeat,omitempty,omitzero"`
 }
 
+// TellOrigins tells a keeper of streams that began at the sender.
+type TellOrigins struct {
+	// Origins corresponds to the JSON schema field "origins".
+	Origins []StreamOrigin `json:"origins"`
+}
+
 // UpstreamLimit is what a run of an upstream last said of the limit for all nodes
 // together.
 type UpstreamLimit struct {
--- a/internal/transport/entryvm/limits.go
+++ b/internal/transport/entryvm/limits.go
@@ -27,14 +27,8 @@
 
 // askHolder asks the node that holds the limit of an upstream for one send.
 func (p *Process) askHolder(ctx context.Context, permit dispatch.Permit) (ratelimit.Grant, error) {
-	holder, known := p.members.Lookup(permit.Holder)
-	if !known {
-		return ratelimit.Grant{}, eris.Errorf("node %s is not known any more", permit.Holder)
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	var answer wire.LimitGrant
-	if err := p.client.Call(ctx, holder.Address, peer.MethodTakeLimit, encodeLimit(permit.Report), &answer); err != nil {
+	if err := p.callPeer(ctx, permit.Holder, peer.MethodTakeLimit, encodeLimit(permit.Report), &answer); err != nil {
 		return ratelimit.Grant{}, eris.Wrapf(err, "ask %s for a send", permit.Holder)
 	}
 	return ratelimit.Grant{
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -20,6 +20,15 @@
 	})
 	m.RegisterGauge("limited_upstreams", "Upstreams that have named a limit.",
 		func() float64 { return float64(p.dispatcher.LimitedUpstreams()) })
+	m.RegisterGauge("stream_origins", "Streams of which this node knows where they began.", func() float64 {
+		kept, _ := p.origins.Count()
+		return float64(kept)
+	})
+	m.RegisterGauge("stream_origins_untold", "Streams that began here and of which a keeper is still to be told.",
+		func() float64 {
+			_, untold := p.origins.Count()
+			return float64(untold)
+		})
 	m.RegisterGauge("members_live", "Entry VMs believed alive.", func() float64 { return float64(p.members.LiveCount()) })
 	m.RegisterGauge("in_flight", "Requests that are being served.", func() float64 { return float64(p.gateway.InFlight()) })
 	m.RegisterGauge("upstream_connections_opened", "Connections opened to upstreams.", func() float64 {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -26,6 +26,7 @@
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/httpapi"
 	"lagoongw/internal/transport/members"
+	"lagoongw/internal/transport/origins"
 	"lagoongw/internal/transport/peer"
 	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/shutdown"
@@ -52,6 +53,8 @@
 	// firstIncarnation is the incarnation of a node at every start; the membership protocol raises it when a member
 	// remembers an earlier run.
 	firstIncarnation = 1
+	// originTickInterval is the time between two checks for nodes that are still to be told where streams began.
+	originTickInterval = 250 * time.Millisecond
 	// readyPollInterval is the time between two checks of whether a starting node is ready to join.
 	readyPollInterval = 50 * time.Millisecond
 )
@@ -103,6 +106,7 @@
 	client         *peer.Client
 	server         *peer.Server
 	peerListener   net.Listener
+	origins        *origins.Service
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -127,6 +131,7 @@
 	group.Go(func() { p.joinWhenReady(ctx) })
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
+	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
@@ -168,12 +173,14 @@
 	p.memoryReporter.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
+	p.origins = p.newOrigins()
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
 		Dispatcher:  p.dispatcher,
 		Connections: p.connections,
 		RetryBudget: p.budget,
+		Origins:     p.origins,
 		AskHolder:   p.askHolder,
 		Phase:       p.Phase,
 		Memory:      p.memoryBudget,
@@ -252,6 +259,9 @@
 			peer.MethodZoneLoads:     loadDigestHandler(p.dispatcher.ReceiveZoneDigest),
 			peer.MethodRelayLoads:    p.requireReady(p.loadReporter.handleRelayLoads),
 			peer.MethodTakeLimit:     p.handleTakeLimit,
+			peer.MethodTellOrigins:   p.handleTellOrigins,
+			peer.MethodFindOrigin:    p.handleFindOrigin,
+			peer.MethodFindVersions:  p.handleFindVersions,
 		},
 	}
 }
--- a/internal/transport/entryvm/process_test.go
+++ b/internal/transport/entryvm/process_test.go
@@ -35,7 +35,12 @@
 // startStore starts a fake of the platform's store with fixed records and returns its address. The store confirms
 // appends but drops their records.
 func startStore(t *testing.T, upstream string) string {
-	entry := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","born":1}`, upstream)
+	return startStoreOf(t, manifest, upstream)
+}
+
+// startStoreOf is startStore with a manifest.
+func startStoreOf(t *testing.T, manifest, upstream string) string {
+	entry := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","version":"v1","born":1}`, upstream)
 	records := map[string][2]string{
 		platform.TopicOperator:  {platform.ManifestKey, manifest},
 		platform.TopicUpstreams: {"i-1", entry},
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -14,6 +14,7 @@
 
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/origin"
 )
 
 const (
@@ -153,7 +154,14 @@
 			"u1": eventStream(4),
 			"u2": eventStream(0),
 		})
-		got := g.call(t.Context(), "/resumable/x", "body", map[string]string{"Last-Event-Id": "1"})
+		g.origins.Began("begun", origin.Origin{
+			Pool:    "s",
+			Version: defaultVersion,
+		})
+		got := g.call(t.Context(), "/resumable/x", "body", map[string]string{
+			"Resumes":       "begun",
+			"Last-Event-Id": "1",
+		})
 		is.True(got.whole)
 		is.Equal(got.body, strings.TrimPrefix(eventText(5), eventText(1)))
 		is.Equal(g.receivedRequests(), []string{"u1 POST /resumable/x last=1", "u2 POST /resumable/x last=3"})
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/coordination/quarantine"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -52,6 +53,8 @@
 	// toEngine reports whether the upstreams of the pool are model engines.
 	toEngine bool
 	team     string
+	// origin is where the stream that the request goes on with began, nil before the first event of a new one.
+	origin *origin.Origin
 	// priorityLevel is 0 for the most urgent requests.
 	priorityLevel int
 	attempts      attempt.StateMachine
@@ -158,6 +161,10 @@
 	if x.server.Dispatcher.KnowsRepeats() {
 		x.identifyRepeat()
 	}
+	var version string
+	if x.origin != nil {
+		version = x.origin.Version
+	}
 	return dispatch.Request{
 		Pool:    x.pool,
 		Prompt:  x.call.Prompt,
@@ -165,6 +172,8 @@
 		Gap:     x.route.TargetGap(),
 		Digest:  x.digest,
 		Exclude: x.excluded,
+		Bound:   x.origin != nil,
+		Version: version,
 		// Each denial may have taken a round trip to the holder of a limit.
 		AvoidLimited: x.denials > 0,
 	}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -18,12 +18,14 @@
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
 	"lagoongw/internal/transport/gateway"
+	"lagoongw/internal/transport/origins"
 	"lagoongw/platform"
 )
 
@@ -33,6 +35,7 @@
 // testGateway is a gateway with scripted upstreams; all connections are in memory.
 type testGateway struct {
 	gateway *gateway.Server
+	origins *origins.Service
 	server  *http.Server
 	client  *http.Client
 	// dialCaller opens a caller's connection to the gateway.
@@ -109,6 +112,12 @@
 	g := &testGateway{
 		scripts: scripts,
 		dials:   map[string]int{},
+		origins: &origins.Service{
+			Nodes: func() []origin.Node { return nil },
+			Versions: func() (map[string][]string, bool) {
+				return map[string][]string{"s": {defaultVersion}}, true
+			},
+		},
 	}
 	upstreams := replica.NewTable()
 	var rows []wire.Machine
@@ -143,6 +152,7 @@
 			Nodes:  func() int { return 1 },
 		},
 		Connections: pool,
+		Origins:     g.origins,
 		RetryBudget: g.budget(),
 		Phase:       func() drain.Phase { return g.phase },
 		Memory:      memory.NewBudget(0),
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -28,6 +28,7 @@
 	answerSeconds     *prometheus.HistogramVec
 	quarantined       *prometheus.CounterVec
 	limitedSends      *prometheus.CounterVec
+	takenUpStreams    *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered in a registry of their own.
@@ -43,9 +44,12 @@
 			"Requests not sent because a part of their prompt crashes upstreams.", "sent"),
 		limitedSends: newCounter("limited_sends_total",
 			"Sends to upstreams that have named a limit, by whether they were granted.", "granted"),
+		takenUpStreams: newCounter("taken_up_streams_total",
+			"Streams that callers took up, by whether it was known where they began, and by whether the route still leads there.",
+			"known", "served"),
 	}
 	m.registry.MustRegister(m.requests, m.sends, m.answers, m.firstEventSeconds, m.answerSeconds, m.quarantined,
-		m.limitedSends)
+		m.limitedSends, m.takenUpStreams)
 	return m
 }
 
@@ -98,6 +102,10 @@
 	}
 }
 
+func (m *Metrics) countTakenUp(known, served bool) {
+	m.takenUpStreams.WithLabelValues(strconv.FormatBool(known), strconv.FormatBool(known && served)).Inc()
+}
+
 func (m *Metrics) countAnswer(status int) {
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
 }
--- /dev/null
+++ b/internal/transport/gateway/origin.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/state/replica"
+	"lagoongw/internal/state/route"
+)
+
+// retryAfterUnknownOrigin is the Retry-After of a stream that can't be taken up now: its first node may have been cut off
+// from this one, or its upstreams may be restarting.
+const retryAfterUnknownOrigin = time.Second
+
+// Origins keeps where streams began, for callers who take them up at any node.
+type Origins interface {
+	// Began records that a request brought the first event of its stream; it must not block.
+	Began(requestID string, o origin.Origin)
+	// Find returns where the stream of a request began, and whether that is known.
+	Find(ctx context.Context, requestID string) (o origin.Origin, known bool)
+	// FindOnly returns where a stream of a pool began that is no older than a time, if that can be only one version.
+	FindOnly(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool)
+}
+
+// takesUpStream reports whether the caller has received the beginning of the stream from an earlier request.
+func (x *exchange) takesUpStream() bool {
+	return x.route.Kind() == route.Stream && (x.call.ResumeAfter != "" || x.call.Resumes != "")
+}
+
+// takeUpStream finds where the stream began that the caller takes up, and returns the final answer if it can't go on.
+func (x *exchange) takeUpStream() *localAnswer {
+	if !x.takesUpStream() {
+		return nil
+	}
+	found, known := x.findOrigin()
+	served := slices.ContainsFunc(x.route.Pools(), func(p route.WeightedPool) bool { return p.Pool == found.Pool })
+	x.server.Metrics.countTakenUp(known, served)
+	entry := x.server.Logger.Info()
+	reason := ""
+	switch {
+	case !known:
+		reason = "the software version that began the stream is not known here; the request has not run, begin anew or " +
+			"come back"
+	case !served:
+		reason = "the route no longer leads to the pool that began the stream; the request has not run, begin anew"
+	}
+	if reason != "" {
+		entry = x.server.Logger.Warn()
+	}
+	entry.Str("decision", "take-up").Str("request-id", x.call.ID).Str("resumes", x.call.Resumes).
+		Str("resume-after", x.call.ResumeAfter).Str("pool", found.Pool).Str("version", found.Version).
+		Dur("after-ms", time.Since(x.started)).Str("outcome", reason).Msg("caller takes up a stream")
+	if reason != "" {
+		return &localAnswer{
+			status:     http.StatusServiceUnavailable,
+			reason:     reason,
+			retryAfter: retryAfterUnknownOrigin,
+		}
+	}
+	x.origin = &found
+	x.setPool(found.Pool)
+	return nil
+}
+
+// findOrigin returns where the stream began that the caller takes up. Where the caller doesn't name the request that began
+// it, the origin is known only if no other version has served meanwhile.
+func (x *exchange) findOrigin() (found origin.Origin, known bool) {
+	switch {
+	case x.call.Resumes != "":
+		return x.server.Origins.Find(x.ctx, x.call.Resumes)
+	case len(x.route.Pools()) == 1:
+		return x.server.Origins.FindOnly(x.ctx, x.pool, x.route.Timeout())
+	}
+	return origin.Origin{}, false
+}
+
+// recordOrigin records that the first event of the stream has come from an upstream, at whose version it goes on.
+func (x *exchange) recordOrigin(upstream *replica.Replica) {
+	if x.progress.events > 0 {
+		return
+	}
+	if x.origin == nil {
+		x.origin = &origin.Origin{
+			Pool:    x.pool,
+			Version: upstream.Version(),
+		}
+	}
+	if x.route.Resumable() {
+		x.server.Origins.Began(x.call.ID, *x.origin)
+	}
+}
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -35,6 +35,8 @@
 	Connections *connection.Pool
 	// RetryBudget returns the retry budget of a pool.
 	RetryBudget func(pool string) *retry.WindowBudget
+	// Origins keeps where streams began.
+	Origins Origins
 	// AskHolder asks another node for a send to an upstream that has named a limit; it may be nil if there is no other node.
 	AskHolder AskHolder
 	// Phase returns the phase of this node's drain.
@@ -96,6 +98,10 @@
 	}
 	x.begin(r.Context())
 	defer x.cancel()
+	if answer := x.takeUpStream(); answer != nil {
+		x.sendLocalAnswer(*answer)
+		return
+	}
 	x.run()
 }
 
@@ -199,17 +205,22 @@
 	x.deadline = x.started.Add(x.timeout())
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(slowReaderWait))
-	x.pool = x.route.PoolFor(x.call.ID)
-	if pool, known := x.table.Pool(x.pool); known {
-		x.toEngine = pool.Engine != nil
-	}
-	budget := x.server.RetryBudget(x.pool)
-	budget.RecordRequest(x.started)
+	x.setPool(x.route.PoolFor(x.call.ID))
 	x.attempts.Repeatable = x.route.Repeatable()
 	x.attempts.MaxAttempts = x.route.MaxAttempts()
 	x.attempts.Deadline = x.deadline
-	x.attempts.TakeRetryBudget = func() bool { return !x.repeatQuarantined() && budget.Take(time.Now()) }
+	x.attempts.TakeRetryBudget = func() bool {
+		return !x.repeatQuarantined() && x.server.RetryBudget(x.pool).Take(time.Now())
+	}
 	x.server.Metrics.countRequest(x.route, x.priorityLevel)
+	x.server.RetryBudget(x.pool).RecordRequest(x.started)
+}
+
+// setPool sets the pool whose upstreams the request is sent to.
+func (x *exchange) setPool(name string) {
+	x.pool = name
+	pool, known := x.table.Pool(name)
+	x.toEngine = known && pool.Engine != nil
 }
 
 // timeout returns the caller's timeout or the route's, whichever is shorter.
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -18,12 +18,14 @@
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
+	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/coordination/ratelimit"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
 	"lagoongw/internal/transport/gateway"
+	"lagoongw/internal/transport/origins"
 	"lagoongw/platform"
 )
 
@@ -160,7 +162,7 @@
 		})
 	}
 	upstreams.Update(rows)
-	g := &testGateway{}
+	g := &testGateway{origins: c.newOrigins(number)}
 	pool := connection.NewPool()
 	pool.Dial = c.dial
 	g.gateway = &gateway.Server{
@@ -174,6 +176,7 @@
 			Nodes:  func() int { return siteNodes },
 		},
 		Connections: pool,
+		Origins:     g.origins,
 		AskHolder:   c.askHolder(number),
 		RetryBudget: g.budget(),
 		Phase:       func() drain.Phase { return drain.Serving },
@@ -215,12 +218,64 @@
 	}
 }
 
+// newOrigins returns what keeps the origins of streams for a node.
+func (c *crashSite) newOrigins(number int) *origins.Service {
+	peer := func(name string) (*origins.Service, error) {
+		time.Sleep(peerDelay)
+		other, err := strconv.Atoi(name)
+		if err == nil && !c.reaches(number, other, 0) {
+			err = errRefused
+		}
+		if err != nil {
+			return nil, err
+		}
+		return c.node(other).origins, nil
+	}
+	return &origins.Service{
+		Name: fmt.Sprint(number),
+		Nodes: func() (nodes []origin.Node) {
+			for _, name := range c.live(number) {
+				nodes = append(nodes, origin.Node{Name: name})
+			}
+			return nodes
+		},
+		Tell: func(_ context.Context, name string, reports []origin.Report) error {
+			to, err := peer(name)
+			if err == nil {
+				to.Told(reports)
+				time.Sleep(peerDelay)
+			}
+			return err
+		},
+		Versions: func() (map[string][]string, bool) {
+			return map[string][]string{"s": c.versions}, true
+		},
+		AskSighted: func(_ context.Context, name, pool string) (origin.Sighted, error) {
+			from, err := peer(name)
+			if err != nil {
+				return origin.Sighted{}, err
+			}
+			return from.Sighted(pool), nil
+		},
+		Ask: func(_ context.Context, name string, stream origin.ID) (origin.Answer, error) {
+			from, err := peer(name)
+			if err != nil {
+				return origin.Answer{}, err
+			}
+			answer := from.Known(stream)
+			time.Sleep(peerDelay)
+			return answer, nil
+		},
+	}
+}
+
 // exchangeDigests sends each node's digest to all others, as nodes of a small site do.
 func (c *crashSite) exchangeDigests(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(250 * time.Millisecond)
 		now := time.Now()
 		for i := range siteNodes {
+			c.node(i).origins.Tick(now)
 			from := c.node(i).gateway.Dispatcher
 			from.Tick(c.live(i), siteNodes, now)
 			digest := from.Advertise(now)
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -140,6 +140,7 @@
 		x.progress.headWritten = true
 		x.attempts.MarkStreaming()
 	}
+	x.recordOrigin(s.upstream)
 	if x.progress.events == 0 {
 		x.progress.firstEventAt = now
 		x.server.Metrics.observeFirstEvent(x.route, x.priorityLevel, now.Sub(x.started))
--- a/internal/transport/gateway/version_test.go
+++ b/internal/transport/gateway/version_test.go
@@ -231,7 +231,8 @@
 				for id, lastEvent := range streams {
 					is.True(lastEvent > 0)
 					next++
-					group.Go(func() { site.takeUp(t.Context(), 1+next%(siteNodes-1), id, lastEvent) })
+					number := 1 + next%(siteNodes-1)
+					group.Go(func() { site.takeUp(t.Context(), number, id, lastEvent) })
 				}
 				group.Wait()
 				is.Equal(site.mixed, 0)
@@ -245,7 +246,8 @@
 	}
 }
 
-// TestStreamOfUnknownOriginIsRefused guards against a guess where a caller doesn't say which stream it takes up.
+// TestStreamOfUnknownOriginIsRefused guards against a guess where nobody knows where a stream began, and where the caller
+// doesn't say which one it takes up before a node knows which versions have served.
 func TestStreamOfUnknownOriginIsRefused(t *testing.T) {
 	for name, headers := range map[string]map[string]string{
 		"no request named":      {"Last-Event-Id": "2"},
@@ -264,3 +266,50 @@
 		})
 	}
 }
+
+// TestStreamOfAnUnnamedRequestGoesOnWhereOneVersionServes guards against refusing callers who don't name the request that
+// began their stream, where it can have begun at one version only.
+func TestStreamOfAnUnnamedRequestGoesOnWhereOneVersionServes(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		after    func(t *testing.T, site *crashSite)
+		status   int
+	}{
+		"one version": {
+			versions: []string{"v1"},
+			status:   http.StatusOK,
+		},
+		"one version, the node has restarted": {
+			versions: []string{"v1"},
+			after:    func(t *testing.T, site *crashSite) { site.restart(t, 1) },
+			status:   http.StatusOK,
+		},
+		"one version, all nodes have restarted": {
+			versions: []string{"v1"},
+			after: func(t *testing.T, site *crashSite) {
+				for number := range siteNodes {
+					site.restart(t, number)
+				}
+			},
+			status: http.StatusServiceUnavailable,
+		},
+		"two versions": {
+			versions: []string{"v1", "v2"},
+			status:   http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				site := newCrashSiteOf(t, siteEngines, c.versions...)
+				time.Sleep(20 * time.Second) // longer than the route's timeout
+				if c.after != nil {
+					c.after(t, site)
+					time.Sleep(time.Second)
+				}
+				got := site.node(1).call(t.Context(), "/resumable/x", "{}", map[string]string{"Last-Event-Id": "2"})
+				is.Equal(got.status, c.status)
+			})
+		})
+	}
+}
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -32,6 +32,11 @@
 	MethodRelayLoads = "relay-loads"
 	// MethodZoneLoads sends the sum of the loads of an availability zone to the relay of another one.
 	MethodZoneLoads = "zone-loads"
+	// MethodTellOrigins tells a keeper where streams began, MethodFindOrigin asks a node where one did, and
+	// MethodFindVersions which software versions it has seen in a pool.
+	MethodTellOrigins  = "tell-origins"
+	MethodFindOrigin   = "find-origin"
+	MethodFindVersions = "find-versions"
 	// MethodTakeLimit asks the node that holds the limit of an upstream for one send.
 	MethodTakeLimit = "take-limit"
 )
