serve: keep a stream at the software version that began it

A list of VMs may name the version of an engine's software; where it names none, all count as the same.

--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -42,6 +42,10 @@
 	Bytes int
 	// Exclude lists the names of upstreams that must not be chosen.
 	Exclude []string
+	// Bound reports whether the request goes on with a stream that began at Version of an upstream's software; only upstreams
+	// of that version are chosen then. All have the same one, which is empty, if the list of VMs doesn't state it.
+	Bound   bool
+	Version string
 	// Prefer is the name of the upstream where another request was preempted for this one, empty for none.
 	Prefer string
 }
@@ -166,7 +170,7 @@
 
 // usable reports whether a request may be sent to an upstream.
 func (r *Router) usable(candidate *replica.Replica, request Request, now time.Time, includeEjected bool) bool {
-	if candidate.Leaving() || !candidate.Serves(request.Model) {
+	if candidate.Leaving() || !candidate.Serves(request.Model) || request.Bound && candidate.Version() != request.Version {
 		return false
 	}
 	if !includeEjected && r.Ejector.Ejected(candidate.Name(), now) {
--- a/internal/coordination/routing/router_test.go
+++ b/internal/coordination/routing/router_test.go
@@ -225,3 +225,31 @@
 	is.True(ejector.Ejected(failing.Name(), start))
 	is.Equal(failing.Latency(), 200*time.Millisecond)
 }
+
+// TestStreamGoesOnAtItsVersionAlone guards against a stream whose events come from two software versions.
+func TestStreamGoesOnAtItsVersionAlone(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(0)
+	machines := engines(6)
+	for i := range machines {
+		machines[i].Version = fmt.Sprintf("v%d", i%2)
+	}
+	r.Table.Update(machines)
+	request := Request{
+		Pool:    "engines",
+		Bound:   true,
+		Version: "v1",
+		Prefer:  "engine-000",
+	}
+	for range 100 {
+		is.Equal(r.Choose(request, rand.Uint64(), start).Replica.Version(), "v1")
+	}
+	request.Exclude = []string{"engine-001", "engine-003", "engine-005"}
+	is.True(r.Choose(request, 0, start).Replica == nil)
+	request.Bound = false
+	is.Equal(r.Choose(request, 0, start).Replica.Version(), "v0")
+	is.Equal(newRouter(6).Choose(Request{
+		Pool:  "engines",
+		Bound: true,
+	}, 0, start).Replica.Name(), "engine-000") // the list states no versions
+}
--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -67,6 +67,8 @@
 		Tier:    j.tier(),
 		Bytes:   len(j.body),
 		Exclude: j.excluded,
+		Bound:   j.offset > 0,
+		Version: j.version,
 		Prefer:  j.permit.PreferredUpstream(),
 	}, rand.Uint64(), time.Now())
 	name := ""
--- a/internal/transport/caller/job.go
+++ b/internal/transport/caller/job.go
@@ -41,6 +41,7 @@
 	excluded     []string       // upstreams of failed attempts
 	upstream     string         // upstream of the latest attempt
 	offset       int            // of the next stream event
+	version      string         // software version of the upstream that brought the first event
 	lastEvent    time.Time
 	answered     bool // the outcome is recorded and the answer written, or about to be
 }
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -160,6 +160,9 @@
 		return false, errOffsetGap
 	}
 	s.countEvent(j)
+	if j.offset == 0 {
+		j.version = chosen.Version()
+	}
 	j.offset++
 	s.spendLinkBudget(chosen, len(event.data))
 	if err := out.writeEvent(event.data); err != nil {
