--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -55,9 +56,10 @@
 // crashSite is several gateways that share engines; a request with the part "bad" crashes the engine that begins to
 // answer it, and with it all other answers of that engine.
 type crashSite struct {
-	nodes    []*testGateway
-	mu       sync.Mutex
-	conns    map[string]map[net.Conn]bool
+	nodes []*testGateway
+	mu    sync.Mutex
+	// conns holds the open connections by engine, with the number of the node that opened each.
+	conns    map[string]map[net.Conn]int
 	downTill map[string]time.Time
 	crashes  []time.Time
 	badSends []time.Time
@@ -69,6 +71,18 @@
 	table    *route.Table
 	// cuts holds, by the number of a node, since when and until when no other node reaches it.
 	cuts map[int][2]time.Time
+	// partitions holds, by the number of a node, how it is partitioned from the engines.
+	partitions map[int]partition
+	// log holds the warnings of all nodes.
+	log lockedLog
+}
+
+// partition is how connects of a node to the engines fail.
+type partition struct {
+	// refused makes connects fail at once; else they hang.
+	refused bool
+	// halfOpen keeps the connections that are open alive.
+	halfOpen bool
 }
 
 // noticeDelay is the time after which nodes notice that another one doesn't answer.
@@ -126,12 +140,13 @@
 func newCrashSiteOf(t *testing.T, engines int, versions ...string) *crashSite {
 	t.Helper()
 	site := &crashSite{
-		engines:  engines,
-		versions: append(versions, defaultVersion)[:max(len(versions), 1)],
-		cuts:     map[int][2]time.Time{},
-		conns:    map[string]map[net.Conn]bool{},
-		downTill: map[string]time.Time{},
-		answer:   func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
+		engines:    engines,
+		versions:   append(versions, defaultVersion)[:max(len(versions), 1)],
+		cuts:       map[int][2]time.Time{},
+		partitions: map[int]partition{},
+		conns:      map[string]map[net.Conn]int{},
+		downTill:   map[string]time.Time{},
+		answer:     func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
 	}
 	table, _, err := platform.ParseManifest([]byte(manifest))
 	if err != nil {
@@ -164,7 +179,7 @@
 	upstreams.Update(rows)
 	g := &testGateway{origins: c.newOrigins(number)}
 	pool := connection.NewPool()
-	pool.Dial = c.dial
+	pool.Dial = c.dialFrom(number)
 	g.gateway = &gateway.Server{
 		Codec:  platform.Headers{},
 		Routes: func() *route.Table { return table },
@@ -182,7 +197,7 @@
 		Phase:       func() drain.Phase { return drain.Serving },
 		Memory:      memory.NewBudget(0),
 		Metrics:     gateway.NewMetrics(),
-		Logger:      zerolog.Nop(),
+		Logger:      zerolog.New(&c.log).Level(zerolog.WarnLevel),
 	}
 	listener := &pipeListener{
 		conns:  make(chan net.Conn),
@@ -288,7 +303,66 @@
 	}
 }
 
-func (c *crashSite) dial(_ context.Context, engine string) (net.Conn, error) {
+// dialFrom returns how a node connects to the engines.
+func (c *crashSite) dialFrom(number int) func(ctx context.Context, engine string) (net.Conn, error) {
+	return func(ctx context.Context, engine string) (net.Conn, error) {
+		c.mu.Lock()
+		cut, partitioned := c.partitions[number]
+		c.mu.Unlock()
+		switch {
+		case !partitioned:
+			return c.dial(number, engine)
+		case cut.refused:
+			return nil, syscall.ECONNREFUSED
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+}
+
+// partitionFromEngines cuts a node off from all engines.
+func (c *crashSite) partitionFromEngines(number int, how partition) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partitions[number] = how
+	if !how.halfOpen {
+		for _, open := range c.conns {
+			for conn, from := range open {
+				if from == number {
+					conn.Close()
+					delete(open, conn)
+				}
+			}
+		}
+	}
+}
+
+// healPartitions ends all partitions from the engines.
+func (c *crashSite) healPartitions() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.partitions)
+}
+
+// lockedLog holds the log lines of several nodes.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lockedLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func (c *crashSite) dial(number int, engine string) (net.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().Before(c.downTill[engine]) {
@@ -296,9 +370,9 @@
 	}
 	gatewaySide, engineSide := net.Pipe()
 	if c.conns[engine] == nil {
-		c.conns[engine] = map[net.Conn]bool{}
+		c.conns[engine] = map[net.Conn]int{}
 	}
-	c.conns[engine][engineSide] = true
+	c.conns[engine][engineSide] = number
 	go c.serve(engine, engineSide)
 	return gatewaySide, nil
 }
