Connect to upstreams through other entry VMs while the path is broken

Cause: a node that couldn't connect took every upstream for down, and had no other way to serve.

A failed connect now asks other nodes to connect. If one does, the path is broken, and connections go through others until a direct connect works again; if none does, the upstream is down. A connection through another node carries the same bytes as a direct one, so that at most once, deadlines, limits and cancellation stay where they are decided.

--- a/internal/coordination/dispatch/health.go
+++ b/internal/coordination/dispatch/health.go
@@ -45,8 +45,10 @@
 
 // health tracks the failures, refusals and slowness of one upstream. Older observations count less.
 type health struct {
-	backoffUntil        time.Time
-	backoff             time.Duration
+	backoffUntil time.Time
+	backoff      time.Duration
+	// fromHere reports that the backoff began since this node could not connect, while no other node has confirmed it.
+	fromHere            bool
 	consecutiveRefusals int
 	lastSuccess         time.Time
 	failureShare        float64
@@ -95,14 +97,16 @@
 	}
 }
 
-func (h *health) recordUnreachable(now time.Time) {
+func (h *health) recordUnreachable(fromHere bool, now time.Time) {
 	h.startBackoff(connectBackoffMin, connectBackoffMax, now)
+	h.fromHere = fromHere
 }
 
 // startBackoff begins a backoff twice as long as the previous one, within the bounds. A success resets the duration.
 func (h *health) startBackoff(shortest, longest time.Duration, now time.Time) {
 	h.backoff = min(max(2*h.backoff, shortest), longest)
 	h.backoffUntil = now.Add(h.backoff)
+	h.fromHere = false
 }
 
 // recordRefusal counts a refusal, which raises a low failure share but never lowers a high one.
@@ -152,7 +156,46 @@
 
 // Unreachable records that no connection to an upstream could be opened.
 func (d *Dispatcher) Unreachable(r *replica.Replica, now time.Time) {
-	d.updateHealth(r, func(h *health) { h.recordUnreachable(now) })
+	d.updateHealth(r, func(h *health) { h.recordUnreachable(false, now) })
+}
+
+// UnreachableFromHere records that no connection to an upstream could be opened by this node, whose path may be at fault. The
+// other nodes are not told that the upstream is down.
+func (d *Dispatcher) UnreachableFromHere(r *replica.Replica, now time.Time) {
+	d.updateHealth(r, func(h *health) { h.recordUnreachable(true, now) })
+}
+
+// ReachedElsewhere records whether another node reaches the upstream at an address, to which this one could not connect. If it
+// does, the upstream is not at fault and may be used through that node.
+func (d *Dispatcher) ReachedElsewhere(address string, reached bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for r, s := range d.states {
+		if r.Address() != address || !s.health.fromHere {
+			continue
+		}
+		s.health.fromHere = false
+		if reached {
+			s.health.backoff = 0
+			s.health.backoffUntil = time.Time{}
+		}
+	}
+}
+
+// OpenAddresses returns the addresses of the listed upstreams that are not leaving and did not ask this node to send nothing for
+// a while.
+func (d *Dispatcher) OpenAddresses(now time.Time) (addresses []string) {
+	snapshot := d.Table.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, pool := range snapshot.PoolNames() {
+		for _, r := range snapshot.PoolReplicas(pool) {
+			if s := d.states[r]; !r.Leaving() && (s == nil || !s.health.paused(now)) {
+				addresses = append(addresses, r.Address())
+			}
+		}
+	}
+	return addresses
 }
 
 // Failed records a server error of an upstream, or a lost or damaged response.
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -133,7 +133,7 @@
 			Waiting: upstream.forecast.backlog(lastTier, now),
 			Running: upstream.forecast.running,
 		}
-		if upstream.health.backedOff(now) || upstream.health.paused(now) {
+		if upstream.health.backedOff(now) && !upstream.health.fromHere || upstream.health.paused(now) {
 			load.Down = 1
 		}
 		if upstream.health.saidLeaving {
--- a/internal/coordination/dispatch/quarantine.go
+++ b/internal/coordination/dispatch/quarantine.go
@@ -90,7 +90,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state(r).health.recordUnreachable(now)
+	d.state(r).health.recordUnreachable(false, now)
 	d.quarantine.Crashed(r.Name(), at, causes...)
 }
 
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -216,6 +216,22 @@
 	From string `json:"from"`
 }
 
+// DetourAnswer is what a node says of an upstream that another one can't connect
+// to.
+type DetourAnswer struct {
+	// Opinion is reached, unreached, doubtful or none.
+	Opinion string `json:"opinion"`
+
+	// Ticket takes the connection that was opened in hexadecimal.
+	Ticket string `json:"ticket,omitempty,omitzero"`
+}
+
+// DetourRequest asks a node for a connection to an upstream.
+type DetourRequest struct {
+	// Address is the upstream's host and port.
+	Address string `json:"address"`
+}
+
 // Digest is the content of a membership message; its number of member rows is
 // bounded.
 type Digest struct {
@@ -1041,3 +1057,16 @@
 	// Waiting corresponds to the JSON schema field "waiting".
 	Waiting int `json:"waiting,omitempty,omitzero"`
 }
+
+// UpstreamPause says that an upstream asked the receiver, through which the
+// request came, to send nothing for a while.
+type UpstreamPause struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot int `json:"boot,omitempty,omitzero"`
+
+	// PauseMs corresponds to the JSON schema field "pause-ms".
+	PauseMs int `json:"pause-ms"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -141,6 +141,9 @@
 	}
 }
 
+// Net returns the network connection, which must only be used to learn about it.
+func (r *Response) Net() net.Conn { return r.conn.net }
+
 // SetReadDeadline sets the time after which reads of the body fail.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.net.SetReadDeadline(t) }
 
@@ -154,6 +157,9 @@
 // if it announced none. A connection that can't carry another request is closed.
 func (r *Response) Release(p *Pool, idle time.Duration) {
 	stopped := r.stopWatching()
+	if p.OnAnswer != nil {
+		p.OnAnswer(r.conn.address, r.conn.net)
+	}
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	if !stopped || r.Close || unframed || !r.requestSent() {
 		r.conn.Close()
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -49,8 +49,12 @@
 	MaxIdle int
 	// ReceiveBuffer limits the unread bytes of each connection.
 	ReceiveBuffer ReceiveBuffer
-	// Dial, if set, opens connections instead of the default dialer.
+	// Dial, if set, opens connections instead of DialDirect.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Usable, if set, reports whether a connection to an address may carry another request.
+	Usable func(address string, conn net.Conn) bool
+	// OnAnswer, if set, is called when a whole answer has come on a connection. It must not block.
+	OnAnswer func(address string, conn net.Conn)
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, and order those of all addresses; the ones unused for longest come
@@ -96,7 +100,7 @@
 		if c == nil {
 			return p.connect(ctx, address)
 		}
-		if time.Now().Before(c.idleUntil) && c.reusable() {
+		if time.Now().Before(c.idleUntil) && p.usable(c) && c.reusable() {
 			p.reused.Add(1)
 			return c, nil
 		}
@@ -124,7 +128,7 @@
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
-		dial = p.dial
+		dial = p.DialDirect
 	}
 	raw, err := dial(ctx, address)
 	if err != nil {
@@ -140,7 +144,11 @@
 	}, nil
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+// usable reports whether a connection may carry another request as far as its path is concerned.
+func (p *Pool) usable(c *Conn) bool { return p.Usable == nil || p.Usable(c.address, c.net) }
+
+// DialDirect opens a socket to an address.
+func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := NewDialer(p.DialTimeout, p.UnackedTimeout)
 	setOptions := dialer.Control
 	dialer.Control = func(network, address string, raw syscall.RawConn) error {
@@ -152,28 +160,41 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     keepAliveInterval,
+	Interval: keepAliveInterval,
+	Count:    keepAliveProbes,
+}
+
 // NewDialer returns a dialer with a dial timeout. Its connections fail when the other VM stops responding: after
 // unanswered keep-alive probes while no sent bytes are outstanding, and after the unacked timeout (TCP_USER_TIMEOUT)
 // while some are.
 func NewDialer(timeout, unacked time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
-		},
+		Timeout:         timeout,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUnackedTimeout(raw, unacked) },
+	}
+}
+
+func setUnackedTimeout(raw syscall.RawConn, unacked time.Duration) error {
+	optionErr := error(nil)
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
+
+// NoticeSilence makes an accepted connection fail when the other VM stops responding, as those of NewDialer do.
+func NoticeSilence(conn net.Conn, unacked time.Duration) {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = socket.SetKeepAliveConfig(keepAlive)
+	if raw, err := socket.SyscallConn(); err == nil {
+		_ = setUnackedTimeout(raw, unacked)
 	}
 }
 
@@ -185,7 +206,7 @@
 	} else {
 		idle = min(max(idle-idleMargin, idle/2), p.IdleTimeout)
 	}
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || !p.usable(c) {
 		c.Close()
 		return
 	}
@@ -206,14 +227,14 @@
 	c.Close()
 }
 
-// CloseIdle closes the connections whose idle timeout has passed.
+// CloseIdle closes the idle connections whose idle timeout has passed or that are not usable any more.
 func (p *Pool) CloseIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && p.usable(c) {
 				kept = append(kept, c)
 			} else {
 				c.Close()
--- a/internal/transport/connection/receive_test.go
+++ b/internal/transport/connection/receive_test.go
@@ -54,7 +54,7 @@
 		is.NoErr(err)
 		pool := NewPool()
 		pool.ReceiveBuffer = buffer
-		dialed, err := pool.dial(t.Context(), listener.Addr().String())
+		dialed, err := pool.DialDirect(t.Context(), listener.Addr().String())
 		is.NoErr(err)
 		accepted, err := listener.Accept()
 		is.NoErr(err)
--- /dev/null
+++ b/internal/transport/entryvm/detours_test.go
@@ -0,0 +1,75 @@
+package entryvm_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/detour"
+	"lagoongw/internal/transport/peer"
+)
+
+// TestProcessConnectsToUpstreamsForOthers guards against entry VMs that don't give each other connections to upstreams, or
+// give them to what is no upstream, or to whoever has no ticket.
+func TestProcessConnectsToUpstreamsForOthers(t *testing.T) {
+	is := is.New(t)
+	gate, received := make(chan struct{}), make(chan struct{}, 1)
+	close(gate)
+	upstream := startUpstream(t, gate, received)
+	addresses := freeAddresses(t)
+	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p.Prepare()
+	group.Go(func() { _ = p.Run(ctx) })
+	eventually(t, "it is ready", func() bool {
+		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
+		return status == http.StatusOK
+	})
+	client := &peer.Client{
+		Name:   "vm-2",
+		Secret: p.Secret,
+	}
+	defer client.Close()
+	ask := func(address string) (answer wire.DetourAnswer) {
+		is.NoErr(client.Call(t.Context(), addresses[3], peer.MethodDetour, wire.DetourRequest{Address: address}, &answer))
+		return answer
+	}
+	open := func(ticket []byte) net.Conn {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[3])
+		is.NoErr(err)
+		is.NoErr(peer.OpenStream(conn, ticket))
+		return detour.NewConn(conn, "vm-1")
+	}
+	is.Equal(ask(addresses[0]).Opinion, "none") // not an upstream
+
+	answer := ask(upstream)
+	is.Equal(answer.Opinion, "reached")
+	ticket, err := hex.DecodeString(answer.Ticket)
+	is.NoErr(err)
+	conn := open(ticket)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Expect-Instance: i-1\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "i-1")
+
+	used := open(ticket) // a ticket is good for one connection
+	defer func() { _ = used.Close() }()
+	_, err = used.Read(make([]byte, 1))
+	is.True(err != nil)
+}
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -20,6 +20,16 @@
 	})
 	m.RegisterGauge("limited_upstreams", "Upstreams that have named a limit.",
 		func() float64 { return float64(p.dispatcher.LimitedUpstreams()) })
+	m.RegisterGauge("broken_paths", "Upstreams that other entry VMs reach and this one doesn't.",
+		func() float64 { return float64(p.detours.BrokenPaths()) })
+	m.RegisterGauge("cut_off", "1 while this entry VM takes itself for cut off from all upstreams.", func() float64 {
+		if p.detours.CutOff() {
+			return 1
+		}
+		return 0
+	})
+	m.RegisterGauge("detours", "Connections that are open to upstreams for other entry VMs.",
+		func() float64 { return float64(p.detourServer.Connections()) })
 	m.RegisterGauge("stream_origins", "Streams of which this node knows where they began.", func() float64 {
 		kept, _ := p.origins.Count()
 		return float64(kept)
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -23,6 +23,7 @@
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/detour"
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/httpapi"
 	"lagoongw/internal/transport/members"
@@ -107,6 +108,8 @@
 	server         *peer.Server
 	peerListener   net.Listener
 	origins        *origins.Service
+	detours        *detour.Dialer
+	detourServer   *detour.Server
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -131,6 +134,7 @@
 	group.Go(func() { p.joinWhenReady(ctx) })
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
+	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
 	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
@@ -174,12 +178,15 @@
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
 	p.origins = p.newOrigins()
+	p.prepareDetours()
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
 		Dispatcher:  p.dispatcher,
 		Connections: p.connections,
 		RetryBudget: p.budget,
+		ConfirmDown: p.detours.ConfirmDown,
+		TellPause:   p.tellPause,
 		Origins:     p.origins,
 		AskHolder:   p.askHolder,
 		Phase:       p.Phase,
@@ -190,7 +197,7 @@
 	}
 	p.preparePeers()
 	p.drainer.PollInterval = drainPollInterval
-	p.drainer.InFlight = p.gateway.InFlight
+	p.drainer.InFlight = p.inFlight
 	p.drainer.Announce = p.members.Leave
 	p.drainer.Logger = p.Logger
 	p.Reconfigure(p.Tunables)
@@ -249,6 +256,7 @@
 		Secret:      p.Secret,
 		OneAtATime:  oneTopicAtATime,
 		IdleTimeout: peerIdleTimeout,
+		ServeStream: p.serveStream,
 		Logger:      p.Logger,
 		Handlers: map[string]peer.Handler{
 			peer.MethodDigest:        p.requireReady(p.members.HandleDigest),
@@ -262,6 +270,8 @@
 			peer.MethodTellOrigins:   p.handleTellOrigins,
 			peer.MethodFindOrigin:    p.handleFindOrigin,
 			peer.MethodFindVersions:  p.handleFindVersions,
+			peer.MethodDetour:        p.handleDetour,
+			peer.MethodPause:         p.handlePause,
 		},
 	}
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -194,7 +194,7 @@
 	defer cancel()
 	conn, err := x.server.Connections.Get(ctx, upstream.Address())
 	if err != nil {
-		x.server.Dispatcher.Unreachable(upstream, time.Now())
+		x.recordUnreachable(upstream, err)
 		return attempt.Unsent, err
 	}
 	if !x.permitted(ctx, upstream) {
@@ -240,6 +240,18 @@
 	return x.receive(s)
 }
 
+// recordUnreachable tells the dispatcher that no connection to an upstream could be opened, unless the caller has left.
+func (x *exchange) recordUnreachable(upstream *replica.Replica, err error) {
+	var unreachable *connection.UnreachableError
+	switch {
+	case x.callerLeft():
+	case errors.As(err, &unreachable) && !unreachable.Confirmed:
+		x.server.Dispatcher.UnreachableFromHere(upstream, time.Now())
+	default:
+		x.server.Dispatcher.Unreachable(upstream, time.Now())
+	}
+}
+
 // headerDeadline returns when to give up an upstream that has not sent the header of its answer. A safe request gives
 // up early if it may run at another upstream as well; once it may have run, it waits until the request's deadline.
 func (x *exchange) headerDeadline(cost time.Duration) time.Time {
@@ -301,6 +313,9 @@
 	}
 	if s.reply.RetryAfter > 0 {
 		x.server.Dispatcher.Pause(from, s.reply.RetryAfter, now)
+		if between, ok := s.response.Net().(interface{ Via() string }); ok && x.server.TellPause != nil {
+			x.server.TellPause(between.Via(), from, s.reply.RetryAfter)
+		}
 		x.server.Logger.Info().Str("decision", "upstreams").Str("request-id", x.call.ID).Str("upstream", from.Name()).
 			Dur("pause-ms", s.reply.RetryAfter).Msg("upstream asked to be sent nothing for a while")
 	}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/detour"
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/origins"
 	"lagoongw/platform"
@@ -36,8 +37,11 @@
 type testGateway struct {
 	gateway *gateway.Server
 	origins *origins.Service
-	server  *http.Server
-	client  *http.Client
+	// detours and detourServer are those of a node of a site.
+	detours      *detour.Dialer
+	detourServer *detour.Server
+	server       *http.Server
+	client       *http.Client
 	// dialCaller opens a caller's connection to the gateway.
 	dialCaller func(ctx context.Context, network, address string) (net.Conn, error)
 	phase      drain.Phase
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -143,7 +143,7 @@
 	return false
 }
 
-// checkCrash tells the dispatcher of a crash if the upstream refuses connections. If it accepts one, answers that may have
+// checkCrash tells the dispatcher of a crash if the upstream refuses connections, of another node as well. If it accepts one, answers that may have
 // come to their end did.
 func (s *Server) checkCrash(upstream *replica.Replica, at time.Time) {
 	time.Sleep(crashCheckDelay)
@@ -159,6 +159,9 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) || upstream.Leaving() {
 		return
 	}
+	if s.ConfirmDown != nil && !s.ConfirmDown(context.Background(), upstream.Address()) {
+		return
+	}
 	s.Dispatcher.Crashed(upstream, crashed, at, time.Now())
 	s.Logger.Warn().
 		Str("decision", "quarantine").
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -14,6 +14,7 @@
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/retry"
+	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
 )
@@ -33,6 +34,12 @@
 	Dispatcher *dispatch.Dispatcher
 	// Connections is the pool of connections to the upstreams.
 	Connections *connection.Pool
+	// ConfirmDown, if set, reports whether an upstream that refuses the connections of this node is down, as opposed to this
+	// node's path to it.
+	ConfirmDown func(ctx context.Context, address string) bool
+	// TellPause, if set, tells another node that an upstream asked to be sent nothing for a while in an answer that came through
+	// that node, which the upstream takes for the sender. It must not block.
+	TellPause func(node string, upstream *replica.Replica, length time.Duration)
 	// RetryBudget returns the retry budget of a pool.
 	RetryBudget func(pool string) *retry.WindowBudget
 	// Origins keeps where streams began.
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -21,10 +21,12 @@
 	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/coordination/ratelimit"
+	"lagoongw/internal/coordination/reach"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/detour"
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/origins"
 	"lagoongw/platform"
@@ -179,7 +181,11 @@
 	upstreams.Update(rows)
 	g := &testGateway{origins: c.newOrigins(number)}
 	pool := connection.NewPool()
-	pool.Dial = c.dialFrom(number)
+	detours := c.newDetours(number, g)
+	pool.Dial = detours.Dial
+	pool.DialTimeout = detour.DialTimeout
+	pool.Usable = detours.Usable
+	pool.OnAnswer = detours.Answered
 	g.gateway = &gateway.Server{
 		Codec:  platform.Headers{},
 		Routes: func() *route.Table { return table },
@@ -191,6 +197,7 @@
 			Nodes:  func() int { return siteNodes },
 		},
 		Connections: pool,
+		ConfirmDown: detours.ConfirmDown,
 		Origins:     g.origins,
 		AskHolder:   c.askHolder(number),
 		RetryBudget: g.budget(),
@@ -284,6 +291,58 @@
 	}
 }
 
+// newDetours returns how a node connects to the engines, directly or through the others.
+func (c *crashSite) newDetours(number int, g *testGateway) *detour.Dialer {
+	g.detours = &detour.Dialer{
+		Direct: c.dialFrom(number),
+		Nodes: func() (nodes []string) {
+			for other := range siteNodes {
+				name := fmt.Sprint(other)
+				if other != number && c.reaches(number, other, noticeDelay) {
+					nodes = append(nodes, name)
+				}
+			}
+			return nodes
+		},
+		Through: func(ctx context.Context, node, address string) (net.Conn, reach.Opinion, error) {
+			time.Sleep(peerDelay)
+			other, err := strconv.Atoi(node)
+			if err == nil && !c.reaches(number, other, 0) {
+				err = errRefused
+			}
+			if err != nil {
+				return nil, reach.None, err
+			}
+			server := c.node(other).detourServer
+			ticket, opinion := server.Open(ctx, address)
+			time.Sleep(peerDelay)
+			if opinion != reach.Reached {
+				return nil, opinion, nil
+			}
+			here, there := net.Pipe()
+			go server.Serve(there)
+			_, err = here.Write(ticket[:])
+			return here, opinion, err
+		},
+		OnVerdict: func(address string, reached bool) { g.gateway.Dispatcher.ReachedElsewhere(address, reached) },
+	}
+	g.detourServer = &detour.Server{
+		Dial:   c.dialFrom(number),
+		Listed: func(string) bool { return true },
+		Controls: func(address string) (others []string) {
+			for i := range c.engines {
+				if name := fmt.Sprintf("e%d", i); name != address {
+					others = append(others, name)
+				}
+			}
+			return others
+		},
+		Broken:   g.detours.KnownBroken,
+		Draining: func() bool { return false },
+	}
+	return g.detours
+}
+
 // exchangeDigests sends each node's digest to all others, as nodes of a small site do.
 func (c *crashSite) exchangeDigests(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -291,6 +350,7 @@
 		now := time.Now()
 		for i := range siteNodes {
 			c.node(i).origins.Tick(now)
+			c.node(i).detours.Tick(now)
 			from := c.node(i).gateway.Dispatcher
 			from.Tick(c.live(i), siteNodes, now)
 			digest := from.Advertise(now)
@@ -329,7 +389,7 @@
 		for _, open := range c.conns {
 			for conn, from := range open {
 				if from == number {
-					conn.Close()
+					_ = conn.Close()
 					delete(open, conn)
 				}
 			}
--- a/internal/transport/peer/limits.go
+++ b/internal/transport/peer/limits.go
@@ -21,6 +21,8 @@
 	MaxInWorkBytes = 4 << 20
 	// MaxConnections is the largest number of connections that a server keeps.
 	MaxConnections = 512
+	// maxUnidentified is the largest number of connections on which nothing has come yet.
+	maxUnidentified = 256
 	// maxInWork is the largest number of requests in work, and maxInWorkPerConnection that of one connection, from which
 	// no more is read meanwhile.
 	maxInWork              = 256
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -37,6 +37,10 @@
 	MethodTellOrigins  = "tell-origins"
 	MethodFindOrigin   = "find-origin"
 	MethodFindVersions = "find-versions"
+	// MethodDetour asks a node to connect to an upstream for the caller, which takes the connection with Client.OpenStream.
+	MethodDetour = "detour"
+	// MethodPause tells a node that an upstream asked it to send nothing for a while.
+	MethodPause = "pause"
 	// MethodTakeLimit asks the node that holds the limit of an upstream for one send.
 	MethodTakeLimit = "take-limit"
 )
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,9 @@
 	// OneAtATime returns the kind of a request of which one is in work at a time, until its answer was written, or "" if any
 	// number may be; nil stands for that of all requests. The kinds must be few.
 	OneAtATime func(method string, params json.RawMessage) (kind string)
+	// ServeStream, if set, serves the connections that were opened with OpenStream, and closes them. The first bytes are those
+	// by which the other side identifies itself.
+	ServeStream func(conn net.Conn)
 	// IdleTimeout is how long a connection may receive nothing before it is closed.
 	IdleTimeout time.Duration
 	// Logger logs refused requests.
@@ -45,6 +49,8 @@
 	conns    map[*jsonrpc2.Conn]struct{}
 	sent     atomic.Int64
 	received atomic.Int64
+	// unidentified is the number of connections whose first byte has not come.
+	unidentified atomic.Int64
 	// receiving, inWork and inWorkBytes count what is held for the peers.
 	receiving   allowance
 	inWork      allowance
@@ -84,8 +90,50 @@
 			continue
 		}
 		pause = minAcceptPause
-		s.serve(raw)
+		if s.connectionCount() >= MaxConnections || s.unidentified.Add(1) > maxUnidentified {
+			_ = raw.Close()
+			continue
+		}
+		go s.identify(raw)
+	}
+}
+
+// identify serves a connection by its first byte.
+func (s *Server) identify(raw net.Conn) {
+	defer s.unidentified.Add(-1)
+	var first [1]byte
+	_ = raw.SetReadDeadline(time.Now().Add(authenticateTimeout))
+	_, err := io.ReadFull(raw, first[:])
+	_ = raw.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		_ = raw.Close()
+	case first[0] != streamMark:
+		s.serve(&begunConn{
+			Conn:  raw,
+			begun: first[:],
+		})
+	case s.ServeStream == nil:
+		_ = raw.Close()
+	default:
+		go s.ServeStream(raw)
+	}
+}
+
+// begunConn is a connection of which the first bytes have been read.
+type begunConn struct {
+	net.Conn
+	begun []byte
+}
+
+// Read reads from the connection, beginning with its first bytes.
+func (c *begunConn) Read(p []byte) (int, error) {
+	if len(c.begun) > 0 {
+		n := copy(p, c.begun)
+		c.begun = c.begun[n:]
+		return n, nil
 	}
+	return c.Conn.Read(p)
 }
 
 // Close closes every connection.
@@ -98,10 +146,6 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	if s.connectionCount() >= MaxConnections {
-		_ = raw.Close()
-		return
-	}
 	counted := countingConn{
 		Conn: idleTimeoutConn{
 			Conn:    writeTimeoutConn{Conn: raw},
