Tests: listen on a loopback address of one's own

Seen once each in TestIdleCallersAreClosedAtTheOperatorsLimit and, in copies that ran at once, in TestProcessesShareTheLimitOfAnUpstream and TestStreamIsTakenUpAtAnotherProcess: the process under test wasn't ready in 20 s. Its Run had returned 'bind: address already in use' (4 of 600 runs with the error logged): between the choice of a free port and the listening, a socket of another test had taken it. Each process now listens on a loopback address that nobody else uses; 600 runs in eight copies at once passed.

--- a/internal/transport/entryvm/process_test.go
+++ b/internal/transport/entryvm/process_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,11 +91,17 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// freeAddresses returns free loopback addresses for the listeners of one process.
+// loopbackHosts counts the hosts that freeAddresses has handed out.
+var loopbackHosts atomic.Int32
+
+// freeAddresses returns free addresses for the listeners of one process. Their host is in use by no other process or test, so
+// that no other socket takes a port before the process listens there.
 func freeAddresses(t *testing.T) []string {
+	pid, host := os.Getpid(), loopbackHosts.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, 1+host%250)
 	var addresses []string
 	for range 5 {
-		socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
