Wait for upstreams that fall silent for a second or so

A sound upstream may fall silent for a second or so and go on. A stream was given up after 1.5 s without an event, and a connection that had carried nothing for up to a second before failed after one second of silence: TCP_USER_TIMEOUT (2 s) ends a connection on which keep-alive probes stay unanswered, whatever their count. A connect that times out keeps an upstream out for half a second at first, and is no evidence of a crash; both stay as they were. TestStreamOutlivesAShortSilenceOfItsUpstream and TestConnectionsOutliveAShortSilence failed before.

--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -23,9 +23,9 @@
 	DefaultDialTimeout = 300 * time.Millisecond
 	// DefaultIdleTimeout is how long an idle connection is kept if the upstream announces no timeout.
 	DefaultIdleTimeout = 4 * time.Second
-	// DefaultUnackedTimeout is how long the upstream's VM may leave sent bytes unacknowledged; it covers a few
-	// retransmissions on a lossy link.
-	DefaultUnackedTimeout = 2 * time.Second
+	// DefaultUnackedTimeout is how long the upstream's VM may leave sent bytes or keep-alive probes unacknowledged; it covers a
+	// few retransmissions on a lossy link, and a short silence of a sound upstream.
+	DefaultUnackedTimeout = 3 * time.Second
 	// DefaultMaxIdle is how many idle connections are kept in all.
 	DefaultMaxIdle = 128
 	// keepAliveInterval is the shortest interval between keep-alive probes that the kernel accepts.
--- a/internal/transport/connection/pool_test.go
+++ b/internal/transport/connection/pool_test.go
@@ -266,3 +266,12 @@
 	is.Equal(opened, int64(7))
 	is.Equal(reused, int64(3))
 }
+
+// TestConnectionsOutliveAShortSilence guards against connections that fail since the other VM was silent for a second or so: one
+// is noticed to be silent up to a probe interval before the silence began, and TCP_USER_TIMEOUT ends it whatever the count of
+// probes.
+func TestConnectionsOutliveAShortSilence(t *testing.T) {
+	const silence = 1800 * time.Millisecond
+	is := is.New(t)
+	is.True(DefaultUnackedTimeout-keepAliveInterval >= silence)
+}
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// TestStreamOutlivesAShortSilenceOfItsUpstream guards against a sound upstream that falls silent for a second or so being given up.
+func TestStreamOutlivesAShortSilenceOfItsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGateway(t, map[string]script{
+			"u1": silentFor(1900*time.Millisecond, 2),
+			"u2": eventStream(0),
+		})
+		got := g.call(t.Context(), "/resumable/x", "body", nil)
+		is.True(got.whole)
+		is.Equal(got.body, eventText(streamEvents))
+		is.Equal(len(g.receivedRequests()), 1)
+	})
+}
+
 func TestResumedStreamSendsTheLastCompleteEventID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/transport/gateway/script_test.go
+++ b/internal/transport/gateway/script_test.go
@@ -120,6 +120,21 @@
 	return true
 }
 
+// silentFor returns a script that streams all events, with a silence after one of them.
+func silentFor(silence time.Duration, after int) script {
+	return func(conn net.Conn, r *http.Request) bool {
+		writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
+		for i := 1; i <= streamEvents; i++ {
+			writeAnswer(conn, r, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)))
+			if i == after {
+				time.Sleep(silence)
+			}
+		}
+		writeAnswer(conn, r, "0\r\n\r\n")
+		return true
+	}
+}
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // eventText returns the text of the first count events of a stream.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -19,8 +19,9 @@
 	maxEventPart     = 32
 	maxMaxEventBytes = 1 << 20
 	// minEventSilence is the shortest pause between events after which an upstream is considered stalled. An engine that
-	// reads a long prompt for another request, or preempts a request for a more urgent one, pauses for less.
-	minEventSilence = 1500 * time.Millisecond
+	// reads a long prompt for another request, preempts a request for a more urgent one, or falls silent though it is sound,
+	// pauses for less.
+	minEventSilence = 2 * time.Second
 	// minPlainAnswerWait is the shortest wait for an answer other than a stream before the request is sent to another
 	// upstream: several times the longest service time of a plain service, so that a slow answer is not taken for a lost
 	// one.
