Share out the room of brittle upstreams before they refuse

Upstreams may say that they fall over when they have to turn away more than some requests a second. No code read that: each node tried upstreams by its own news, and repeated at others what was turned away. What breaks off at a brittle upstream is no evidence of a crashing request, since others' refusals made it fall.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -115,7 +115,9 @@
 	quarantine quarantine.Registry
 	// limits holds the limits that upstreams have named, of all nodes; grants are the sends that this node grants.
 	limits ratelimit.Limits
-	grants ratelimit.Grants
+	// brittle holds how many requests a second brittle upstreams may turn away.
+	brittle ratelimit.Limits
+	grants  ratelimit.Grants
 	// lastReturn is the latest time that a refused caller was told to come back at, by pool.
 	lastReturn map[string]time.Time
 }
@@ -133,6 +135,8 @@
 	suspects int
 	// deniedUntil is when the next send within the upstream's limit may be granted.
 	deniedUntil time.Time
+	// serverLoad is the load that the upstream last told this node.
+	serverLoad ratelimit.ServerLoad
 	// hashRank is the index among the upstreams of the pool in hash order. The first ones are reserved for
 	// interactive requests.
 	hashRank int
@@ -183,9 +187,9 @@
 	known := d.updatedPace(request.Pool, now)
 	c.profile = known.profile
 	c.interactive = known.isInteractive(request, pool.Engine, now)
-	c.limits = &d.limits
+	c.limits, c.brittle = &d.limits, &d.brittle
 	isolated := d.quarantine.Suspected(request.causes())
-	c.selective = !d.limits.Empty() || isolated
+	c.selective = !d.limits.Empty() || !d.brittle.Empty() || isolated
 	c.rankHomes()
 	if c.avoidLimited, c.isolated = request.AvoidLimited, isolated; c.avoidLimited || c.isolated {
 		c.compareAll()
@@ -227,6 +231,8 @@
 	switch {
 	case at.IsZero():
 		return
+	case limited == 0 && c.roomless():
+		c.best.Reason = "all upstreams of the pool are full, and would fall over if they had to refuse"
 	case limited > 0:
 		at = d.nextReturn(c.request.Pool, at, limited)
 		c.best.Reason = "all upstreams of the pool are at the limits that they have named"
@@ -264,6 +270,7 @@
 			delete(d.states, r)
 		}
 	}
+	d.brittle.Prune(func(u ratelimit.Upstream) bool { return lookup(snapshot, u) != nil })
 	d.limits.Prune(func(u ratelimit.Upstream) bool { return lookup(snapshot, u) != nil })
 	for name, load := range d.peerLoads {
 		if _, known := snapshot.Replica(name); !known && *load == (Load{}) {
--- a/internal/coordination/dispatch/limit.go
+++ b/internal/coordination/dispatch/limit.go
@@ -17,16 +17,20 @@
 	unknownWait = 500 * time.Millisecond
 )
 
-// Permit says whether a request may be sent to an upstream that may have named a limit.
+// Permit says whether a request may be sent to an upstream that may have named a limit or be brittle.
 type Permit struct {
-	// Limited reports whether the upstream has named a limit.
+	// Limited reports whether the upstream has named a limit or is brittle.
 	Limited bool
 	// Granted reports whether the request may be sent.
 	Granted bool
 	// Holder is the name of the node that has to be asked, empty for none.
 	Holder string
-	// Report is what the holder has to know.
+	// Report is what the holder has to know of a limit, and Place of a place at a brittle upstream; Place.Refusals is 0 if the
+	// upstream is not brittle.
 	Report ratelimit.Report
+	Place  ratelimit.Place
+	// Ticket returns the place, 0 if there is none.
+	Ticket uint64
 }
 
 func limitKey(r *replica.Replica) ratelimit.Upstream {
@@ -68,46 +72,99 @@
 	d.grants.Tick(live, known, now)
 }
 
-// TakePermit takes a permit to send one request to an upstream, or names the node to ask for it.
-func (d *Dispatcher) TakePermit(r *replica.Replica, now time.Time) Permit {
+// Brittle records how many requests a second an upstream may turn away without falling over, by an answer of it and 0 if it does
+// not say so, and the load that it tells. It reports whether the former has changed. The request was sent at the given time.
+func (d *Dispatcher) Brittle(r *replica.Replica, refusals float64, load ratelimit.ServerLoad, sent, now time.Time) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	report, limited := d.limits.Report(limitKey(r), now)
-	if !limited {
+	if load.Slots > 0 {
+		d.state(r).serverLoad = load
+	}
+	return d.brittle.Answered(limitKey(r), refusals, sent, now)
+}
+
+// IsBrittle reports whether an upstream falls over when it has to turn away too many requests.
+func (d *Dispatcher) IsBrittle(r *replica.Replica) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.brittle.Limit(limitKey(r)) > 0
+}
+
+// TakePermit takes a permit to send one request to an upstream, or names the node to ask for it. The request takes no longer
+// than its lease.
+func (d *Dispatcher) TakePermit(r *replica.Replica, lease time.Duration, now time.Time) Permit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := limitKey(r)
+	report, limited := d.limits.Report(key, now)
+	refusals := d.brittle.Limit(key)
+	if !limited && refusals == 0 {
 		return Permit{Granted: true}
 	}
 	upstream := d.state(r)
 	if now.Before(upstream.deniedUntil) {
 		return Permit{Limited: true}
 	}
-	if holder := d.grants.Holder(report.Upstream); holder != d.Name {
-		return Permit{
-			Limited: true,
-			Holder:  holder,
-			Report:  report,
-		}
+	permit := Permit{
+		Limited: true,
+		Report:  report,
+		Place: ratelimit.Place{
+			Upstream: key,
+			Slots:    r.Slots(),
+			Refusals: refusals,
+			Lease:    lease,
+			Load:     upstream.serverLoad,
+		},
+	}
+	if holder := d.grants.Holder(key); holder != d.Name {
+		permit.Holder = holder
+		return permit
 	}
-	grant := d.grants.Take(report.Upstream, report.Limit, now)
+	grant := d.grant(report.Limit, permit.Place, now)
 	upstream.deny(grant, now)
-	return Permit{
-		Limited: true,
-		Granted: grant.Granted,
+	permit.Granted, permit.Ticket = grant.Granted, grant.Ticket
+	return permit
+}
+
+// grant grants one send, as the holder, within the limit of an upstream, 0 for none, and within its room if it is brittle; the
+// lock must be held.
+func (d *Dispatcher) grant(limit float64, place ratelimit.Place, now time.Time) ratelimit.Grant {
+	grant := ratelimit.Grant{Granted: true}
+	if place.Refusals > 0 {
+		if grant = d.grants.TakePlace(place, now); !grant.Granted {
+			return grant
+		}
+	}
+	if limit == 0 {
+		return grant
 	}
+	sends := d.grants.Take(place.Upstream, limit, now)
+	if !sends.Granted {
+		d.grants.Release(place.Upstream, grant.Ticket, false, now)
+		return sends
+	}
+	return grant
 }
 
 // GrantPermit decides, as the holder, whether another node may send one request to an upstream.
-func (d *Dispatcher) GrantPermit(report ratelimit.Report, now time.Time) ratelimit.Grant {
+func (d *Dispatcher) GrantPermit(report ratelimit.Report, place ratelimit.Place, now time.Time) ratelimit.Grant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if lookup(d.Table.Load(), report.Upstream) == nil {
+	if lookup(d.Table.Load(), place.Upstream) == nil {
 		return ratelimit.Grant{Wait: unknownWait}
 	}
-	d.limits.Merge(report, now)
-	limit := d.limits.Limit(report.Upstream)
-	if limit == 0 {
-		return ratelimit.Grant{Granted: true}
+	if report.Limit > 0 {
+		d.limits.Merge(report, now)
 	}
-	return d.grants.Take(report.Upstream, limit, now)
+	return d.grant(d.limits.Limit(place.Upstream), place, now)
+}
+
+// ReleasePermit returns the place that came with a permit, if this node holds the upstream's room; refused reports that the
+// upstream has turned the request away.
+func (d *Dispatcher) ReleasePermit(u ratelimit.Upstream, ticket uint64, refused bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grants.Release(u, ticket, refused, now)
 }
 
 // PermitAnswered records the answer of a holder.
--- a/internal/coordination/dispatch/limit_test.go
+++ b/internal/coordination/dispatch/limit_test.go
@@ -56,20 +56,21 @@
 	relay.ReceiveDigest("node", node.Advertise(start), start)
 	otherRelay.ReceiveZoneDigest("zone", relay.ZoneSum(start), start)
 	otherNode.ReceiveSiteDigest(otherRelay.SiteSum(start), otherNode.Advertise(start), start)
-	permit := otherNode.TakePermit(otherNode.Lookup(upstream.Name()), start)
+	permit := otherNode.TakePermit(otherNode.Lookup(upstream.Name()), time.Second, start)
 	is.True(permit.Limited)
 	is.True(!permit.Granted)
+	later := ratelimit.Upstream{
+		Name: upstream.Name(),
+		Boot: upstream.Boot() + 1,
+	}
 	is.Equal(otherNode.GrantPermit(ratelimit.Report{
-		Upstream: ratelimit.Upstream{
-			Name: upstream.Name(),
-			Boot: upstream.Boot() + 1,
-		},
-		Limit: 1,
-	}, start), ratelimit.Grant{Wait: unknownWait})
+		Upstream: later,
+		Limit:    1,
+	}, ratelimit.Place{Upstream: later}, start), ratelimit.Grant{Wait: unknownWait})
 	row := newMachine(upstream.Name(), "p")
 	row.Boot = upstream.Boot() + 1
 	node.Table.Update([]wire.Machine{row})
 	node.Prune()
 	is.Equal(node.LimitedUpstreams(), 0)
-	is.True(node.TakePermit(node.Lookup(upstream.Name()), start).Granted)
+	is.True(node.TakePermit(node.Lookup(upstream.Name()), time.Second, start).Granted)
 }
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -63,6 +63,8 @@
 	Suspects []quarantine.Row
 	// Limits are the limits that upstreams have named, repeated in the same way.
 	Limits []ratelimit.Report
+	// Brittle is how many requests a second brittle upstreams may turn away, repeated in the same way.
+	Brittle []ratelimit.Report
 }
 
 // peerDigest is the last digest received from a peer.
@@ -145,6 +147,7 @@
 	}
 	digest.Suspects = d.quarantine.Rows(now)
 	digest.Limits = d.limits.Reports(now)
+	digest.Brittle = d.brittle.Reports(now)
 	for pool := range d.splits {
 		digest.EngineDemands[pool] = d.demand(pool, now)
 	}
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -36,6 +36,7 @@
 	others.add(own, -1)
 	others.Suspects = sum.Suspects
 	others.Limits = sum.Limits
+	others.Brittle = sum.Brittle
 	for name := range d.peers {
 		d.dropPeer(name)
 	}
@@ -114,8 +115,9 @@
 	d.dropPeer(peer)
 	d.quarantine.Merge(digest.Suspects, now)
 	digest.Suspects = nil
-	d.mergeLimits(digest.Limits, now)
-	digest.Limits = nil
+	d.mergeReports(&d.limits, digest.Limits, now)
+	d.mergeReports(&d.brittle, digest.Brittle, now)
+	digest.Limits, digest.Brittle = nil, nil
 	d.peers[peer] = peerDigest{
 		Digest:     digest,
 		receivedAt: now,
@@ -124,12 +126,12 @@
 	d.markLeaving(digest.Leaving)
 }
 
-// mergeLimits records the limits that another node has told of listed upstreams; the lock must be held.
-func (d *Dispatcher) mergeLimits(reports []ratelimit.Report, now time.Time) {
+// mergeReports records what another node has told of listed upstreams; the lock must be held.
+func (d *Dispatcher) mergeReports(into *ratelimit.Limits, reports []ratelimit.Report, now time.Time) {
 	snapshot := d.Table.Load()
 	for _, report := range reports {
 		if lookup(snapshot, report.Upstream) != nil {
-			d.limits.Merge(report, now)
+			into.Merge(report, now)
 		}
 	}
 }
--- a/internal/coordination/dispatch/selection.go
+++ b/internal/coordination/dispatch/selection.go
@@ -42,6 +42,7 @@
 	// selective reports whether any upstream has a limit or is to be avoided.
 	selective  bool
 	limits     *ratelimit.Limits
+	brittle    *ratelimit.Limits
 	candidates int
 	best       Choice
 }
@@ -67,9 +68,18 @@
 	return c.limits.Limit(limitKey(s.replica))
 }
 
-// denied reports whether no send to an upstream is left within its limit for now.
+// denied reports whether no send to an upstream is left within its limit or its room for now.
 func (c *selection) denied(s *upstreamState) bool {
-	return c.now.Before(s.deniedUntil) && c.limit(s) > 0
+	return c.now.Before(s.deniedUntil) && (c.limit(s) > 0 || c.isBrittle(s))
+}
+
+func (c *selection) isBrittle(s *upstreamState) bool {
+	return c.selective && c.brittle.Limit(limitKey(s.replica)) > 0
+}
+
+// roomless reports whether an upstream of the pool is left out because it is brittle and full.
+func (c *selection) roomless() bool {
+	return slices.ContainsFunc(c.view.states, func(s *upstreamState) bool { return c.isBrittle(s) && c.denied(s) })
 }
 
 // compareAll compares all eligible upstreams of the pool.
--- a/internal/coordination/ratelimit/grants.go
+++ b/internal/coordination/ratelimit/grants.go
@@ -32,6 +32,8 @@
 	Granted bool
 	// Wait is when to ask again if not.
 	Wait time.Duration
+	// Ticket returns the place that comes with the grant, 0 if there is none.
+	Ticket uint64
 }
 
 // Grants decides which node holds the limit of an upstream, and grants sends where this node does. It is not safe for
@@ -48,6 +50,7 @@
 	// holders caches the holders by upstream while the live nodes stay the same.
 	holders map[Upstream]string
 	buckets map[Upstream]*bucket
+	rooms   rooms
 }
 
 // bucket is a token bucket.
@@ -70,9 +73,11 @@
 		g.live = slices.Clone(live)
 		g.holders = nil
 	}
-	maps.DeleteFunc(g.buckets, func(u Upstream, b *bucket) bool {
-		return paused || changed && g.Holder(u) != g.Self || now.Sub(b.usedAt) >= bucketLifetime
-	})
+	forget := func(u Upstream, usedAt time.Time) bool {
+		return paused || changed && g.Holder(u) != g.Self || now.Sub(usedAt) >= bucketLifetime
+	}
+	maps.DeleteFunc(g.buckets, func(u Upstream, b *bucket) bool { return forget(u, b.usedAt) })
+	maps.DeleteFunc(g.rooms, func(u Upstream, known *room) bool { return forget(u, known.usedAt) })
 }
 
 // Holder returns the name of the node that grants the sends to an upstream: this one if it knows of no other.
@@ -120,13 +125,7 @@
 func (g *Grants) bucket(u Upstream, now time.Time) *bucket {
 	b := g.buckets[u]
 	if b == nil {
-		b = &bucket{filledAt: now}
-		switch opens := g.changedAt.Add(takeoverDelay); {
-		case g.lastTick.IsZero(): // the nodes are not known yet
-			b.filledAt = now.Add(takeoverDelay)
-		case opens.After(now):
-			b.filledAt = opens
-		}
+		b = &bucket{filledAt: g.opensAt(now)}
 		if g.buckets == nil {
 			g.buckets = map[Upstream]*bucket{}
 		}
@@ -134,3 +133,14 @@
 	}
 	return b
 }
+
+// opensAt returns when this node may grant the first send to an upstream, as its holder.
+func (g *Grants) opensAt(now time.Time) time.Time {
+	switch opens := g.changedAt.Add(takeoverDelay); {
+	case g.lastTick.IsZero(): // the nodes are not known yet
+		return now.Add(takeoverDelay)
+	case opens.After(now):
+		return opens
+	}
+	return now
+}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -485,6 +485,9 @@
 	// Granted corresponds to the JSON schema field "granted".
 	Granted bool `json:"granted,omitempty,omitzero"`
 
+	// Ticket returns the place that comes with the grant, 0 for none.
+	Ticket int `json:"ticket,omitempty,omitzero"`
+
 	// WaitMs is when to ask again if no send was granted.
 	WaitMs int `json:"wait-ms,omitempty,omitzero"`
 }
@@ -492,6 +495,10 @@
 // LoadDigest is the load of one node, or the sum of several, on all upstreams, and
 // the engines that they need of each pool.
 type LoadDigest struct {
+	// Brittle holds how many requests a second brittle upstreams may turn away in
+	// place of limits.
+	Brittle []UpstreamLimit `json:"brittle,omitempty,omitzero"`
+
 	// From is the node or the availability zone that the digest covers.
 	From string `json:"from"`
 
@@ -694,6 +701,50 @@
 	Ended bool `json:"ended,omitempty,omitzero"`
 }
 
+// PermitRelease returns a place at a brittle upstream.
+type PermitRelease struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot int `json:"boot,omitempty,omitzero"`
+
+	// Refused reports that the upstream has turned the request away.
+	Refused bool `json:"refused,omitempty,omitzero"`
+
+	// Ticket corresponds to the JSON schema field "ticket".
+	Ticket int `json:"ticket"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// PermitRequest asks the holder of an upstream for one send within its limit, and
+// within its room if it is brittle.
+type PermitRequest struct {
+	// LeaseMs is how long the request may take.
+	LeaseMs int `json:"lease-ms,omitempty,omitzero"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit UpstreamLimit `json:"limit"`
+
+	// LoadAgeMs corresponds to the JSON schema field "load-age-ms".
+	LoadAgeMs int `json:"load-age-ms,omitempty,omitzero"`
+
+	// LoadSlots is 0 if the upstream has told no load.
+	LoadSlots int `json:"load-slots,omitempty,omitzero"`
+
+	// Refusals is how many requests a second the upstream may turn away; 0 means that
+	// it is not brittle.
+	Refusals float64 `json:"refusals,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots,omitempty,omitzero"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
--- a/internal/transport/entryvm/limits.go
+++ b/internal/transport/entryvm/limits.go
@@ -28,27 +28,95 @@
 // askHolder asks the node that holds the limit of an upstream for one send.
 func (p *Process) askHolder(ctx context.Context, permit dispatch.Permit) (ratelimit.Grant, error) {
 	var answer wire.LimitGrant
-	if err := p.callPeer(ctx, permit.Holder, peer.MethodTakeLimit, encodeLimit(permit.Report), &answer); err != nil {
+	if err := p.callPeer(ctx, permit.Holder, peer.MethodTakeLimit, encodePermit(permit), &answer); err != nil {
 		return ratelimit.Grant{}, eris.Wrapf(err, "ask %s for a send", permit.Holder)
 	}
 	return ratelimit.Grant{
 		Granted: answer.Granted,
 		Wait:    time.Duration(answer.WaitMs) * time.Millisecond,
+		Ticket:  uint64(answer.Ticket),
 	}, nil
 }
 
+// tellHolder returns a place to the node that gave it; the lease ends it if that fails.
+func (p *Process) tellHolder(permit dispatch.Permit, refused bool) {
+	go func() {
+		var answer struct{}
+		release := wire.PermitRelease{
+			Upstream: permit.Place.Upstream.Name,
+			Boot:     permit.Place.Upstream.Boot,
+			Ticket:   int(permit.Ticket),
+			Refused:  refused,
+		}
+		if err := p.callPeer(context.Background(), permit.Holder, peer.MethodReleasePlace, release, &answer); err != nil {
+			p.Logger.Debug().Err(err).Str("step", peer.MethodReleasePlace).Str("peer", permit.Holder).Msg("peer call failed")
+		}
+	}()
+}
+
+func (p *Process) handleReleasePlace(_ context.Context, params json.RawMessage) (any, error) {
+	var release wire.PermitRelease
+	if err := json.Unmarshal(params, &release); err != nil {
+		return nil, eris.Wrap(err, "decode release of a place")
+	}
+	upstream := ratelimit.Upstream{
+		Name: release.Upstream,
+		Boot: release.Boot,
+	}
+	p.dispatcher.ReleasePermit(upstream, uint64(release.Ticket), release.Refused, time.Now())
+	return struct{}{}, nil
+}
+
 func (p *Process) handleTakeLimit(_ context.Context, params json.RawMessage) (any, error) {
-	var request wire.UpstreamLimit
+	var request wire.PermitRequest
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, eris.Wrap(err, "decode request for a send")
 	}
-	grant := p.dispatcher.GrantPermit(decodeLimit(request), time.Now())
+	now := time.Now()
+	report, place := decodePermit(request, now)
+	grant := p.dispatcher.GrantPermit(report, place, now)
 	return wire.LimitGrant{
 		Granted: grant.Granted,
+		Ticket:  int(grant.Ticket),
 		WaitMs:  int((grant.Wait + time.Millisecond - 1).Milliseconds()),
 	}, nil
 }
 
+func encodePermit(permit dispatch.Permit) wire.PermitRequest {
+	request := wire.PermitRequest{
+		Limit:     encodeLimit(permit.Report),
+		Refusals:  permit.Place.Refusals,
+		Slots:     permit.Place.Slots,
+		LeaseMs:   int(permit.Place.Lease.Milliseconds()),
+		Running:   permit.Place.Load.Running,
+		Waiting:   permit.Place.Load.Waiting,
+		LoadSlots: permit.Place.Load.Slots,
+	}
+	if request.LoadSlots > 0 {
+		request.LoadAgeMs = int(time.Since(permit.Place.Load.At).Milliseconds())
+	}
+	return request
+}
+
+func decodePermit(request wire.PermitRequest, now time.Time) (ratelimit.Report, ratelimit.Place) {
+	report := decodeLimit(request.Limit)
+	place := ratelimit.Place{
+		Upstream: report.Upstream,
+		Slots:    request.Slots,
+		Refusals: request.Refusals,
+		Lease:    time.Duration(request.LeaseMs) * time.Millisecond,
+	}
+	if request.LoadSlots > 0 {
+		place.Load = ratelimit.ServerLoad{
+			Running: request.Running,
+			Waiting: request.Waiting,
+			Slots:   request.LoadSlots,
+			At:      now.Add(-time.Duration(request.LoadAgeMs) * time.Millisecond),
+		}
+	}
+	return report, place
+}
+
 func encodeLimit(report ratelimit.Report) wire.UpstreamLimit {
 	return wire.UpstreamLimit{
 		Upstream: report.Upstream.Name,
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -217,6 +217,9 @@
 	for _, report := range digest.Limits {
 		message.Limits = append(message.Limits, encodeLimit(report))
 	}
+	for _, report := range digest.Brittle {
+		message.Brittle = append(message.Brittle, encodeLimit(report))
+	}
 	for pool, evidence := range digest.Evidence {
 		demand := digest.EngineDemands[pool]
 		work := wire.PoolWork{
@@ -256,6 +259,9 @@
 	for _, row := range message.Limits {
 		digest.Limits = append(digest.Limits, decodeLimit(row))
 	}
+	for _, row := range message.Brittle {
+		digest.Brittle = append(digest.Brittle, decodeLimit(row))
+	}
 	for _, row := range message.Leaving {
 		digest.Leaving[row.Upstream] = row.Boot
 	}
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -63,6 +63,13 @@
 				Age:   1500 * time.Millisecond,
 			},
 		},
+		Brittle: []ratelimit.Report{
+			{
+				Upstream: ratelimit.Upstream{Name: "i-2"},
+				Limit:    3,
+				Age:      time.Second,
+			},
+		},
 	}
 	data, err := json.Marshal(encodeLoads("a", sent))
 	is.NoErr(err)
--- a/internal/transport/gateway/call.go
+++ b/internal/transport/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"lagoongw/internal/coordination/ratelimit"
 	"lagoongw/internal/state/prompt"
 )
 
@@ -57,6 +58,10 @@
 	RetryAfter time.Duration
 	// Limit is how many requests a second the upstream takes from all nodes together, 0 if it names no limit.
 	Limit float64
+	// Brittle is how many requests a second the upstream may turn away for want of room without falling over, 0 for any number.
+	Brittle float64
+	// Load is the load that the upstream tells, without a time; its Slots are 0 if it tells none.
+	Load ratelimit.ServerLoad
 }
 
 // Codec translates between HTTP messages and the types of this package.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -188,7 +188,7 @@
 }
 
 // sendOnce sends the request to one upstream and reads its answer.
-func (x *exchange) sendOnce(choice dispatch.Choice) (attempt.Result, error) {
+func (x *exchange) sendOnce(choice dispatch.Choice) (result attempt.Result, err error) {
 	upstream := choice.Replica
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
@@ -197,10 +197,12 @@
 		x.recordUnreachable(upstream, err)
 		return attempt.Unsent, err
 	}
-	if !x.permitted(ctx, upstream) {
+	permit := x.takePermit(ctx, upstream)
+	if !permit.Granted {
 		x.server.Connections.Put(conn, 0)
 		return attempt.Unsent, errAtLimit
 	}
+	defer func() { x.releasePermit(permit, result) }()
 	left := time.Until(x.deadline)
 	if left <= 0 {
 		conn.Close()
@@ -311,6 +313,11 @@
 	if x.server.Dispatcher.Limited(from, s.reply.Limit, s.started, now) {
 		x.logLimit(from, s.reply.Limit)
 	}
+	load := s.reply.Load
+	load.At = now
+	if x.server.Dispatcher.Brittle(from, s.reply.Brittle, load, s.started, now) {
+		x.logBrittle(from, s.reply.Brittle)
+	}
 	if s.reply.RetryAfter > 0 {
 		x.server.Dispatcher.Pause(from, s.reply.RetryAfter, now)
 		if between, ok := s.response.Net().(interface{ Via() string }); ok && x.server.TellPause != nil {
--- a/internal/transport/gateway/limit_test.go
+++ b/internal/transport/gateway/limit_test.go
@@ -252,7 +252,7 @@
 				g.call(t.Context(), "/unsafe/x", "body", nil)
 				time.Sleep(time.Second) // the failure is forgotten, but nothing may be sent yet
 				u1 := g.gateway.Dispatcher.Lookup("u1")
-				is.Equal(g.gateway.Dispatcher.TakePermit(u1, time.Now()).Limited, c.limited)
+				is.Equal(g.gateway.Dispatcher.TakePermit(u1, time.Second, time.Now()).Limited, c.limited)
 			})
 		})
 	}
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -99,7 +99,8 @@
 // come or a cause in it was suspected before.
 func (x *exchange) suspectCrash(s *upstreamSend, cause error) {
 	x.ranWell = x.ranWell || s.assignment.RanWell()
-	if connectionEnded(cause) && s.assignment.MayHaveCrashed(time.Now()) && !s.upstream.Leaving() {
+	if connectionEnded(cause) && s.assignment.MayHaveCrashed(time.Now()) && !s.upstream.Leaving() &&
+		!x.server.Dispatcher.IsBrittle(s.upstream) { // which falls over by what it refuses, not by what it runs
 		x.checkCrash(s, false)
 	}
 }
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -46,6 +46,9 @@
 	Origins Origins
 	// AskHolder asks another node for a send to an upstream that has named a limit; it may be nil if there is no other node.
 	AskHolder AskHolder
+	// TellHolder, if set, returns a place at an upstream to the node that gave it; refused reports that the upstream has turned
+	// the request away. It must not block.
+	TellHolder func(permit dispatch.Permit, refused bool)
 	// Phase returns the phase of this node's drain.
 	Phase func() drain.Phase
 	// Memory limits what is held for callers and upstreams.
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -200,6 +200,7 @@
 		ConfirmDown: detours.ConfirmDown,
 		Origins:     g.origins,
 		AskHolder:   c.askHolder(number),
+		TellHolder:  c.tellHolder(number),
 		RetryBudget: g.budget(),
 		Phase:       func() drain.Phase { return drain.Serving },
 		Memory:      memory.NewBudget(0),
@@ -234,12 +235,24 @@
 		if err != nil {
 			return ratelimit.Grant{}, err
 		}
-		grant := c.node(number).gateway.Dispatcher.GrantPermit(permit.Report, time.Now())
+		grant := c.node(number).gateway.Dispatcher.GrantPermit(permit.Report, permit.Place, time.Now())
 		time.Sleep(peerDelay)
 		return grant, nil
 	}
 }
 
+// tellHolder returns how a node returns a place to the one that gave it.
+func (c *crashSite) tellHolder(from int) func(permit dispatch.Permit, refused bool) {
+	return func(permit dispatch.Permit, refused bool) {
+		go func() {
+			time.Sleep(peerDelay)
+			if number, err := strconv.Atoi(permit.Holder); err == nil && c.reaches(from, number, 0) {
+				c.node(number).gateway.Dispatcher.ReleasePermit(permit.Place.Upstream, permit.Ticket, refused, time.Now())
+			}
+		}()
+	}
+}
+
 // newOrigins returns what keeps the origins of streams for a node.
 func (c *crashSite) newOrigins(number int) *origins.Service {
 	peer := func(name string) (*origins.Service, error) {
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -43,6 +43,8 @@
 	MethodPause = "pause"
 	// MethodTakeLimit asks the node that holds the limit of an upstream for one send.
 	MethodTakeLimit = "take-limit"
+	// MethodReleasePlace returns a place at a brittle upstream to the node that gave it.
+	MethodReleasePlace = "release-place"
 )
 
 // Roles of the two nodes of a connection, which enter the proofs of the handshake. The caller opened the connection,
