Ask fewer nodes whether an upstream or the path is at fault

Each failed connect asked eight others, each of which opened a further connection to another upstream to show that its own path works: on a large site with many upstreams down that is a burst of connects. Four are asked, eight before an upstream counts as crashed, and a node that has opened a direct connection in the last second opens no other.

--- a/internal/coordination/reach/paths.go
+++ b/internal/coordination/reach/paths.go
@@ -16,6 +16,8 @@
 	cutOffPaths = 2
 	// pathLifetime is how long the state of an address that is not used is kept.
 	pathLifetime = time.Minute
+	// openedLifetime is how long a direct connection that was opened shows that new ones can be.
+	openedLifetime = time.Second
 	// opinionLifetime is how long the opinion of a node counts.
 	opinionLifetime = 2 * time.Second
 )
@@ -53,6 +55,8 @@
 	paths map[string]*path
 	// heardAt is when a direct connection to any address was last opened or brought an answer.
 	heardAt time.Time
+	// openedAt is when a direct connection to any address was last opened.
+	openedAt time.Time
 	// silent holds when nodes did not answer.
 	silent map[string]time.Time
 }
@@ -89,7 +93,7 @@
 
 // Opened records that a direct connection to an address was opened.
 func (p *Paths) Opened(address string, now time.Time) {
-	p.heardAt = now
+	p.heardAt, p.openedAt = now, now
 	p.path(address, now).brokenAt = time.Time{}
 }
 
@@ -144,20 +148,6 @@
 	return said[Unreached]+said[Doubtful] > 0 && said[Reached] == 0
 }
 
-// Opinions returns the number of other nodes that have told whether they reach an address since they were last asked.
-func (p *Paths) Opinions(address string, now time.Time) (count int) {
-	known := p.paths[address]
-	if known == nil || now.Sub(known.askedAt) >= opinionInterval {
-		return 0
-	}
-	for _, said := range known.opinions {
-		if said.opinion != None && !said.at.Before(known.askedAt) {
-			count++
-		}
-	}
-	return count
-}
-
 // said counts the opinions of late on an address.
 func (p *Paths) said(address string, now time.Time) map[Opinion]int {
 	counts := map[Opinion]int{}
@@ -175,6 +165,9 @@
 // this node is cut off from all upstreams.
 func (p *Paths) Broken(address string) bool { return p.KnownBroken(address) || p.CutOff() }
 
+// OpenedLately reports whether a direct connection was opened of late, so that this node's own path to the upstreams works.
+func (p *Paths) OpenedLately(now time.Time) bool { return now.Sub(p.openedAt) < openedLifetime }
+
 // KnownBroken reports whether another node has reached an address while this one could not.
 func (p *Paths) KnownBroken(address string) bool {
 	known := p.paths[address]
--- a/internal/coordination/reach/paths_test.go
+++ b/internal/coordination/reach/paths_test.go
@@ -16,12 +16,11 @@
 	var p Paths
 	p.Opened("u1", start)
 	p.Opened("u2", start)
+	is.True(p.OpenedLately(start.Add(openedLifetime - 1)))
+	is.True(!p.OpenedLately(start.Add(openedLifetime)))
 	is.True(p.Failed("u1", start))
 	is.True(!p.Failed("u1", start.Add(opinionInterval-1))) // the others are being asked
-	is.Equal(p.Opinions("u1", start), 0)
 	p.Told("u1", "a", Unreached, start)
-	is.Equal(p.Opinions("u1", start), 1)
-	is.Equal(p.Opinions("u1", start.Add(opinionInterval)), 0)
 	is.True(!p.Broken("u1"))
 	is.True(p.Down("u1", start))
 	p.Told("u1", "b", Reached, start.Add(time.Second))
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -42,11 +42,12 @@
 
 func newServer() *Server {
 	return &Server{
-		Dial:     dialTCP,
-		Listed:   func(string) bool { return true },
-		Controls: func(string) []string { return nil },
-		Broken:   func(string) bool { return false },
-		Draining: func() bool { return false },
+		Dial:         dialTCP,
+		Listed:       func(string) bool { return true },
+		Controls:     func(string) []string { return nil },
+		OpenedLately: func() bool { return false },
+		Broken:       func(string) bool { return false },
+		Draining:     func() bool { return false },
 	}
 }
 
--- a/internal/transport/detour/dialer.go
+++ b/internal/transport/detour/dialer.go
@@ -20,10 +20,11 @@
 	// openTimeout is how long another node may take to connect: a direct connect, another one that shows that its own path is
 	// not at fault, and a round trip.
 	openTimeout = 500 * time.Millisecond
-	// maxAsked is the number of nodes that are asked at once for a connection, and opinionWait how long a connect that has
-	// failed directly waits for the first one.
-	maxAsked    = 8
-	opinionWait = 100 * time.Millisecond
+	// maxAsked is the number of nodes that are asked at once for a connection, maxConfirming the number of those that are asked
+	// whether an upstream is down, and opinionWait how long a connect that has failed directly waits for the first one.
+	maxAsked      = 4
+	maxConfirming = 8
+	opinionWait   = 100 * time.Millisecond
 	// confirmWait is how long the answers of all of them are waited for before an upstream is taken for crashed.
 	confirmWait = 150 * time.Millisecond
 )
@@ -95,6 +96,13 @@
 	}
 }
 
+// OpenedLately reports whether a direct connection was opened of late.
+func (d *Dialer) OpenedLately() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paths.OpenedLately(time.Now())
+}
+
 // KnownBroken reports whether another node has reached an address while this one could not.
 func (d *Dialer) KnownBroken(address string) bool {
 	d.mu.Lock()
@@ -168,12 +176,12 @@
 	if len(d.Nodes()) == 0 {
 		return true
 	}
-	if d.askedLately(address) {
-		return d.reachedByNone(address)
+	if d.KnownBroken(address) {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	answers := d.askAll(ctx, address)
+	answers := d.askAll(ctx, address, maxConfirming)
 	late := time.NewTimer(confirmWait)
 	defer late.Stop()
 	for {
@@ -194,13 +202,6 @@
 	}
 }
 
-// askedLately reports whether the connect that failed has brought opinions already.
-func (d *Dialer) askedLately(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.paths.Opinions(address, time.Now()) > 0
-}
-
 func closeAll(conns <-chan net.Conn) {
 	for conn := range conns {
 		if conn != nil {
@@ -219,7 +220,7 @@
 // rest of the answers are recorded in the background.
 func (d *Dialer) first(ctx context.Context, address string, within time.Duration) net.Conn {
 	asking, cancel := context.WithTimeout(context.Background(), openTimeout)
-	answers := d.askAll(asking, address)
+	answers := d.askAll(asking, address, maxAsked)
 	first := make(chan net.Conn, 1)
 	go func() {
 		defer cancel()
@@ -261,9 +262,9 @@
 
 // askAll asks several nodes for a connection to an upstream, and returns a channel with the connection of each, or nil, which is
 // closed after the last one.
-func (d *Dialer) askAll(ctx context.Context, address string) <-chan net.Conn {
+func (d *Dialer) askAll(ctx context.Context, address string, count int) <-chan net.Conn {
 	nodes, _ := d.ranked(address)
-	nodes = nodes[:min(len(nodes), maxAsked)]
+	nodes = nodes[:min(len(nodes), count)]
 	answers := make(chan net.Conn, len(nodes))
 	var group sync.WaitGroup
 	for _, node := range nodes {
--- a/internal/transport/detour/server.go
+++ b/internal/transport/detour/server.go
@@ -40,6 +40,8 @@
 	// Controls returns the addresses of other upstreams than that at an address, in any order; one that can be connected to
 	// shows that this node's own path is not at fault.
 	Controls func(address string) []string
+	// OpenedLately reports whether this node has connected directly to an upstream of late, so that no other one need be tried.
+	OpenedLately func() bool
 	// Broken reports whether the path of this node to an address is known to be broken.
 	Broken func(address string) bool
 	// Draining reports whether this node is about to stop.
@@ -84,6 +86,9 @@
 
 // judge returns the opinion on an upstream that this node could not connect to.
 func (s *Server) judge(ctx context.Context, address string) reach.Opinion {
+	if s.OpenedLately() {
+		return reach.Unreached
+	}
 	controls := s.Controls(address)
 	for _, control := range controls[:min(len(controls), maxControls)] {
 		if conn, err := s.Dial(ctx, control); err == nil {
--- a/internal/transport/entryvm/detours.go
+++ b/internal/transport/entryvm/detours.go
@@ -33,12 +33,13 @@
 		Logger:    p.Logger,
 	}
 	p.detourServer = &detour.Server{
-		Dial:     p.dialForOthers,
-		Listed:   func(address string) bool { return slices.Contains(p.dispatcher.OpenAddresses(time.Now()), address) },
-		Controls: p.controlAddresses,
-		Broken:   p.detours.KnownBroken,
-		Draining: func() bool { return p.Phase() != drain.Serving },
-		Logger:   p.Logger,
+		Dial:         p.dialForOthers,
+		Listed:       func(address string) bool { return slices.Contains(p.dispatcher.OpenAddresses(time.Now()), address) },
+		Controls:     p.controlAddresses,
+		OpenedLately: p.detours.OpenedLately,
+		Broken:       p.detours.KnownBroken,
+		Draining:     func() bool { return p.Phase() != drain.Serving },
+		Logger:       p.Logger,
 	}
 	p.connections.Dial = p.detours.Dial
 	p.connections.DialTimeout = detour.DialTimeout
--- a/internal/transport/gateway/detour_test.go
+++ b/internal/transport/gateway/detour_test.go
@@ -21,11 +21,12 @@
 // breaks off the first connections once so many bytes of the upstream have passed.
 func (g *testGateway) detourThrough(connect time.Duration, breaks int, after int64) {
 	between := &detour.Server{
-		Dial:     g.dial,
-		Listed:   func(string) bool { return true },
-		Controls: func(string) []string { return nil },
-		Broken:   func(string) bool { return false },
-		Draining: func() bool { return false },
+		Dial:         g.dial,
+		Listed:       func(string) bool { return true },
+		Controls:     func(string) []string { return nil },
+		OpenedLately: func() bool { return false },
+		Broken:       func(string) bool { return false },
+		Draining:     func() bool { return false },
 	}
 	var opened atomic.Int64
 	dialer := &detour.Dialer{
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -350,8 +350,9 @@
 			}
 			return others
 		},
-		Broken:   g.detours.KnownBroken,
-		Draining: func() bool { return false },
+		OpenedLately: g.detours.OpenedLately,
+		Broken:       g.detours.KnownBroken,
+		Draining:     func() bool { return false },
 	}
 	return g.detours
 }
