Limits: tickets of places that outlive their room, and the take-up of streams in parts

A ticket that was given before a holder forgot a room could return a place that it gave later, since tickets began at one again. Found in the reading of the diff; TestRoomOfALostHolderIsNotGivenTwice asks for it now and failed before.

--- a/internal/coordination/ratelimit/rooms.go
+++ b/internal/coordination/ratelimit/rooms.go
@@ -122,6 +122,8 @@
 		known = &room{
 			taken:   map[uint64]time.Time{},
 			opensAt: g.opensAt(now),
+			// A ticket that was given before the room was forgotten returns none that is given later.
+			lastTicket: uint64(now.UnixMicro()),
 		}
 		if g.rooms == nil {
 			g.rooms = rooms{}
--- a/internal/coordination/ratelimit/rooms_test.go
+++ b/internal/coordination/ratelimit/rooms_test.go
@@ -93,12 +93,17 @@
 	is.True(!g.TakePlace(place(2), at).Granted)
 
 	paused := newHolder(start)
-	is.True(paused.TakePlace(place(2), start).Granted)
+	before := paused.TakePlace(place(1), start)
+	is.True(before.Granted)
 	woken := start.Add(2 * pauseTime)
 	paused.Tick([]string{"a"}, 1, woken)
-	grant := paused.TakePlace(place(2), woken)
+	grant := paused.TakePlace(place(1), woken)
 	is.True(!grant.Granted)
 	is.Equal(grant.Wait, takeoverDelay)
+	woken = woken.Add(takeoverDelay)
+	is.True(paused.TakePlace(place(1), woken).Granted)
+	paused.Release(modelUpstream, before.Ticket, false, woken) // not the place that was given since
+	is.True(!paused.TakePlace(place(1), woken).Granted)
 
 	other := &Grants{Self: "a"}
 	other.Tick([]string{"b"}, 1, start)
--- a/internal/coordination/reach/paths.go
+++ b/internal/coordination/reach/paths.go
@@ -11,8 +11,8 @@
 	probeInterval = time.Second
 	// opinionInterval is the shortest time between two questions to other nodes about an address.
 	opinionInterval = 500 * time.Millisecond
-	// cutOffPaths is the number of broken paths, with nothing heard on any direct connection since, from which on this node takes itself for cut off
-	// from all upstreams.
+	// cutOffPaths is the number of broken paths, with nothing heard on any direct connection since, from which on this node
+	// takes itself for cut off from all upstreams.
 	cutOffPaths = 2
 	// pathLifetime is how long the state of an address that is not used is kept.
 	pathLifetime = time.Minute
--- a/internal/transport/gateway/origin.go
+++ b/internal/transport/gateway/origin.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -38,33 +40,42 @@
 	found, known := x.findOrigin()
 	served := slices.ContainsFunc(x.route.Pools(), func(p route.WeightedPool) bool { return p.Pool == found.Pool })
 	x.server.Metrics.countTakenUp(known, served)
-	entry := x.server.Logger.Info()
-	reason := ""
 	switch {
 	case !known:
-		reason = "the software version that began the stream is not known here; the request has not run, begin anew or " +
-			"come back"
+		return x.refuseTakeUp(found, "the software version that began the stream is not known here")
 	case !served:
-		reason = "the route no longer leads to the pool that began the stream; the request has not run, begin anew"
-	}
-	if reason != "" {
-		entry = x.server.Logger.Warn()
-	}
-	entry.Str("decision", "take-up").Str("request-id", x.call.ID).Str("resumes", x.call.Resumes).
-		Str("resume-after", x.call.ResumeAfter).Str("pool", found.Pool).Str("version", found.Version).
-		Dur("after-ms", time.Since(x.started)).Str("outcome", reason).Msg("caller takes up a stream")
-	if reason != "" {
-		return &localAnswer{
-			status:     http.StatusServiceUnavailable,
-			reason:     reason,
-			retryAfter: retryAfterUnknownOrigin,
-		}
+		return x.refuseTakeUp(found, "the route no longer leads to the pool that began the stream")
 	}
+	x.logTakeUp(x.server.Logger.Info(), found, "")
 	x.origin = &found
 	x.setPool(found.Pool)
 	return nil
 }
 
+// refuseTakeUp returns the answer to a caller whose stream can't go on.
+func (x *exchange) refuseTakeUp(found origin.Origin, reason string) *localAnswer {
+	x.logTakeUp(x.server.Logger.Warn(), found, reason)
+	return &localAnswer{
+		status:     http.StatusServiceUnavailable,
+		reason:     reason + "; the request has not run, come back or begin anew",
+		retryAfter: retryAfterUnknownOrigin,
+	}
+}
+
+// logTakeUp logs what is known of a stream that the caller takes up; outcome says why it can't go on.
+func (x *exchange) logTakeUp(entry *zerolog.Event, found origin.Origin, outcome string) {
+	entry.
+		Str("decision", "take-up").
+		Str("request-id", x.call.ID).
+		Str("resumes", x.call.Resumes).
+		Str("resume-after", x.call.ResumeAfter).
+		Str("pool", found.Pool).
+		Str("version", found.Version).
+		Dur("after-ms", time.Since(x.started)).
+		Str("outcome", outcome).
+		Msg("caller takes up a stream")
+}
+
 // findOrigin returns where the stream began that the caller takes up. Where the caller doesn't name the request that began
 // it, the origin is known only if no other version has served meanwhile.
 func (x *exchange) findOrigin() (found origin.Origin, known bool) {
