--- a/internal/transport/entryvm/detours_test.go
+++ b/internal/transport/entryvm/detours_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/hex"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -26,12 +24,7 @@
 	upstream := startUpstream(t, gate, received)
 	addresses := freeAddresses(t)
 	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
-	var group sync.WaitGroup
-	defer group.Wait()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	p.Prepare()
-	group.Go(func() { _ = p.Run(ctx) })
+	start(t, p)
 	eventually(t, "it is ready", func() bool {
 		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
 		return status == http.StatusOK
--- a/internal/transport/entryvm/limits_test.go
+++ b/internal/transport/entryvm/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -46,24 +45,8 @@
 	}))
 	defer upstream.Close()
 	store := startStore(t, strings.TrimPrefix(upstream.URL, "http://"))
-	addresses := [][]string{freeAddresses(t), freeAddresses(t)}
-	var group sync.WaitGroup
-	defer group.Wait()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	var logged lockedBuffer
-	for i, name := range []string{"vm-1", "vm-2"} {
-		p := newProcess(name, store, addresses[i], []string{addresses[0][3], addresses[1][3]})
-		p.Logger = zerolog.New(&logged)
-		p.Prepare()
-		group.Go(func() { _ = p.Run(ctx) })
-	}
-	for i, own := range addresses {
-		eventually(t, "both list both", func() bool {
-			_, body, _ := get(t, "http://"+own[2]+"/resolve?name=h&zone=a&region=north", nil)
-			return strings.Contains(body, addresses[i][0]) && strings.Contains(body, addresses[1-i][0])
-		})
-	}
+	addresses := startPair(t, store, zerolog.New(&logged))
 	ask := func(node int) (int, string, http.Header) {
 		return get(t, "http://"+addresses[node][0]+"/x/1", map[string]string{"X-Lagoongw-Attempt-Id": "id-1"})
 	}
--- a/internal/transport/entryvm/origins_test.go
+++ b/internal/transport/entryvm/origins_test.go
@@ -1,15 +1,14 @@
 package entryvm_test
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 const streamManifest = `{"version": 4, "routes": [{"name": "r", "host": "h", "path_prefix": "/x/", "kind": "stream", "resumable": true,
@@ -24,22 +23,7 @@
 	}))
 	defer upstream.Close()
 	store := startStoreOf(t, streamManifest, strings.TrimPrefix(upstream.URL, "http://"))
-	addresses := [][]string{freeAddresses(t), freeAddresses(t)}
-	var group sync.WaitGroup
-	defer group.Wait()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	for i, name := range []string{"vm-1", "vm-2"} {
-		p := newProcess(name, store, addresses[i], []string{addresses[0][3], addresses[1][3]})
-		p.Prepare()
-		group.Go(func() { _ = p.Run(ctx) })
-	}
-	for i, own := range addresses {
-		eventually(t, "both list both", func() bool {
-			_, body, _ := get(t, "http://"+own[2]+"/resolve?name=h&zone=a&region=north", nil)
-			return strings.Contains(body, addresses[i][0]) && strings.Contains(body, addresses[1-i][0])
-		})
-	}
+	addresses := startPair(t, store, zerolog.Nop())
 	takeUp := func(node int, resumes string) int {
 		status, _, _ := get(t, "http://"+addresses[node][0]+"/x/1", map[string]string{
 			"X-Lagoongw-Attempt-Id": "again",
--- a/internal/transport/entryvm/process_test.go
+++ b/internal/transport/entryvm/process_test.go
@@ -111,6 +111,37 @@
 	return addresses
 }
 
+// start runs a process until the test ends.
+func start(t *testing.T, p *entryvm.Process) {
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	p.Prepare()
+	go func() { stopped <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-stopped; err != nil {
+			t.Errorf("process %s: %v", p.Name, err)
+		}
+	})
+}
+
+// startPair starts two processes and returns their addresses once both list both.
+func startPair(t *testing.T, store string, logger zerolog.Logger) [][]string {
+	addresses := [][]string{freeAddresses(t), freeAddresses(t)}
+	for i, name := range []string{"vm-1", "vm-2"} {
+		p := newProcess(name, store, addresses[i], []string{addresses[0][3], addresses[1][3]})
+		p.Logger = logger
+		start(t, p)
+	}
+	for i, own := range addresses {
+		eventually(t, "both list both", func() bool {
+			_, body, _ := get(t, "http://"+own[2]+"/resolve?name=h&zone=a&region=north", nil)
+			return strings.Contains(body, addresses[i][0]) && strings.Contains(body, addresses[1-i][0])
+		})
+	}
+	return addresses
+}
+
 func newProcess(name, storeAddress string, addresses, seeds []string) *entryvm.Process {
 	open := func(topic string) *platform.Store { return platform.OpenStore(storeAddress, topic, time.Second) }
 	return &entryvm.Process{
@@ -241,13 +272,7 @@
 	gate, received := make(chan struct{}), make(chan struct{}, 1)
 	close(gate)
 	addresses := freeAddresses(t)
-	p := newProcess("vm-1", startStore(t, startUpstream(t, gate, received)), addresses, nil)
-	var group sync.WaitGroup
-	defer group.Wait()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	p.Prepare()
-	group.Go(func() { _ = p.Run(ctx) })
+	start(t, newProcess("vm-1", startStore(t, startUpstream(t, gate, received)), addresses, nil))
 	eventually(t, "it is ready", func() bool {
 		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
 		return status == http.StatusOK
