Reading: one way to tell a peer without waiting, and no list of nodes for each connect

Two functions told another node something in the same lines; tellPeer serves both and stands beside the other peer calls with callPeer. Each connect to an upstream built and shuffled the list of the other nodes, which only a broken path or a failed connect needs. Two comments said what the code does not do: the keepers of streams beyond the bound are not told at all, and two counters of the soak have other names. Behaviour is as before; no test changed but for that comment.

--- a/internal/coordination/origin/announcer.go
+++ b/internal/coordination/origin/announcer.go
@@ -12,7 +12,7 @@
 	retryDelay = 500 * time.Millisecond
 	// maxReports is the largest number of streams in one message.
 	maxReports = 256
-	// maxAnnounced limits the streams of an Announcer; beyond it the keepers of new ones are told once at most.
+	// maxAnnounced limits the streams of an Announcer; beyond it the keepers of new ones are not told.
 	maxAnnounced = 1 << 12
 )
 
--- a/internal/transport/detour/dialer.go
+++ b/internal/transport/detour/dialer.go
@@ -51,15 +51,14 @@
 // Dial connects to the upstream at an address. If it can't connect directly, other nodes are asked whether the upstream or the
 // path is at fault.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	nodes := d.Nodes()
-	if len(nodes) > 0 && d.Broken(address) {
+	if d.Broken(address) && len(d.Nodes()) > 0 {
 		return d.dialThrough(ctx, address)
 	}
 	conn, err := d.dialDirect(ctx, address)
 	if err == nil || ctx.Err() != nil {
 		return conn, err
 	}
-	if len(nodes) == 0 {
+	if len(d.Nodes()) == 0 {
 		return nil, &connection.UnreachableError{
 			Confirmed: true,
 			Cause:     err,
--- a/internal/transport/entryvm/detours.go
+++ b/internal/transport/entryvm/detours.go
@@ -109,17 +109,11 @@
 
 // tellPause tells the node that an answer came through that the upstream wants nothing from it for a while.
 func (p *Process) tellPause(node string, upstream *replica.Replica, length time.Duration) {
-	go func() {
-		var answer struct{}
-		pause := wire.UpstreamPause{
-			Upstream: upstream.Name(),
-			Boot:     upstream.Boot(),
-			PauseMs:  int(length.Milliseconds()),
-		}
-		if err := p.callPeer(context.Background(), node, peer.MethodPause, pause, &answer); err != nil {
-			p.Logger.Debug().Err(err).Str("step", peer.MethodPause).Str("peer", node).Msg("peer call failed")
-		}
-	}()
+	p.tellPeer(node, peer.MethodPause, wire.UpstreamPause{
+		Upstream: upstream.Name(),
+		Boot:     upstream.Boot(),
+		PauseMs:  int(length.Milliseconds()),
+	})
 }
 
 func (p *Process) handlePause(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/transport/entryvm/limits.go
+++ b/internal/transport/entryvm/limits.go
@@ -40,18 +40,12 @@
 
 // tellHolder returns a place to the node that gave it; the lease ends it if that fails.
 func (p *Process) tellHolder(permit dispatch.Permit, refused bool) {
-	go func() {
-		var answer struct{}
-		release := wire.PermitRelease{
-			Upstream: permit.Place.Upstream.Name,
-			Boot:     permit.Place.Upstream.Boot,
-			Ticket:   int(permit.Ticket),
-			Refused:  refused,
-		}
-		if err := p.callPeer(context.Background(), permit.Holder, peer.MethodReleasePlace, release, &answer); err != nil {
-			p.Logger.Debug().Err(err).Str("step", peer.MethodReleasePlace).Str("peer", permit.Holder).Msg("peer call failed")
-		}
-	}()
+	p.tellPeer(permit.Holder, peer.MethodReleasePlace, wire.PermitRelease{
+		Upstream: permit.Place.Upstream.Name,
+		Boot:     permit.Place.Upstream.Boot,
+		Ticket:   int(permit.Ticket),
+		Refused:  refused,
+	})
 }
 
 func (p *Process) handleReleasePlace(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -41,17 +41,6 @@
 	return nodes
 }
 
-// callPeer calls a method of a member.
-func (p *Process) callPeer(ctx context.Context, name, method string, params, result any) error {
-	row, known := p.members.Lookup(name)
-	if !known {
-		return eris.Errorf("node %s is not known any more", name)
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	return p.client.Call(ctx, row.Address, method, params, result)
-}
-
 func (p *Process) tellOrigins(ctx context.Context, name string, reports []origin.Report) error {
 	params := wire.TellOrigins{Origins: make([]wire.StreamOrigin, 0, len(reports))}
 	for _, report := range reports {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -168,3 +168,24 @@
 		go p.Catalog.FetchNewerRoutes(context.Background(), digest.From.Address, digest.Revision)
 	}
 }
+
+// callPeer calls a method of a member.
+func (p *Process) callPeer(ctx context.Context, name, method string, params, result any) error {
+	row, known := p.members.Lookup(name)
+	if !known {
+		return eris.Errorf("node %s is not known any more", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return p.client.Call(ctx, row.Address, method, params, result)
+}
+
+// tellPeer calls a method of a member whose answer is empty, without waiting for it.
+func (p *Process) tellPeer(name, method string, params any) {
+	go func() {
+		var answer struct{}
+		if err := p.callPeer(context.Background(), name, method, params, &answer); err != nil {
+			p.Logger.Debug().Err(err).Str("step", method).Str("peer", name).Msg("peer call failed")
+		}
+	}()
+}
--- a/internal/transport/gateway/trouble_soak_test.go
+++ b/internal/transport/gateway/trouble_soak_test.go
@@ -23,7 +23,7 @@
 	refused map[string]bool
 	// troubledAt is when a node was last troubled.
 	troubledAt map[int]time.Time
-	// begun and asked count the streams that began and that were to, known and unknown those that were taken up at nodes in
+	// begun and asked count the streams that began and that were to, wentOn and stopped those that were taken up at nodes in
 	// touch and went on or didn't.
 	begun, asked, wentOn, stopped int
 }
