Origins: what is recorded in the store of versions and streams

After a loss of all nodes nobody knows at which software version a stream began. The announcer can tell one more node, which appends streams, and a routing table says how long the resumable routes to a pool let a stream run. Nothing uses them yet.

--- a/internal/coordination/origin/announcer.go
+++ b/internal/coordination/origin/announcer.go
@@ -24,6 +24,9 @@
 
 	nodes   []Node
 	streams map[ID]*announced
+	// writer is the node that appends the streams of the pools in logged to the store; it is told of them as the keepers are.
+	writer string
+	logged []string
 	// unfinished holds the streams of which a keeper has not been told.
 	unfinished map[ID]*announced
 	// links holds the nodes to which messages were sent.
@@ -56,6 +59,17 @@
 	}
 }
 
+// SetWriter replaces the node that appends streams to the store, and the pools whose streams it appends.
+func (a *Announcer) SetWriter(name string, logged []string) {
+	if name == a.writer && slices.Equal(logged, a.logged) {
+		return
+	}
+	a.writer, a.logged = name, slices.Clone(logged)
+	for id, stream := range a.streams {
+		a.choose(id, stream)
+	}
+}
+
 // Began records that a stream began at this node.
 func (a *Announcer) Began(stream ID, o Origin, now time.Time) {
 	if len(a.streams) >= maxAnnounced {
@@ -78,6 +92,10 @@
 func (a *Announcer) choose(id ID, stream *announced) {
 	others := slices.DeleteFunc(slices.Clone(a.nodes), func(n Node) bool { return n.Name == a.Self })
 	stream.keepers = Keepers(id, others)
+	if a.writer != "" && a.writer != a.Self && slices.Contains(a.logged, stream.origin.Pool) &&
+		!slices.Contains(stream.keepers, a.writer) {
+		stream.keepers = append(stream.keepers, a.writer)
+	}
 	if stream.finished() {
 		delete(a.unfinished, id)
 	} else {
--- a/internal/coordination/origin/registry.go
+++ b/internal/coordination/origin/registry.go
@@ -11,6 +11,8 @@
 	lifetime = 2 * time.Minute
 	// maxStreams limits the streams of a Registry; beyond it those that began first are forgotten.
 	maxStreams = 1 << 14
+	// DefaultWindow is how far back the versions of a pool are known that no resumable route leads to.
+	DefaultWindow = lifetime
 )
 
 // Origin is where a stream began.
@@ -113,6 +115,21 @@
 	}
 }
 
+// Recent returns the streams of a pool that began within a time and whose origins are known.
+func (r *Registry) Recent(pool string, within time.Duration, now time.Time) (reports []Report) {
+	for id, e := range r.entries {
+		age := lifetime - e.expires.Sub(now)
+		if e.origin.Pool == pool && !e.ambiguous && age < within {
+			reports = append(reports, Report{
+				Stream: id,
+				Origin: e.origin,
+				Age:    age,
+			})
+		}
+	}
+	return reports
+}
+
 // forget removes the streams that have expired, and the oldest if there are too many.
 func (r *Registry) forget(now time.Time) {
 	for r.first < len(r.order) {
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -63,6 +63,8 @@
 	hasTeams       bool
 	limits         Limits
 	priorityLevels map[priority]int
+	// resumable holds the longest timeout of the resumable routes to a pool, by pool.
+	resumable map[string]time.Duration
 }
 
 // NewTable returns a table with the contents of spec.
@@ -75,10 +77,17 @@
 		hasTeams:       len(spec.Teams) > 0,
 		limits:         spec.Limits,
 		priorityLevels: assignLevels(spec.Routes, spec.Teams),
+		resumable:      map[string]time.Duration{},
 	}
 	for _, r := range spec.Routes {
 		host := strings.ToLower(r.Host())
 		t.byHost[host] = append(t.byHost[host], r)
+		if !r.Resumable() {
+			continue
+		}
+		for _, p := range r.Pools() {
+			t.resumable[p.Pool] = max(t.resumable[p.Pool], r.Timeout())
+		}
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix()) > len(routes[j].Prefix()) })
@@ -106,6 +115,9 @@
 	return pool, ok
 }
 
+// ResumableTimeouts returns the longest timeout of the resumable routes to a pool, by pool. It must not be modified.
+func (t *Table) ResumableTimeouts() map[string]time.Duration { return t.resumable }
+
 // Match returns the route of the host with the longest matching path prefix, or nil. The host may have a port.
 func (t *Table) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
