Catalog: upstreams of a new version wait for their version to be recorded

A stream must not begin at a version that the store doesn't know. An upstream that is listed with another version gets no new requests meanwhile. Without a VersionRecord, updates are applied as before.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -181,6 +181,9 @@
 	return known
 }
 
+// Value returns the value of a key, empty if the topic has none.
+func (t *Topic) Value(key string) string { return t.records[key].Value }
+
 // forgetTombstones removes the oldest tombstones if there are too many. Updates that end before the newest of them are
 // ignored from then on: they could bring its key back. Where the rank decides, keys are few and none is forgotten.
 func (t *Topic) forgetTombstones() {
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -30,6 +30,11 @@
 	// push sends an update to the peers.
 	push   func(update wire.FeedUpdate)
 	logger zerolog.Logger
+	// versions, if set, records the versions of upstreams before their entries are applied; decode decodes an entry, and
+	// withhold is called for upstreams whose entries have to wait.
+	versions VersionRecord
+	decode   func(name string, data []byte) (wire.Machine, error)
+	withhold func(rows []wire.Machine)
 
 	mu           sync.Mutex
 	topic        feed.Topic
@@ -55,14 +60,13 @@
 // read reads the store once and sends what changed to the peers.
 func (f *follower) read(ctx context.Context, wait time.Duration) error {
 	update, err := f.fetch(ctx, wait)
-	now := time.Now()
 	if err != nil {
-		f.recordFailure(ctx, err, now)
+		f.recordFailure(ctx, err, time.Now())
 		return err
 	}
 	f.logReachability(nil)
 	f.onStoreReachable()
-	f.push(f.applyRead(update, now))
+	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.push(f.applyRead(update, now)) })
 	return nil
 }
 
@@ -70,7 +74,7 @@
 func (f *follower) readAlone(ctx context.Context) error {
 	update, err := f.fetch(ctx, 0)
 	if err == nil {
-		f.handleUpdate(update)
+		f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.applyUpdate(update, now) })
 	}
 	return err
 }
@@ -300,11 +304,16 @@
 // handleUpdate merges a peer's update; gap reports that records are missing and the whole topic must be fetched from
 // that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
+	return f.applyUpdate(update, time.Now())
+}
+
+// applyUpdate merges an update that is current as of now for this node alone.
+func (f *follower) applyUpdate(update wire.FeedUpdate, now time.Time) (gap bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An update shows that the store is reachable, even if this node's own read failed.
 	f.onStoreReachable()
-	return f.merge(update, time.Now())
+	return f.merge(update, now)
 }
 
 func (f *follower) snapshot() (wire.FeedUpdate, bool) {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -72,6 +72,8 @@
 	DecodeUpstream func(name string, data []byte) (wire.Machine, error)
 	// Peers communicates with the other nodes.
 	Peers Peers
+	// Versions, if set, records the software versions of upstreams before these are listed.
+	Versions VersionRecord
 	// Table is updated with the upstreams.
 	Table *replica.Table
 	// OnUpstreamsChange is called after Table was updated; it is called with the service's lock held.
@@ -109,6 +111,9 @@
 	s.upstreams.topic.Rank = s.rankUpstream
 	s.upstreams.source = s.Upstreams
 	s.upstreams.copy = s.UpstreamsCopy
+	s.upstreams.versions = s.Versions
+	s.upstreams.decode = s.DecodeUpstream
+	s.upstreams.withhold = s.withhold
 	s.upstreams.onStoreReachable = s.storeReachable
 	s.upstreams.onStoreUnreachable = s.storeUnreachable
 }
@@ -147,6 +152,9 @@
 // UpstreamsAge returns the time since the list of upstreams was last known to be up to date.
 func (s *Service) UpstreamsAge() time.Duration { return s.upstreams.age(time.Now()) }
 
+// UpstreamsEra returns how often the store was restored from an older copy by the newest list of upstreams.
+func (s *Service) UpstreamsEra() int { return s.upstreams.era() }
+
 // Run keeps both topics up to date until the context is done.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
--- /dev/null
+++ b/internal/transport/catalog/versions.go
@@ -0,0 +1,103 @@
+package catalog
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
+)
+
+// VersionRecord records the software versions of upstreams before these are listed.
+type VersionRecord interface {
+	// Recorded reports whether a version of a pool is recorded, or need not be.
+	Recorded(pool, version string) bool
+	// Admit records versions by pool and returns once that is done, or failed for too long.
+	Admit(ctx context.Context, versions map[string][]string)
+}
+
+// admit applies an update that was read from the store once the versions in it are recorded. Records of recorded versions are
+// applied at once, unless the topic is not loaded yet: the first list is applied as a whole. Peers' updates were admitted by
+// the node that read them.
+func (f *follower) admit(ctx context.Context, update wire.FeedUpdate, apply func(update wire.FeedUpdate, now time.Time)) {
+	now := time.Now()
+	known, rows := f.divide(update)
+	if len(rows) == 0 {
+		apply(update, now)
+		return
+	}
+	if !f.loaded() {
+		f.versions.Admit(ctx, versionsOf(rows))
+		apply(update, now)
+		return
+	}
+	apply(known, now)
+	f.withhold(rows)
+	go func() {
+		f.versions.Admit(ctx, versionsOf(rows))
+		apply(update, f.currentAt())
+	}()
+}
+
+// divide returns an update without the records of versions that are not recorded, and these versions' upstreams. The update
+// ends before the first such record, so that a peer that misses the later update sees that records are missing.
+func (f *follower) divide(update wire.FeedUpdate) (known wire.FeedUpdate, rows []wire.Machine) {
+	if f.versions == nil {
+		return update, nil
+	}
+	known = update
+	known.Records = nil
+	for _, record := range update.Records {
+		row, held := f.held(record)
+		if !held {
+			known.Records = append(known.Records, record)
+			continue
+		}
+		rows = append(rows, row)
+		known.Next = min(known.Next, record.Offset)
+	}
+	return known, rows
+}
+
+// held reports whether the version of an upstream's entry must be recorded before the entry is applied. An entry that repeats
+// the one in force need not be looked at.
+func (f *follower) held(record wire.FeedRecord) (row wire.Machine, held bool) {
+	f.mu.Lock()
+	current := f.topic.Value(record.Key)
+	f.mu.Unlock()
+	if record.Value == "" || record.Value == current {
+		return row, false
+	}
+	row, err := f.decode(record.Key, []byte(record.Value))
+	return row, err == nil && !f.versions.Recorded(row.Pool, row.Version)
+}
+
+func versionsOf(rows []wire.Machine) map[string][]string {
+	versions := map[string][]string{}
+	for _, row := range rows {
+		if !slices.Contains(versions[row.Pool], row.Version) {
+			versions[row.Pool] = append(versions[row.Pool], row.Version)
+		}
+	}
+	return versions
+}
+
+// withhold keeps new requests from upstreams that are listed with another version than they have now, which is not recorded
+// yet: streams of the former version must not go on there.
+func (s *Service) withhold(rows []wire.Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, row := range rows {
+		listed, found := s.Table.Load().Replica(row.Name)
+		if !found || listed.Version() == row.Version {
+			continue
+		}
+		row.State = replica.StateLeaving
+		changed = s.roster.Put(row) || changed
+	}
+	if changed {
+		s.publish()
+	}
+}
