Origins: streams are taken up after a loss of all nodes

A node that had just started also refused callers who name no request, since it had not yet observed the versions for as long as a stream may run.

Change: the versions that have served are recorded in the store before their upstreams are listed, and nodes are told of them before. A node reads the record once after its start, and then knows whether one version alone has served within the take-up bound. A take-up is decided by the memory of the nodes, the one version that has served, or the streams in the store; else it is refused.

Two tests asked for a refusal after a loss of all nodes; they now ask for the stream to go on, and for a refusal where the version is gone.

--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -167,7 +167,7 @@
 	var s Sightings
 	serving := map[string][]string{"engines": {"v1"}}
 	only := func(now time.Time, others ...Sighted) (string, bool) {
-		return OnlyVersion(append(others, s.Sighted("engines", now)), 15*time.Second)
+		return OnlyVersion(append(others, s.Sighted("engines", lifetime, now)), 15*time.Second)
 	}
 	s.Observe(serving, true, start)
 	_, ok := only(start.Add(14 * time.Second))
--- a/internal/coordination/origin/sightings.go
+++ b/internal/coordination/origin/sightings.go
@@ -5,43 +5,81 @@
 	"time"
 )
 
+const (
+	// retention is how long a version is remembered after it was last seen. A longer take-up bound can't be observed.
+	retention = 15 * time.Minute
+	// coverSlack is the age up to which a record of the versions covers the time before an observation that begins now. An
+	// observation begins with a list of upstreams that may be as old.
+	coverSlack = 3 * time.Second
+)
+
 // Sightings holds the software versions that a node has seen serve in each pool. It is not safe for concurrent use.
 type Sightings struct {
 	// since is when the node began to see all versions, zero while it does not.
 	since time.Time
-	seen  map[string]map[string]time.Time
+	seen  map[string]map[string]sighting
+	// coveredAt is when a record was read that holds the versions that served before the observation, zero if none was.
+	coveredAt time.Time
+	covers    func(pool string) bool
+}
+
+// sighting is when a version was last seen.
+type sighting struct {
+	// at is the last time at which the node listed the version or was told of it, current the last one at which its list was
+	// current.
+	at, current time.Time
 }
 
 // Sighted is what a node has seen of a pool.
 type Sighted struct {
 	// Versions holds the versions that served within the observation.
 	Versions []string
-	// Observed is how far back the observation goes, at most as long as a stream can be taken up.
+	// Observed is how far back the observation goes, at most as far as was asked for.
 	Observed time.Duration
 }
 
 // Observe records the versions that serve now, by pool. If the node's list of upstreams is not current, a version may serve
 // unseen, and the observation begins anew.
 func (s *Sightings) Observe(versions map[string][]string, current bool, now time.Time) {
-	if !current {
-		s.since = time.Time{}
-	} else if s.since.IsZero() {
+	switch {
+	case !current && !s.since.IsZero():
+		s.since, s.coveredAt = time.Time{}, time.Time{}
+	case current && s.since.IsZero():
 		s.since = now
+		if now.Sub(s.coveredAt) > coverSlack {
+			s.coveredAt = time.Time{}
+		}
 	}
+	s.note(versions, current, now)
+	s.forget(now)
+}
+
+// Note records versions that serve or are about to.
+func (s *Sightings) Note(versions map[string][]string, now time.Time) { s.note(versions, false, now) }
+
+func (s *Sightings) note(versions map[string][]string, current bool, now time.Time) {
 	if s.seen == nil {
-		s.seen = map[string]map[string]time.Time{}
+		s.seen = map[string]map[string]sighting{}
 	}
 	for pool, names := range versions {
 		if s.seen[pool] == nil {
-			s.seen[pool] = map[string]time.Time{}
+			s.seen[pool] = map[string]sighting{}
 		}
 		for _, name := range names {
-			s.seen[pool][name] = now
+			last := s.seen[pool][name]
+			last.at = now
+			if current {
+				last.current = now
+			}
+			s.seen[pool][name] = last
 		}
 	}
+}
+
+func (s *Sightings) forget(now time.Time) {
 	for pool, seen := range s.seen {
-		for name, at := range seen {
-			if now.Sub(at) >= lifetime {
+		for name, last := range seen {
+			if now.Sub(last.at) >= retention {
 				delete(seen, name)
 			}
 		}
@@ -51,15 +89,42 @@
 	}
 }
 
-// Sighted returns what the node has seen of a pool.
-func (s *Sightings) Sighted(pool string, now time.Time) Sighted {
+// Cover records that a record of the versions was read, which holds all that have served before; complete reports whether it
+// does for a pool. The read was sent at a time, and the versions count as seen now.
+func (s *Sightings) Cover(versions map[string][]string, complete func(pool string) bool, sent, now time.Time) {
+	s.coveredAt, s.covers = sent, complete
+	s.note(versions, true, now)
+}
+
+// Confirm records that a version was recorded.
+func (s *Sightings) Confirm(pool, version string, now time.Time) {
+	s.note(map[string][]string{pool: {version}}, true, now)
+}
+
+// Covered reports whether a record was read since the observation was last interrupted.
+func (s *Sightings) Covered() bool { return !s.coveredAt.IsZero() }
+
+// Fresh reports whether a version was seen in a current list within a time, without an interruption since.
+func (s *Sightings) Fresh(pool, version string, within time.Duration, now time.Time) bool {
+	last, seen := s.seen[pool][version]
+	return seen && !last.current.IsZero() && now.Sub(last.current) < within && (!s.since.IsZero() || s.Covered())
+}
+
+// Sighted returns what the node has seen of a pool in the time before now.
+func (s *Sightings) Sighted(pool string, within time.Duration, now time.Time) Sighted {
 	var sighted Sighted
-	for name := range s.seen[pool] {
-		sighted.Versions = append(sighted.Versions, name)
+	for name, last := range s.seen[pool] {
+		if now.Sub(last.at) < within {
+			sighted.Versions = append(sighted.Versions, name)
+		}
 	}
 	slices.Sort(sighted.Versions)
-	if !s.since.IsZero() {
-		sighted.Observed = min(now.Sub(s.since), lifetime)
+	switch {
+	case s.since.IsZero():
+	case s.Covered() && s.covers(pool):
+		sighted.Observed = min(within, retention)
+	default:
+		sighted.Observed = min(now.Sub(s.since), within, retention)
 	}
 	return sighted
 }
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -1076,6 +1076,13 @@
 	Origins []StreamOrigin `json:"origins"`
 }
 
+// TellVersions tells a node of entries that the sender writes to the record of
+// software versions.
+type TellVersions struct {
+	// Entries corresponds to the JSON schema field "entries".
+	Entries []VersionEntry `json:"entries"`
+}
+
 // UpstreamLimit is what a run of an upstream last said of the limit for all nodes
 // together.
 type UpstreamLimit struct {
@@ -1121,3 +1128,25 @@
 	// Upstream corresponds to the JSON schema field "upstream".
 	Upstream string `json:"upstream"`
 }
+
+// VersionEntry is an entry of the record of the software versions that have
+// served.
+type VersionEntry struct {
+	// Complete reports that the record holds all versions of the pool in that era.
+	Complete bool `json:"complete,omitempty,omitzero"`
+
+	// Era is the era of the store in which the entry was written.
+	Era int `json:"era,omitempty,omitzero"`
+
+	// Gone reports that the entry is removed.
+	Gone bool `json:"gone,omitempty,omitzero"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -152,11 +152,13 @@
 			Peers:     platformSettings.PeerAddress,
 			Metrics:   net.JoinHostPort(platformSettings.IP, strconv.Itoa(settings.MetricsPort)),
 		},
-		Tunables:    tunables(platformSettings),
-		Secret:      []byte(settings.Secret),
-		Codec:       platform.Headers{},
-		Catalog:     newCatalog(platformSettings),
-		ReadyRoutes: platform.ReadyRoutes,
+		Tunables:      tunables(platformSettings),
+		Secret:        []byte(settings.Secret),
+		Codec:         platform.Headers{},
+		Catalog:       newCatalog(platformSettings),
+		VersionRecord: platform.OpenStore(platformSettings.StoreAddress, platform.TopicVersions, storeTimeout),
+		StreamLog:     platform.OpenStore(platformSettings.StoreAddress, platform.TopicOrigins, storeTimeout),
+		ReadyRoutes:   platform.ReadyRoutes,
 		DirectoryRoutes: func(addresses func(zone, region string) []string) []rest.Route {
 			return platform.DirectoryRoutes(addresses, directoryAnswerTTL)
 		},
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -10,6 +10,7 @@
 
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/transport/origins"
 	"lagoongw/internal/transport/peer"
 )
@@ -26,10 +27,36 @@
 		Ask:        p.askOrigin,
 		AskSighted: p.askVersions,
 		Versions:   p.servingVersions,
-		Logger:     p.Logger,
+		Timeouts: func() map[string]time.Duration {
+			if table := p.Catalog.CurrentRoutes(); table != nil {
+				return table.ResumableTimeouts()
+			}
+			return nil
+		},
+		VersionRecord: p.VersionRecord,
+		StreamLog:     p.StreamLog,
+		Writer:        p.storeReader,
+		Era:           p.Catalog.UpstreamsEra,
+		TellVersions:  p.tellVersions,
+		Logger:        p.Logger,
 	}
 }
 
+// upstreamsChanged is called when the list of upstreams has changed.
+func (p *Process) upstreamsChanged() {
+	p.dispatcher.Prune()
+	p.origins.Listed(p.listedVersions())
+}
+
+// storeReader returns the name of the node that reads the store for all.
+func (p *Process) storeReader() string {
+	names := p.members.LiveNames("")
+	if len(names) == 0 {
+		return p.Name
+	}
+	return rendezvous.Rank(readersKey, names)[0]
+}
+
 func (p *Process) originNodes() []origin.Node {
 	var nodes []origin.Node
 	for _, row := range p.members.Live() {
@@ -114,7 +141,12 @@
 
 // servingVersions returns the software versions of the listed upstreams by pool, and whether the list is current.
 func (p *Process) servingVersions() (byPool map[string][]string, current bool) {
-	byPool = map[string][]string{}
+	return p.listedVersions(), p.Catalog.Ready() && p.Catalog.UpstreamsAge() < currentListAge
+}
+
+// listedVersions returns the software versions of the listed upstreams by pool.
+func (p *Process) listedVersions() map[string][]string {
+	byPool := map[string][]string{}
 	snapshot := p.table.Load()
 	for _, pool := range snapshot.PoolNames() {
 		for _, r := range snapshot.PoolReplicas(pool) {
@@ -123,7 +155,43 @@
 			}
 		}
 	}
-	return byPool, p.Catalog.Ready() && p.Catalog.UpstreamsAge() < currentListAge
+	return byPool
+}
+
+func (p *Process) tellVersions(ctx context.Context, name string, entries []origin.Entry) error {
+	params := wire.TellVersions{Entries: make([]wire.VersionEntry, 0, len(entries))}
+	for _, e := range entries {
+		params.Entries = append(params.Entries, wire.VersionEntry{
+			Key:      e.Key,
+			Pool:     e.Pool,
+			Version:  e.Version,
+			Era:      e.Era,
+			Complete: e.Complete,
+			Gone:     e.Gone,
+		})
+	}
+	var answer struct{}
+	return p.callPeer(ctx, name, peer.MethodTellVersions, params, &answer)
+}
+
+func (p *Process) handleTellVersions(_ context.Context, params json.RawMessage) (any, error) {
+	var message wire.TellVersions
+	if err := json.Unmarshal(params, &message); err != nil {
+		return nil, eris.Wrap(err, "decode versions")
+	}
+	var entries []origin.Entry
+	for _, row := range message.Entries {
+		entries = append(entries, origin.Entry{
+			Key:      row.Key,
+			Pool:     row.Pool,
+			Version:  row.Version,
+			Era:      row.Era,
+			Complete: row.Complete,
+			Gone:     row.Gone,
+		})
+	}
+	p.origins.ToldVersions(entries)
+	return struct{}{}, nil
 }
 
 func (p *Process) askVersions(ctx context.Context, name, pool string) (origin.Sighted, error) {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -85,6 +85,10 @@
 	Codec gateway.Codec
 	// Catalog follows the routes and upstreams; Prepare sets its table, peers, logger and callback.
 	Catalog *catalog.Service
+	// VersionRecord and StreamLog, if set, are the topics of the store that hold the software versions that have served, and at
+	// which of them streams began.
+	VersionRecord origins.Stored
+	StreamLog     origins.Stored
 	// ReadyRoutes builds the HTTP routes of the platform's readiness check, DirectoryRoutes those that tell callers which
 	// entry VMs to connect to.
 	ReadyRoutes     func(ready func() bool) []rest.Route
@@ -169,15 +173,16 @@
 		OnProfileChange:  p.logProfileChange,
 	}
 	p.Catalog.Table = p.table
-	p.Catalog.OnUpstreamsChange = p.dispatcher.Prune
+	p.Catalog.OnUpstreamsChange = p.upstreamsChanged
 	p.Catalog.Logger = p.Logger
 	p.Catalog.Peers = catalogPeers{process: p}
+	p.origins = p.newOrigins()
+	p.Catalog.Versions = p.origins
 	p.Catalog.Prepare()
 	p.budgets = map[string]*retry.WindowBudget{}
 	p.memoryReporter.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
-	p.origins = p.newOrigins()
 	p.prepareDetours()
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
@@ -272,6 +277,7 @@
 			peer.MethodTellOrigins:   p.handleTellOrigins,
 			peer.MethodFindOrigin:    p.handleFindOrigin,
 			peer.MethodFindVersions:  p.handleFindVersions,
+			peer.MethodTellVersions:  p.handleTellVersions,
 			peer.MethodDetour:        p.handleDetour,
 			peer.MethodPause:         p.handlePause,
 		},
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 type testGateway struct {
 	gateway *gateway.Server
 	origins *origins.Service
+	// store is a site's node's way to the store, and upstreams its list of upstreams.
+	store     *storeClient
+	upstreams *replica.Table
 	// detours and detourServer are those of a node of a site.
 	detours      *detour.Dialer
 	detourServer *detour.Server
--- a/internal/transport/gateway/origin.go
+++ b/internal/transport/gateway/origin.go
@@ -21,8 +21,9 @@
 type Origins interface {
 	// Began records that a request brought the first event of its stream; it must not block.
 	Began(requestID string, o origin.Origin)
-	// Find returns where the stream of a request began, and whether that is known.
-	Find(ctx context.Context, requestID string) (o origin.Origin, known bool)
+	// Find returns where the stream of a request began, and whether that is known. The pool is the one where it can only have
+	// begun, empty if there are several.
+	Find(ctx context.Context, requestID, pool string) (o origin.Origin, known bool)
 	// FindOnly returns where a stream of a pool began that is no older than a time, if that can be only one version.
 	FindOnly(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool)
 }
@@ -79,11 +80,15 @@
 // findOrigin returns where the stream began that the caller takes up. Where the caller doesn't name the request that began
 // it, the origin is known only if no other version has served meanwhile.
 func (x *exchange) findOrigin() (found origin.Origin, known bool) {
+	pool := ""
+	if len(x.route.Pools()) == 1 {
+		pool = x.pool
+	}
 	switch {
 	case x.call.Resumes != "":
-		return x.server.Origins.Find(x.ctx, x.call.Resumes)
-	case len(x.route.Pools()) == 1:
-		return x.server.Origins.FindOnly(x.ctx, x.pool, x.route.Timeout())
+		return x.server.Origins.Find(x.ctx, x.call.Resumes, pool)
+	case pool != "":
+		return x.server.Origins.FindOnly(x.ctx, pool, x.route.Timeout())
 	}
 	return origin.Origin{}, false
 }
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"lagoongw/internal/coordination/ratelimit"
 	"lagoongw/internal/coordination/reach"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/rendezvous"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
@@ -77,6 +79,8 @@
 	partitions map[int]partition
 	// log holds the warnings of all nodes.
 	log lockedLog
+	// store holds what the nodes write.
+	store *siteStore
 }
 
 // partition is how connects of a node to the engines fail.
@@ -99,6 +103,7 @@
 
 // restart replaces a node by one that knows nothing.
 func (c *crashSite) restart(t *testing.T, number int) {
+	c.node(number).store.lost.Store(true)
 	started := c.newNode(t, number, c.table)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -148,6 +153,7 @@
 		partitions: map[int]partition{},
 		conns:      map[string]map[net.Conn]int{},
 		downTill:   map[string]time.Time{},
+		store:      newSiteStore(),
 		answer:     func(_ string, conn net.Conn, r *http.Request) bool { return longStream(conn, r) },
 	}
 	table, _, err := platform.ParseManifest([]byte(manifest))
@@ -165,21 +171,12 @@
 func (c *crashSite) newNode(t *testing.T, number int, table *route.Table) *testGateway {
 	t.Helper()
 	upstreams := replica.NewTable()
-	var rows []wire.Machine
-	for i := range c.engines {
-		name := fmt.Sprintf("e%d", i)
-		rows = append(rows, wire.Machine{
-			Name:    name,
-			Kind:    replica.KindService,
-			Pool:    "s",
-			Address: name,
-			Region:  "near",
-			Slots:   8,
-			Version: c.versions[i%len(c.versions)],
-		})
+	upstreams.Update(c.rows())
+	g := &testGateway{
+		store:     &storeClient{store: c.store},
+		upstreams: upstreams,
 	}
-	upstreams.Update(rows)
-	g := &testGateway{origins: c.newOrigins(number)}
+	g.origins = c.newOrigins(number, g.store)
 	pool := connection.NewPool()
 	detours := c.newDetours(number, g)
 	pool.Dial = detours.Dial
@@ -253,8 +250,32 @@
 	}
 }
 
+// rows returns the list of the engines.
+func (c *crashSite) rows() (rows []wire.Machine) {
+	for i := range c.engines {
+		name := fmt.Sprintf("e%d", i)
+		rows = append(rows, wire.Machine{
+			Name:    name,
+			Kind:    replica.KindService,
+			Pool:    "s",
+			Address: name,
+			Region:  "near",
+			Slots:   8,
+			Version: c.versionOf(i),
+		})
+	}
+	return rows
+}
+
+// versionOf returns the version of an engine by its number.
+func (c *crashSite) versionOf(engine int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions[engine%len(c.versions)]
+}
+
 // newOrigins returns what keeps the origins of streams for a node.
-func (c *crashSite) newOrigins(number int) *origins.Service {
+func (c *crashSite) newOrigins(number int, store *storeClient) *origins.Service {
 	peer := func(name string) (*origins.Service, error) {
 		time.Sleep(peerDelay)
 		other, err := strconv.Atoi(name)
@@ -283,7 +304,20 @@
 			return err
 		},
 		Versions: func() (map[string][]string, bool) {
-			return map[string][]string{"s": c.versions}, true
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return map[string][]string{"s": slices.Clone(c.versions)}, true
+		},
+		Timeouts:      c.table.ResumableTimeouts,
+		VersionRecord: store.topic("versions"),
+		StreamLog:     store.topic("origins"),
+		Writer:        func() string { return rendezvous.Rank("readers", append(c.live(number), fmt.Sprint(number)))[0] },
+		TellVersions: func(_ context.Context, name string, entries []origin.Entry) error {
+			to, err := peer(name)
+			if err == nil {
+				to.ToldVersions(entries)
+			}
+			return err
 		},
 		AskSighted: func(_ context.Context, name, pool string) (origin.Sighted, error) {
 			from, err := peer(name)
--- a/internal/transport/gateway/version_test.go
+++ b/internal/transport/gateway/version_test.go
@@ -85,9 +85,14 @@
 }
 
 func newTakeUpSite(t *testing.T) *takeUpSite {
+	t.Helper()
+	return newTakeUpSiteOf(t, "v1", "v2")
+}
+
+func newTakeUpSiteOf(t *testing.T, versions ...string) *takeUpSite {
 	t.Helper()
 	site := &takeUpSite{
-		crashSite: newCrashSiteOf(t, siteEngines, "v1", "v2"),
+		crashSite: newCrashSiteOf(t, siteEngines, versions...),
 		began:     map[string]string{},
 	}
 	site.answer = site.stream
@@ -97,7 +102,7 @@
 // stream answers as an engine, and notes whether the stream began at another version.
 func (s *takeUpSite) stream(engine string, conn net.Conn, r *http.Request) bool {
 	number, _ := strconv.Atoi(strings.TrimPrefix(engine, "e"))
-	version := s.versions[number%len(s.versions)]
+	version := s.versionOf(number)
 	id := r.Header.Get("X-Lagoongw-Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
@@ -117,10 +122,13 @@
 func (s *takeUpSite) noteFirst(id, resumes, version string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if resumes == "" {
+	switch began, found := s.began[resumes]; {
+	case resumes == "":
 		s.began[id] = version
-	} else if s.began[resumes] != version {
+	case !found || began != version:
 		s.mixed++
+	default:
+		s.began[id] = version
 	}
 }
 
@@ -192,16 +200,13 @@
 			},
 			known: true,
 		},
+		"all nodes restart": {
+			after: func(t *testing.T, site *takeUpSite) { site.loseAll(t, 0) },
+			known: true,
+		},
 		"first node could tell nobody": {
 			before: func(_ *testing.T, site *takeUpSite) { site.cut(0, time.Minute) },
 		},
-		"all nodes restart": {
-			after: func(t *testing.T, site *takeUpSite) {
-				for number := range siteNodes {
-					site.restart(t, number)
-				}
-			},
-		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -286,10 +291,14 @@
 		},
 		"one version, all nodes have restarted": {
 			versions: []string{"v1"},
+			after:    func(t *testing.T, site *crashSite) { site.loseAll(t, 0) },
+			status:   http.StatusOK,
+		},
+		"two versions, one of them gone, all nodes have restarted": {
+			versions: []string{"v1", "v2"},
 			after: func(t *testing.T, site *crashSite) {
-				for number := range siteNodes {
-					site.restart(t, number)
-				}
+				site.setVersions(t, "v2")
+				site.loseAll(t, 0)
 			},
 			status: http.StatusServiceUnavailable,
 		},
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -33,6 +33,18 @@
 	AskSighted func(ctx context.Context, node, pool string) (origin.Sighted, error)
 	// Versions returns the software versions that serve now by pool, and whether the list of upstreams is current.
 	Versions func() (byPool map[string][]string, current bool)
+	// Timeouts returns the longest timeout of the resumable routes to a pool by pool, nil until the routes are known.
+	Timeouts func() map[string]time.Duration
+	// VersionRecord, if set, is the topic of the record of the software versions, and StreamLog, if set, that of the origins of
+	// streams.
+	VersionRecord Stored
+	StreamLog     Stored
+	// Writer returns the name of the node that reads the store for all and writes to the two topics.
+	Writer func() string
+	// Era, if set, returns the era of the store: how often it was restored from an older copy.
+	Era func() int
+	// TellVersions, if set, tells another node of entries that this one writes to the record of the versions.
+	TellVersions func(ctx context.Context, node string, entries []origin.Entry) error
 	// Logger receives the log lines.
 	Logger zerolog.Logger
 
@@ -40,17 +52,33 @@
 	registry  origin.Registry
 	announcer origin.Announcer
 	sightings origin.Sightings
+	record    origin.Record
+	log       origin.Log
+	// changed is closed when the state of the two topics changes; it is nil while nothing waits for that.
+	changed chan struct{}
+	// readingRecord and readingLog are set while a read of the topic is in flight.
+	readingRecord, readingLog bool
+	// logged holds the streams of the log; logReadAt is when the read that returned them was sent, logAskedAt when the last one
+	// was.
+	logged                map[origin.ID]origin.Answer
+	logReadAt, logAskedAt time.Time
+	// writing holds the pools whose streams this node appends to the log; logScheduled is set while an append is scheduled or
+	// in flight.
+	writing      []string
+	logScheduled bool
 }
 
 // Began records that a request brought the first event of its stream, and tells the keepers without waiting for them.
 func (s *Service) Began(requestID string, o origin.Origin) {
 	now := time.Now()
 	id := origin.NewID(requestID)
-	s.mu.Lock()
-	s.registry.Record(origin.Report{
+	report := origin.Report{
 		Stream: id,
 		Origin: o,
-	}, now)
+	}
+	s.mu.Lock()
+	s.registry.Record(report, now)
+	s.logStreams([]origin.Report{report})
 	s.announcer.Self = s.Name
 	s.announcer.SetNodes(s.Nodes())
 	s.announcer.Began(id, o, now)
@@ -59,19 +87,52 @@
 	s.tell(due)
 }
 
-// Tick tells those keepers that have not been told yet, and notes the versions that serve; it is to be called several times a second.
+// Tick tells those keepers that have not been told yet, notes the versions that serve, and keeps the record of them; it is to be
+// called several times a second.
 func (s *Service) Tick(now time.Time) {
-	versions, current := s.Versions()
+	versions, current := s.observe(now)
 	s.mu.Lock()
-	s.sightings.Observe(versions, current, now)
 	s.announcer.Self = s.Name
 	s.announcer.SetNodes(s.Nodes())
+	s.maintainRecord(versions, current, now)
+	s.updateLog(now)
 	s.announcer.Forget(now)
 	due := s.announcer.Due(now)
 	s.mu.Unlock()
 	s.tell(due)
 }
 
+// observe notes the versions that serve.
+func (s *Service) observe(now time.Time) (versions map[string][]string, current bool) {
+	versions, current = s.Versions()
+	era := 0
+	if s.Era != nil {
+		era = s.Era()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.NewKey = newKey
+	s.record.BeginEra(era)
+	s.sightings.Observe(versions, current, now)
+	return versions, current
+}
+
+// bounds returns the take-up bounds by pool, nil until the routes are known.
+func (s *Service) bounds() map[string]time.Duration {
+	if s.Timeouts == nil {
+		return nil
+	}
+	timeouts := s.Timeouts()
+	if timeouts == nil {
+		return nil
+	}
+	bounds := make(map[string]time.Duration, len(timeouts))
+	for pool, longest := range timeouts {
+		bounds[pool] = origin.Bound(longest)
+	}
+	return bounds
+}
+
 func (s *Service) tell(due map[string][]origin.Report) {
 	for node, reports := range due {
 		go func() {
@@ -98,6 +159,7 @@
 	for _, report := range reports {
 		s.registry.Record(report, now)
 	}
+	s.logStreams(reports)
 }
 
 // Known returns what this node knows of a stream.
@@ -114,15 +176,17 @@
 	return s.registry.Len(), s.announcer.Unfinished()
 }
 
-// Find returns the origin of the stream that a request began, by what this node knows or the first other one that does. It
-// is unknown if that node was told several.
-func (s *Service) Find(ctx context.Context, requestID string) (o origin.Origin, known bool) {
-	id := origin.NewID(requestID)
-	if answer := s.Known(id); answer.Known || answer.Ambiguous {
-		return answer.Origin, answer.Known
+// Find returns the origin of the stream that a request began, in the given pool if only one is possible, else in any. It is
+// known by what this node or the first other one remembers, unless that node was told several; or if one version alone has
+// served in the pool; or by the log in the store.
+func (s *Service) Find(ctx context.Context, requestID, pool string) (o origin.Origin, known bool) {
+	search := &search{
+		stream: origin.NewID(requestID),
+		pool:   pool,
+		came:   time.Now(),
 	}
 	for range asks {
-		if answer := s.askAll(ctx, id); answer.Known || answer.Ambiguous {
+		if answer := s.find(ctx, search); answer.Known || answer.Ambiguous {
 			return answer.Origin, answer.Known
 		}
 		schedule.Pause(ctx, askTwiceAfter)
@@ -133,6 +197,36 @@
 	return origin.Origin{}, false
 }
 
+// search is the state of one Find.
+type search struct {
+	stream origin.ID
+	pool   string
+	// came is when the caller came, and deadline until when the caller waits for the store, zero before the first wait.
+	came, deadline time.Time
+}
+
+// find asks all sources once for the origin of a stream, the most certain ones first.
+func (s *Service) find(ctx context.Context, search *search) origin.Answer {
+	if answer := s.Known(search.stream); answer.Known || answer.Ambiguous {
+		return answer
+	}
+	if answer := s.askAll(ctx, search.stream); answer.Known || answer.Ambiguous {
+		return answer
+	}
+	if search.deadline.IsZero() {
+		search.deadline = time.Now().Add(callerTimeout)
+	}
+	if bound, resumable := s.bounds()[search.pool]; resumable {
+		if o, known := s.findOnly(ctx, search.pool, bound, search.deadline); known {
+			return origin.Answer{
+				Known:  true,
+				Origin: o,
+			}
+		}
+	}
+	return s.findLogged(ctx, search)
+}
+
 // askAll asks the nodes that may know a stream, and returns the first answer of one that does.
 func (s *Service) askAll(ctx context.Context, id origin.ID) origin.Answer {
 	ctx, cancel := context.WithCancel(ctx)
@@ -153,9 +247,20 @@
 	return origin.Answer{}
 }
 
-// FindOnly returns the origin of a stream that began in a pool up to a time ago, if no other version than one has served
-// there since.
+// FindOnly returns the origin of a stream that began in a pool up to a time ago, or up to the take-up bound of a pool that has
+// one, if no other version than one has served there since.
 func (s *Service) FindOnly(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
+	if bound, resumable := s.bounds()[pool]; resumable {
+		ago = bound
+	}
+	return s.findOnly(ctx, pool, ago, time.Now().Add(callerTimeout))
+}
+
+// findOnly is FindOnly; it waits for the store until a deadline.
+func (s *Service) findOnly(
+	ctx context.Context, pool string, ago time.Duration, deadline time.Time,
+) (o origin.Origin, known bool) {
+	s.awaitRecord(ctx, deadline)
 	all := []origin.Sighted{s.Sighted(pool)}
 	answers, count := fanOut(s, origin.NewID(pool), func(node string) (origin.Sighted, error) {
 		return s.AskSighted(ctx, node, pool)
@@ -170,6 +275,21 @@
 	}, known
 }
 
+// awaitRecord waits until a deadline for the record of the versions to be read.
+func (s *Service) awaitRecord(ctx context.Context, deadline time.Time) {
+	_, current := s.observe(time.Now())
+	if s.VersionRecord == nil || len(s.bounds()) == 0 || !current {
+		return
+	}
+	s.await(ctx, time.Until(deadline), func(now time.Time) bool {
+		if s.sightings.Covered() {
+			return true
+		}
+		s.startRecordRead(now)
+		return false
+	})
+}
+
 // fanOut calls ask for the other nodes that may know a stream, and returns the channel of their answers and their number.
 // The answer of a node that can't be asked is zero.
 func fanOut[A any](s *Service, id origin.ID, ask func(node string) (A, error)) (answers <-chan A, count int) {
@@ -190,7 +310,11 @@
 
 // Sighted returns the software versions that this node has seen in a pool.
 func (s *Service) Sighted(pool string) origin.Sighted {
+	window := origin.DefaultWindow
+	if bound, resumable := s.bounds()[pool]; resumable {
+		window = origin.Window(bound)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sightings.Sighted(pool, time.Now())
+	return s.sightings.Sighted(pool, window, time.Now())
 }
--- /dev/null
+++ b/internal/transport/origins/streams.go
@@ -0,0 +1,167 @@
+package origins
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/protocol/wire"
+)
+
+// logReadInterval is the least time between two reads of the log of streams by one node.
+const logReadInterval = 500 * time.Millisecond
+
+// loggedPools returns the pools whose streams are logged in the store, sorted: those that two or more versions have served
+// within the take-up bound. The caller must hold the lock.
+func (s *Service) loggedPools(now time.Time) (pools []string) {
+	if s.StreamLog == nil {
+		return nil
+	}
+	bounds := s.bounds()
+	for _, pool := range slices.Sorted(maps.Keys(bounds)) {
+		if len(s.sightings.Sighted(pool, origin.Window(bounds[pool]), now).Versions) > 1 {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
+// isWriter reports whether this node reads the store for all, and appends streams and versions to it.
+func (s *Service) isWriter() bool { return s.Writer != nil && s.Writer() == s.Name }
+
+// updateLog begins or ends the log of the streams of pools; the caller must hold the lock.
+func (s *Service) updateLog(now time.Time) {
+	pools := s.loggedPools(now)
+	if s.Writer != nil {
+		s.announcer.SetWriter(s.Writer(), pools)
+	}
+	if now.Sub(s.logReadAt) >= origin.DefaultWindow {
+		s.logged = nil
+	}
+	if !s.isWriter() {
+		s.writing = nil
+		return
+	}
+	if len(s.writing) == 0 && now.Sub(s.logReadAt) >= logReadInterval {
+		s.log.Forget() // another node may have written since
+	}
+	before := s.writing
+	s.writing = pools
+	for _, pool := range pools {
+		if !slices.Contains(before, pool) {
+			s.logStreams(s.registry.Recent(pool, origin.DefaultWindow, now))
+		}
+	}
+}
+
+// logStreams appends those streams to the log that this node has to write; the caller must hold the lock.
+func (s *Service) logStreams(reports []origin.Report) {
+	for _, report := range reports {
+		if slices.Contains(s.writing, report.Origin.Pool) {
+			s.log.Add(report)
+		}
+	}
+	s.scheduleLog(time.Now())
+}
+
+// scheduleLog makes the streams that wait be appended once it is time; the caller must hold the lock.
+func (s *Service) scheduleLog(now time.Time) {
+	if s.log.Pending() > 0 && !s.logScheduled {
+		s.logScheduled = true
+		time.AfterFunc(s.log.DueAt().Sub(now), s.appendLog)
+	}
+}
+
+// appendLog appends the streams that wait to the log, and again later if it can't be done now.
+func (s *Service) appendLog() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.log.Known() {
+		s.startLogRead(now)
+		time.AfterFunc(origin.LogInterval, s.appendLog)
+		return
+	}
+	if batch, slot, due := s.log.Due(now); due {
+		s.appendBatch(batch, slot)
+	}
+	s.logScheduled = false
+	s.scheduleLog(time.Now())
+}
+
+// appendBatch appends a batch to the log, with the lock released meanwhile; the caller must hold it.
+func (s *Service) appendBatch(batch []origin.Report, slot int) {
+	value, err := encodeStreams(batch)
+	emptied := s.log.Excess(len(value))
+	records := []wire.FeedRecord{{
+		Key:   strconv.Itoa(slot),
+		Value: value,
+	}}
+	for _, oldest := range emptied {
+		records = append(records, wire.FeedRecord{Key: strconv.Itoa(oldest)})
+	}
+	if err == nil {
+		s.mu.Unlock()
+		err = s.StreamLog.Save(context.Background(), records)
+		s.mu.Lock()
+	}
+	s.log.Done(err == nil, len(value), emptied, time.Now())
+	if err != nil {
+		s.Logger.Warn().Err(err).Str("step", "write streams").Str("peer", "store").Int("streams", len(batch)).
+			Msg("origins of streams not written; will retry")
+	}
+}
+
+// startLogRead reads the log unless a read is in flight or the last one was too short ago; the caller must hold the lock.
+func (s *Service) startLogRead(now time.Time) {
+	if s.readingLog || now.Sub(s.logAskedAt) < logReadInterval {
+		return
+	}
+	s.readingLog = true
+	s.logAskedAt = now
+	go s.readLog(now)
+}
+
+func (s *Service) readLog(sent time.Time) {
+	batch, err := s.StreamLog.Newest(context.Background())
+	var log storedLog
+	if err == nil {
+		log, err = decodeLog(batch.Records)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.notifyLocked()
+	s.readingLog = false
+	if err != nil {
+		s.Logger.Warn().Err(err).Str("step", "read streams").Str("peer", "store").Msg("origins of streams not read")
+		return
+	}
+	s.logged, s.logReadAt = log.streams, sent
+	if !s.log.Known() {
+		s.log.Continue(log.sizes, log.last)
+	}
+	s.Logger.Info().Str("decision", "versions").Int("streams", len(log.streams)).Msg("origins of streams read")
+}
+
+// findLogged returns where a stream began by the log in the store. The log is read if that was not done since the caller came.
+func (s *Service) findLogged(ctx context.Context, search *search) origin.Answer {
+	var answer origin.Answer
+	s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
+		answer = s.logged[search.stream]
+		if answer.Known || answer.Ambiguous || !s.mayBeLogged(now) || s.logReadAt.After(search.came) {
+			return true
+		}
+		s.startLogRead(now)
+		return false
+	})
+	return answer
+}
+
+// mayBeLogged reports whether the log may hold streams: more than one version has served, or it is not known which ones. The
+// caller must hold the lock.
+func (s *Service) mayBeLogged(now time.Time) bool {
+	return s.StreamLog != nil && len(s.bounds()) > 0 && (!s.sightings.Covered() || len(s.loggedPools(now)) > 0)
+}
--- /dev/null
+++ b/internal/transport/origins/versions.go
@@ -0,0 +1,282 @@
+package origins
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"lagoongw/internal/coordination/origin"
+)
+
+const (
+	// admitTimeout is how long an upstream of a new version waits for its version to be recorded.
+	admitTimeout = time.Second
+	// callerTimeout is how long a caller who takes a stream up waits for a read of the store.
+	callerTimeout = 300 * time.Millisecond
+	// waitPoll is the time between two checks of a wait; calls that failed are repeated at one of them.
+	waitPoll = 50 * time.Millisecond
+)
+
+// Recorded reports whether upstreams of a version may be listed without a wait: no stream of the pool can be taken up, or the
+// version is in the record.
+func (s *Service) Recorded(pool, version string) bool {
+	if s.VersionRecord == nil {
+		return true
+	}
+	bounds := s.bounds()
+	bound, takenUp := bounds[pool]
+	if !takenUp {
+		return bounds != nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recorded(pool, version, bound, time.Now())
+}
+
+// recorded reports whether a version is in the record; the caller must hold the lock. A version that was not seen of late may
+// have been removed from it.
+func (s *Service) recorded(pool, version string, bound time.Duration, now time.Time) bool {
+	return s.record.Has(pool, version) && s.sightings.Fresh(pool, version, bound, now)
+}
+
+// Admit returns once the versions of a node's upstreams are recorded, by pool, or after admitTimeout. The node must not list
+// the upstreams before.
+func (s *Service) Admit(ctx context.Context, versions map[string][]string) {
+	if s.VersionRecord == nil {
+		return
+	}
+	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
+		s.Logger.Warn().Str("decision", "versions").Interface("versions", versions).
+			Msg("versions not recorded in time; their upstreams are listed all the same")
+	}
+}
+
+// await waits until a condition holds, and reports whether it does within the timeout. The condition is checked with the lock
+// held.
+func (s *Service) await(ctx context.Context, timeout time.Duration, holds func(now time.Time) bool) bool {
+	deadline := time.NewTimer(timeout)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		done, changed := holds(time.Now()), s.changedLocked()
+		s.mu.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-time.After(waitPoll):
+		case <-deadline.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// changedLocked returns a channel that is closed at the next change; the caller must hold the lock.
+func (s *Service) changedLocked() <-chan struct{} {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// notifyLocked wakes what waits for a change; the caller must hold the lock.
+func (s *Service) notifyLocked() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// admitted makes the versions be recorded and reports whether they are; the caller must hold the lock.
+func (s *Service) admitted(versions map[string][]string, now time.Time) bool {
+	bounds := s.bounds()
+	if bounds == nil {
+		return false
+	}
+	s.record.NewKey = newKey
+	missing := map[string][]string{}
+	for pool, names := range versions {
+		bound, takenUp := bounds[pool]
+		for _, name := range names {
+			if takenUp && !s.recorded(pool, name, bound, now) {
+				missing[pool] = append(missing[pool], name)
+			}
+		}
+	}
+	if len(missing) == 0 {
+		return true
+	}
+	if !s.sightings.Covered() {
+		s.startRecordRead(now)
+		return false
+	}
+	s.sightings.Note(missing, now)
+	for pool, names := range missing {
+		for _, name := range names {
+			s.record.Want(pool, name)
+		}
+	}
+	s.startAppend(now)
+	return false
+}
+
+// Listed records the versions that are listed by pool.
+func (s *Service) Listed(versions map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sightings.Note(versions, time.Now())
+}
+
+// ToldVersions records entries that another node writes to the record.
+func (s *Service) ToldVersions(entries []origin.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Told(entries)
+	for _, e := range entries {
+		if !e.Gone {
+			s.sightings.Note(map[string][]string{e.Pool: {e.Version}}, time.Now())
+		}
+	}
+}
+
+// maintainRecord reads the record if this node has not, and writes what the node that reads the store for all has to; the
+// caller must hold the lock.
+func (s *Service) maintainRecord(listed map[string][]string, current bool, now time.Time) {
+	bounds := s.bounds()
+	if s.VersionRecord == nil || len(bounds) == 0 {
+		return
+	}
+	if !s.sightings.Covered() {
+		if current {
+			s.startRecordRead(now)
+		}
+		return
+	}
+	if s.isWriter() && current {
+		recorded := s.record.Versions()
+		for pool, bound := range bounds {
+			s.maintainPool(pool, origin.Window(bound), listed[pool], recorded[pool], now)
+		}
+	}
+	s.startAppend(now)
+}
+
+func (s *Service) maintainPool(pool string, window time.Duration, listed, recorded []string, now time.Time) {
+	for _, version := range listed {
+		if !slices.Contains(recorded, version) {
+			s.record.Want(pool, version)
+		}
+	}
+	sighted := s.sightings.Sighted(pool, window, now)
+	if sighted.Observed < window {
+		return
+	}
+	for _, version := range recorded {
+		if !slices.Contains(sighted.Versions, version) {
+			s.record.Remove(pool, version)
+		}
+	}
+	if !s.record.Complete(pool) {
+		s.record.WantAll(pool, sighted.Versions)
+	}
+}
+
+// startRecordRead reads the record unless a read is in flight or a failed one was too short ago; the caller must hold the lock.
+func (s *Service) startRecordRead(now time.Time) {
+	if s.readingRecord || !s.record.MayCall(now) {
+		return
+	}
+	s.readingRecord = true
+	go s.readRecord(now)
+}
+
+func (s *Service) readRecord(sent time.Time) {
+	batch, err := s.VersionRecord.Newest(context.Background())
+	var entries []origin.Entry
+	if err == nil {
+		entries, err = decodeEntries(batch.Records)
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readingRecord = false
+	defer s.notifyLocked()
+	if err != nil {
+		s.record.Failed(now)
+		s.Logger.Warn().Err(err).Str("step", "read versions").Str("peer", "store").Msg("record of versions not read; will retry")
+		return
+	}
+	s.record.Read(entries, batch.Era)
+	complete := map[string]bool{}
+	for pool := range s.bounds() {
+		complete[pool] = s.record.Complete(pool)
+	}
+	s.sightings.Cover(s.record.Versions(), func(pool string) bool { return complete[pool] }, sent, now)
+	s.Logger.Info().Str("decision", "versions").Interface("versions", s.record.Versions()).Int("era", batch.Era).
+		Interface("complete", complete).Msg("record of versions read")
+	if len(s.loggedPools(now)) > 0 {
+		s.startLogRead(now)
+	}
+}
+
+// startAppend appends the entries that are due; the caller must hold the lock.
+func (s *Service) startAppend(now time.Time) {
+	if due := s.record.Due(now); len(due) > 0 {
+		go s.appendEntries(due)
+	}
+}
+
+// appendEntries writes entries to the record and tells all nodes, which then know of a new version before a stream begins
+// there.
+func (s *Service) appendEntries(entries []origin.Entry) {
+	ctx := context.Background()
+	var group sync.WaitGroup
+	for _, node := range s.Nodes() {
+		if node.Name != s.Name && s.TellVersions != nil {
+			group.Go(func() {
+				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
+					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
+				}
+			})
+		}
+	}
+	records, err := encodeEntries(entries)
+	if err == nil {
+		err = s.VersionRecord.Save(ctx, records)
+	}
+	group.Wait()
+	s.logAppend(entries, err)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Done(err == nil, now)
+	for _, e := range entries {
+		if err == nil && !e.Gone {
+			s.sightings.Confirm(e.Pool, e.Version, now)
+		}
+	}
+	s.startAppend(now)
+	s.notifyLocked()
+}
+
+func (s *Service) logAppend(entries []origin.Entry, err error) {
+	for _, e := range entries {
+		entry := s.Logger.Info()
+		message := "version recorded"
+		switch {
+		case err != nil:
+			entry = s.Logger.Warn().Err(err).Str("step", "write versions").Str("peer", "store")
+			message = "version not recorded; will retry"
+		case e.Gone:
+			message = "version that has not served for long removed from the record"
+		}
+		entry.Str("decision", "versions").Str("pool", e.Pool).Str("version", e.Version).Int("era", e.Era).Msg(message)
+	}
+}
+
+func newKey() string { return rand.Text() }
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -37,6 +37,8 @@
 	MethodTellOrigins  = "tell-origins"
 	MethodFindOrigin   = "find-origin"
 	MethodFindVersions = "find-versions"
+	// MethodTellVersions tells a node of software versions that are about to serve, or are no longer recorded.
+	MethodTellVersions = "tell-versions"
 	// MethodDetour asks a node to connect to an upstream for the caller, which takes the connection with Client.OpenStream.
 	MethodDetour = "detour"
 	// MethodPause tells a node that an upstream asked it to send nothing for a while.
