Origins: a list of upstreams as new as the take-up, and one writer

A take-up by the one version that has served therefore waits for a read of the list that was sent after the caller came, at most 300 ms. Refused callers are told when this node will have read what it lacks.

Nodes that start together took themselves for the writer of the log and overwrote each other's batches (seen with two processes: the 8 streams were never all in the store within 20 s). A node now writes once it has been the one to write for 1 s.

The catalog test failed first: a former entry's mark as leaving outlasted the wait.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -54,6 +54,9 @@
 // Backoff returns the pause after the last failed read.
 func (s *ReadSchedule) Backoff() time.Duration { return s.backoff }
 
+// RetryIn returns how long to wait before the next read after a failed one, 0 if the last one did not fail.
+func (s *ReadSchedule) RetryIn(now time.Time) time.Duration { return max(s.retryAt.Sub(now), 0) }
+
 // CurrentAt returns when the copy was last current, the zero time if it never was.
 func (s *ReadSchedule) CurrentAt() time.Time { return s.currentAt }
 
--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -187,5 +187,8 @@
 	r.retryAt = now.Add(r.backoff)
 }
 
+// RetryIn returns how long to wait after a failed call before the next one.
+func (r *Record) RetryIn(now time.Time) time.Duration { return max(r.retryAt.Sub(now), 0) }
+
 // MayCall reports whether the pause after a failed call has passed.
 func (r *Record) MayCall(now time.Time) bool { return !now.Before(r.retryAt) }
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -65,9 +65,24 @@
 		return err
 	}
 	f.logReachability(nil)
+	f.accept(ctx, update)
+	return nil
+}
+
+// refresh reads the store once and sends what changed to the peers. A failure does not count as an outage, since the read is not
+// due.
+func (f *follower) refresh(ctx context.Context) error {
+	update, err := f.fetch(ctx, 0)
+	if err == nil {
+		f.accept(ctx, update)
+	}
+	return err
+}
+
+// accept applies an update that was read from the store and sends what changed to the peers.
+func (f *follower) accept(ctx context.Context, update wire.FeedUpdate) {
 	f.onStoreReachable()
 	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.push(f.applyRead(update, now)) })
-	return nil
 }
 
 // readAlone reads the store once for this node alone.
@@ -375,6 +390,13 @@
 	return f.readSchedule.Backoff()
 }
 
+// retryIn returns how long to wait before the next read after a failed one.
+func (f *follower) retryIn(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readSchedule.RetryIn(now)
+}
+
 // recordFailure records a failed read of the store, unless the context is done, which made the read fail.
 func (f *follower) recordFailure(ctx context.Context, err error, now time.Time) {
 	if ctx.Err() != nil {
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"lagoongw/internal/protocol/wire"
-	"lagoongw/internal/state/replica"
 )
 
 // VersionRecord records the software versions of upstreams before these are listed.
 type VersionRecord interface {
 	// Recorded reports whether a version of a pool is recorded, or need not be.
 	Recorded(pool, version string) bool
+	// Listed notes versions by pool that are listed or about to be.
+	Listed(versions map[string][]string)
 	// Admit records versions by pool and returns once that is done, or failed for too long.
 	Admit(ctx context.Context, versions map[string][]string)
 }
@@ -27,15 +28,17 @@
 		apply(update, now)
 		return
 	}
+	versions := versionsOf(rows)
+	f.versions.Listed(versions)
 	if !f.loaded() {
-		f.versions.Admit(ctx, versionsOf(rows))
+		f.versions.Admit(ctx, versions)
 		apply(update, now)
 		return
 	}
 	apply(known, now)
 	f.withhold(rows)
 	go func() {
-		f.versions.Admit(ctx, versionsOf(rows))
+		f.versions.Admit(ctx, versions)
 		apply(update, f.currentAt())
 	}()
 }
@@ -86,18 +89,10 @@
 // withhold keeps new requests from upstreams that are listed with another version than they have now, which is not recorded
 // yet: streams of the former version must not go on there.
 func (s *Service) withhold(rows []wire.Machine) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	changed := false
+	listed := s.Table.Load()
 	for _, row := range rows {
-		listed, found := s.Table.Load().Replica(row.Name)
-		if !found || listed.Version() == row.Version {
-			continue
+		if former, found := listed.Replica(row.Name); found && former.Version() != row.Version {
+			former.MarkLeaving()
 		}
-		row.State = replica.StateLeaving
-		changed = s.roster.Put(row) || changed
-	}
-	if changed {
-		s.publish()
 	}
 }
--- /dev/null
+++ b/internal/transport/catalog/versions_test.go
@@ -0,0 +1,106 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/internal/state/replica"
+)
+
+// slowRecord takes a while to record a version.
+type slowRecord struct {
+	delay time.Duration
+
+	mu       sync.Mutex
+	recorded map[string]bool
+	admits   int
+}
+
+func (r *slowRecord) Recorded(_, version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recorded[version]
+}
+
+func (r *slowRecord) Listed(map[string][]string) {}
+
+func (r *slowRecord) Admit(ctx context.Context, versions map[string][]string) {
+	pause(ctx, r.delay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admits++
+	for _, version := range versions["p"] {
+		r.recorded[version] = true
+	}
+}
+
+// TestNewVersionsWaitForTheirRecordAndNoOthersDo guards against a stream that begins at a version that the store does not
+// know, against known versions that wait with it, and against peers that never list an upstream whose push they missed.
+func TestNewVersionsWaitForTheirRecordAndNoOthersDo(t *testing.T) {
+	const period = upstreamsReadPeriod + pollInterval
+	for name, lost := range map[string]func(from, to int) bool{
+		"all pushes arrive":   func(int, int) bool { return false },
+		"one node misses all": func(_, to int) bool { return to == 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := &slowRecord{
+				delay:    time.Second,
+				recorded: map[string]bool{"": true},
+			}
+			runSiteOf(t, func(s *Service) { s.Versions = record }, func(s *site, _, upstreams *fakeTopic) {
+				is := is.New(t)
+				upstreams.put("u3", "ready@1")
+				time.Sleep(period)
+				s.lose(func(from, to int) bool { return lost(from, to) })
+				upstreams.put("u2", "ready@1/v2")
+				upstreams.put("u3", "ready@2/v2")
+				upstreams.put("u1", "draining")
+				time.Sleep(period)
+				is.True(s.leaving()[0])
+				is.True(s.leaving()[1])
+				listed := func(node int, name string) *replica.Replica {
+					found, known := s.services[node].Table.Load().Replica(name)
+					if !known {
+						return nil
+					}
+					return found
+				}
+				record.mu.Lock()
+				waiting := !record.recorded["v2"]
+				record.mu.Unlock()
+				if waiting {
+					is.Equal(listed(0, "u2"), nil)
+					is.True(listed(0, "u3").Leaving()) // it is at another version by now
+				}
+				s.lose(func(int, int) bool { return false })
+				time.Sleep(bound)
+				for node := range s.services {
+					is.True(s.leaving()[node])
+					is.Equal(listed(node, "u2").Version(), "v2")
+					is.Equal(listed(node, "u3").Version(), "v2")
+					is.True(!listed(node, "u3").Leaving())
+				}
+			})
+		})
+	}
+}
+
+// TestFirstListWaitsNoLongerThanItsVersionsTake guards against a node that starts with an empty list, and one that serves
+// nobody while versions can't be recorded.
+func TestFirstListWaitsNoLongerThanItsVersionsTake(t *testing.T) {
+	record := &slowRecord{
+		delay:    time.Second,
+		recorded: map[string]bool{},
+	}
+	runSiteOf(t, func(s *Service) { s.Versions = record }, func(s *site, _, _ *fakeTopic) {
+		is := is.New(t)
+		for _, service := range s.services {
+			is.True(service.Ready())
+			is.Equal(service.Table.Load().Len(), 1)
+		}
+	})
+}
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -38,6 +38,8 @@
 		Writer:        p.storeReader,
 		Era:           p.Catalog.UpstreamsEra,
 		TellVersions:  p.tellVersions,
+		Refresh:       p.Catalog.RefreshUpstreams,
+		RefreshIn:     p.Catalog.UpstreamsRetryIn,
 		Logger:        p.Logger,
 	}
 }
--- a/internal/transport/gateway/origin.go
+++ b/internal/transport/gateway/origin.go
@@ -13,9 +13,8 @@
 	"lagoongw/internal/state/route"
 )
 
-// retryAfterUnknownOrigin is the Retry-After of a stream that can't be taken up now: its first node may have been cut off
-// from this one, or its upstreams may be restarting.
-const retryAfterUnknownOrigin = time.Second
+// retryAfterOtherPool is the Retry-After of a stream whose route leads elsewhere now.
+const retryAfterOtherPool = time.Second
 
 // Origins keeps where streams began, for callers who take them up at any node.
 type Origins interface {
@@ -26,6 +25,8 @@
 	Find(ctx context.Context, requestID, pool string) (o origin.Origin, known bool)
 	// FindOnly returns where a stream of a pool began that is no older than a time, if that can be only one version.
 	FindOnly(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool)
+	// RetryAfter returns when the origin of a stream may be known that is not known now.
+	RetryAfter() time.Duration
 }
 
 // takesUpStream reports whether the caller has received the beginning of the stream from an earlier request.
@@ -43,9 +44,10 @@
 	x.server.Metrics.countTakenUp(known, served)
 	switch {
 	case !known:
-		return x.refuseTakeUp(found, "the software version that began the stream is not known here")
+		return x.refuseTakeUp(found, "the software version that began the stream is not known here",
+			x.server.Origins.RetryAfter())
 	case !served:
-		return x.refuseTakeUp(found, "the route no longer leads to the pool that began the stream")
+		return x.refuseTakeUp(found, "the route no longer leads to the pool that began the stream", retryAfterOtherPool)
 	}
 	x.logTakeUp(x.server.Logger.Info(), found, "")
 	x.origin = &found
@@ -54,12 +56,12 @@
 }
 
 // refuseTakeUp returns the answer to a caller whose stream can't go on.
-func (x *exchange) refuseTakeUp(found origin.Origin, reason string) *localAnswer {
+func (x *exchange) refuseTakeUp(found origin.Origin, reason string, retryAfter time.Duration) *localAnswer {
 	x.logTakeUp(x.server.Logger.Warn(), found, reason)
 	return &localAnswer{
 		status:     http.StatusServiceUnavailable,
 		reason:     reason + "; the request has not run, come back or begin anew",
-		retryAfter: retryAfterUnknownOrigin,
+		retryAfter: retryAfter,
 	}
 }
 
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -43,6 +43,9 @@
 	Writer func() string
 	// Era, if set, returns the era of the store: how often it was restored from an older copy.
 	Era func() int
+	// Refresh, if set, reads the list of upstreams now, and RefreshIn returns how long that is not to be done after a failure.
+	Refresh   func(ctx context.Context) error
+	RefreshIn func() time.Duration
 	// TellVersions, if set, tells another node of entries that this one writes to the record of the versions.
 	TellVersions func(ctx context.Context, node string, entries []origin.Entry) error
 	// Logger receives the log lines.
@@ -56,12 +59,19 @@
 	log       origin.Log
 	// changed is closed when the state of the two topics changes; it is nil while nothing waits for that.
 	changed chan struct{}
+	// refreshing is set while the list of upstreams is read for a caller. refreshedAt is when the last such read that succeeded
+	// was sent, refreshAskedAt when the last one was.
+	refreshing                  bool
+	refreshedAt, refreshAskedAt time.Time
 	// readingRecord and readingLog are set while a read of the topic is in flight.
 	readingRecord, readingLog bool
 	// logged holds the streams of the log; logReadAt is when the read that returned them was sent, logAskedAt when the last one
 	// was.
 	logged                map[origin.ID]origin.Answer
 	logReadAt, logAskedAt time.Time
+	// writer is the node that writes to the two topics, by what this node knows, and writerSince since when it is.
+	writer      string
+	writerSince time.Time
 	// writing holds the pools whose streams this node appends to the log; logScheduled is set while an append is scheduled or
 	// in flight.
 	writing      []string
@@ -94,6 +104,7 @@
 	s.mu.Lock()
 	s.announcer.Self = s.Name
 	s.announcer.SetNodes(s.Nodes())
+	s.updateWriter(now)
 	s.maintainRecord(versions, current, now)
 	s.updateLog(now)
 	s.announcer.Forget(now)
@@ -217,7 +228,7 @@
 		search.deadline = time.Now().Add(callerTimeout)
 	}
 	if bound, resumable := s.bounds()[search.pool]; resumable {
-		if o, known := s.findOnly(ctx, search.pool, bound, search.deadline); known {
+		if o, known := s.findOnly(ctx, search, bound); known {
 			return origin.Answer{
 				Known:  true,
 				Origin: o,
@@ -250,17 +261,29 @@
 // FindOnly returns the origin of a stream that began in a pool up to a time ago, or up to the take-up bound of a pool that has
 // one, if no other version than one has served there since.
 func (s *Service) FindOnly(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
+	now := time.Now()
 	if bound, resumable := s.bounds()[pool]; resumable {
-		ago = bound
+		return s.findOnly(ctx, &search{
+			pool:     pool,
+			came:     now,
+			deadline: now.Add(callerTimeout),
+		}, bound)
 	}
-	return s.findOnly(ctx, pool, ago, time.Now().Add(callerTimeout))
+	return s.onlyVersion(ctx, pool, ago)
 }
 
-// findOnly is FindOnly; it waits for the store until a deadline.
-func (s *Service) findOnly(
-	ctx context.Context, pool string, ago time.Duration, deadline time.Time,
-) (o origin.Origin, known bool) {
-	s.awaitRecord(ctx, deadline)
+// findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. They are known
+// once the record was read, and the list of upstreams since the caller came: another node may have listed a new version before
+// this one, which is told of it unless a link is broken.
+func (s *Service) findOnly(ctx context.Context, search *search, bound time.Duration) (o origin.Origin, known bool) {
+	if s.VersionRecord != nil && !s.awaitVersions(ctx, search) {
+		return origin.Origin{}, false
+	}
+	return s.onlyVersion(ctx, search.pool, bound)
+}
+
+// onlyVersion asks other nodes for the versions that they have seen, and returns the origin of a stream if it is the only one.
+func (s *Service) onlyVersion(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
 	all := []origin.Sighted{s.Sighted(pool)}
 	answers, count := fanOut(s, origin.NewID(pool), func(node string) (origin.Sighted, error) {
 		return s.AskSighted(ctx, node, pool)
@@ -275,21 +298,6 @@
 	}, known
 }
 
-// awaitRecord waits until a deadline for the record of the versions to be read.
-func (s *Service) awaitRecord(ctx context.Context, deadline time.Time) {
-	_, current := s.observe(time.Now())
-	if s.VersionRecord == nil || len(s.bounds()) == 0 || !current {
-		return
-	}
-	s.await(ctx, time.Until(deadline), func(now time.Time) bool {
-		if s.sightings.Covered() {
-			return true
-		}
-		s.startRecordRead(now)
-		return false
-	})
-}
-
 // fanOut calls ask for the other nodes that may know a stream, and returns the channel of their answers and their number.
 // The answer of a node that can't be asked is zero.
 func fanOut[A any](s *Service, id origin.ID, ask func(node string) (A, error)) (answers <-chan A, count int) {
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -11,8 +11,13 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// logReadInterval is the least time between two reads of the log of streams by one node.
-const logReadInterval = 500 * time.Millisecond
+const (
+	// logReadInterval is the least time between two reads of the log of streams by one node.
+	logReadInterval = 500 * time.Millisecond
+	// writerDelay is how long a node has been the one to write before it does. Nodes that start together agree on one within
+	// that time; two that write at once overwrite each other's batches.
+	writerDelay = time.Second
+)
 
 // loggedPools returns the pools whose streams are logged in the store, sorted: those that two or more versions have served
 // within the take-up bound. The caller must hold the lock.
@@ -29,19 +34,30 @@
 	return pools
 }
 
-// isWriter reports whether this node reads the store for all, and appends streams and versions to it.
-func (s *Service) isWriter() bool { return s.Writer != nil && s.Writer() == s.Name }
+// updateWriter notes which node reads the store for all, and appends streams and versions to it; the caller must hold the lock.
+func (s *Service) updateWriter(now time.Time) {
+	before := s.writer
+	if s.Writer != nil {
+		s.writer = s.Writer()
+	}
+	if s.writer != before {
+		s.writerSince = now
+	}
+}
+
+// isWriter reports whether this node writes to the store for all; the caller must hold the lock.
+func (s *Service) isWriter(now time.Time) bool {
+	return s.writer != "" && s.writer == s.Name && now.Sub(s.writerSince) >= writerDelay
+}
 
 // updateLog begins or ends the log of the streams of pools; the caller must hold the lock.
 func (s *Service) updateLog(now time.Time) {
 	pools := s.loggedPools(now)
-	if s.Writer != nil {
-		s.announcer.SetWriter(s.Writer(), pools)
-	}
+	s.announcer.SetWriter(s.writer, pools)
 	if now.Sub(s.logReadAt) >= origin.DefaultWindow {
 		s.logged = nil
 	}
-	if !s.isWriter() {
+	if !s.isWriter(now) {
 		s.writing = nil
 		return
 	}
@@ -151,7 +167,7 @@
 	var answer origin.Answer
 	s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
 		answer = s.logged[search.stream]
-		if answer.Known || answer.Ambiguous || !s.mayBeLogged(now) || s.logReadAt.After(search.came) {
+		if answer.Known || answer.Ambiguous || !s.mayBeLogged(now) || !s.logReadAt.Before(search.came) {
 			return true
 		}
 		s.startLogRead(now)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -15,6 +15,12 @@
 	admitTimeout = time.Second
 	// callerTimeout is how long a caller who takes a stream up waits for a read of the store.
 	callerTimeout = 300 * time.Millisecond
+	// refreshInterval is the least time between two reads of the list of upstreams for callers.
+	refreshInterval = 200 * time.Millisecond
+	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
+	readTime = 400 * time.Millisecond
+	// contactDelay is the time after which an origin that nobody knew is worth another search: its node may have been cut off.
+	contactDelay = time.Second
 	// waitPoll is the time between two checks of a wait; calls that failed are repeated at one of them.
 	waitPoll = 50 * time.Millisecond
 )
@@ -53,6 +59,69 @@
 	}
 }
 
+// awaitVersions waits for the list of upstreams to be read after a caller came, and for the record to be read, and reports
+// whether the list was.
+func (s *Service) awaitVersions(ctx context.Context, search *search) bool {
+	fresh := s.Refresh == nil || s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
+		if !s.refreshedAt.Before(search.came) {
+			return true
+		}
+		s.startRefresh(now)
+		return false
+	})
+	if !fresh {
+		return false
+	}
+	s.observe(time.Now())
+	s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
+		if s.sightings.Covered() {
+			return true
+		}
+		s.startRecordRead(now)
+		return false
+	})
+	return true
+}
+
+// startRefresh reads the list of upstreams unless that is being done, or was too short ago; the caller must hold the lock.
+func (s *Service) startRefresh(now time.Time) {
+	if s.refreshing || now.Sub(s.refreshAskedAt) < refreshInterval {
+		return
+	}
+	s.refreshing = true
+	s.refreshAskedAt = now
+	go func() {
+		err := s.Refresh(context.Background())
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refreshing = false
+		if err == nil {
+			s.refreshedAt = now
+		}
+		s.notifyLocked()
+	}()
+}
+
+// RetryAfter returns when a caller may come back whose stream has no known origin: once this node has read what it lacks, or
+// when another node that knows may be in touch again.
+func (s *Service) RetryAfter() time.Duration {
+	_, current := s.Versions()
+	var refreshIn time.Duration
+	if !current && s.RefreshIn != nil {
+		refreshIn = s.RefreshIn()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	switch {
+	case !current:
+		return refreshIn + readTime
+	case s.VersionRecord != nil && !s.sightings.Covered():
+		return s.record.RetryIn(now) + readTime
+	}
+	return contactDelay
+}
+
 // await waits until a condition holds, and reports whether it does within the timeout. The condition is checked with the lock
 // held.
 func (s *Service) await(ctx context.Context, timeout time.Duration, holds func(now time.Time) bool) bool {
@@ -157,7 +226,7 @@
 		}
 		return
 	}
-	if s.isWriter() && current {
+	if s.isWriter(now) && current {
 		recorded := s.record.Versions()
 		for pool, bound := range bounds {
 			s.maintainPool(pool, origin.Window(bound), listed[pool], recorded[pool], now)
