--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -16,6 +16,9 @@
 // ErrRefused is returned for a call that the store will never accept as it is, such as an append of too large a record.
 var ErrRefused = eris.New("store refuses the call for what it contains")
 
+// ErrNoTopic is returned when the store does not have a topic, because nothing was appended to it yet.
+var ErrNoTopic = eris.New("store has no such topic")
+
 // Batch is the result of one read of a topic.
 type Batch struct {
 	Records []wire.FeedRecord
--- a/internal/transport/gateway/takeups_test.go
+++ b/internal/transport/gateway/takeups_test.go
@@ -26,12 +26,15 @@
 	topics map[string]map[string]wire.FeedRecord
 	offset int
 	down   bool
+	// sparse makes reads of topics fail that nothing was appended to.
+	sparse bool
 	// reads and appends count the calls by topic.
 	reads, appends map[string]int
 }
 
 func newSiteStore() *siteStore {
 	return &siteStore{
+		sparse:  true,
 		topics:  map[string]map[string]wire.FeedRecord{},
 		reads:   map[string]int{},
 		appends: map[string]int{},
@@ -63,7 +66,7 @@
 	name   string
 }
 
-func (t *storeTopic) call(count map[string]int, run func(records map[string]wire.FeedRecord)) error {
+func (t *storeTopic) call(count map[string]int, appends bool, run func(records map[string]wire.FeedRecord)) error {
 	time.Sleep(storeDelay)
 	store := t.client.store
 	store.mu.Lock()
@@ -76,6 +79,9 @@
 		return errStoreDown
 	}
 	if store.topics[t.name] == nil {
+		if store.sparse && !appends {
+			return catalog.ErrNoTopic
+		}
 		store.topics[t.name] = map[string]wire.FeedRecord{}
 	}
 	run(store.topics[t.name])
@@ -83,7 +89,7 @@
 }
 
 func (t *storeTopic) Newest(context.Context) (batch catalog.Batch, err error) {
-	err = t.call(t.client.store.reads, func(records map[string]wire.FeedRecord) {
+	err = t.call(t.client.store.reads, false, func(records map[string]wire.FeedRecord) {
 		for _, record := range records {
 			batch.Records = append(batch.Records, record)
 		}
@@ -93,7 +99,7 @@
 }
 
 func (t *storeTopic) Save(_ context.Context, records []wire.FeedRecord) error {
-	return t.call(t.client.store.appends, func(known map[string]wire.FeedRecord) {
+	return t.call(t.client.store.appends, true, func(known map[string]wire.FeedRecord) {
 		for _, record := range records {
 			record.Offset = t.client.store.offset
 			t.client.store.offset++
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/catalog"
 )
 
 const (
@@ -144,7 +146,7 @@
 func (s *Service) readLog(sent time.Time) {
 	batch, err := s.StreamLog.Newest(context.Background())
 	var log storedLog
-	if err == nil {
+	if err == nil || errors.Is(err, catalog.ErrNoTopic) {
 		log, err = decodeLog(batch.Records)
 	}
 	s.mu.Lock()
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
 	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/transport/catalog"
 )
 
 const (
@@ -267,7 +269,7 @@
 func (s *Service) readRecord(sent time.Time) {
 	batch, err := s.VersionRecord.Newest(context.Background())
 	var entries []origin.Entry
-	if err == nil {
+	if err == nil || errors.Is(err, catalog.ErrNoTopic) {
 		entries, err = decodeEntries(batch.Records)
 	}
 	now := time.Now()
