--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -1,6 +1,7 @@
 package origins_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -60,6 +61,8 @@
 	nextID               int
 	// named is how many of ten callers name the request that began their stream.
 	named int
+	// hurried makes most streams short, and their callers come back soon.
+	hurried bool
 }
 
 // modelNode is one run of a node.
@@ -367,7 +370,7 @@
 		Version: version,
 	})
 	named := m.intN(10) < m.named
-	broken := time.Now().Add(time.Duration(m.intN(6000)) * time.Millisecond)
+	broken := time.Now().Add(m.delay(0, 6000))
 	for alive := true; alive && time.Now().Before(broken); {
 		time.Sleep(50 * time.Millisecond)
 		m.locked(func() { alive = !first.lost })
@@ -379,7 +382,7 @@
 		}
 	})
 	for ask := range 2 {
-		time.Sleep(time.Duration(100+m.intN(900)) * time.Millisecond)
+		time.Sleep(m.delay(100, 900))
 		for next = nil; next == nil && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 			m.locked(func() { next = m.anyNode() })
 		}
@@ -400,6 +403,14 @@
 	}
 }
 
+// delay returns a time of so many milliseconds and up to so many more; in a hurried run most are short.
+func (m *model) delay(least, more int) time.Duration {
+	if m.hurried {
+		least, more = 0, 1+m.intN(least+more)
+	}
+	return time.Duration(least+m.intN(more)) * time.Millisecond
+}
+
 // takeUp takes a stream up at a node and notes where it would go on.
 func (m *model) takeUp(ctx context.Context, next *modelNode, id, version string, named bool) (wentOn bool) {
 	var found origin.Origin
@@ -524,8 +535,9 @@
 	return cloned
 }
 
-// play runs a site for a while. Faults are chosen among those that are named; another one follows after the given time on average.
-func (m *model) play(t *testing.T, length, faultEvery time.Duration, faults []string) {
+// play runs a site for a while. Up to a number of faults at once are chosen among those that are named, and the next ones follow
+// after the given time on average.
+func (m *model) play(t *testing.T, length, faultEvery time.Duration, faults []string, burst int) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	for number := range modelNodes {
@@ -541,7 +553,9 @@
 	group.Go(func() {
 		time.Sleep(5 * time.Second)
 		for time.Now().Before(end) {
-			modelFaults[faults[m.intN(len(faults))]](ctx, m)
+			for range 1 + m.intN(burst) {
+				modelFaults[faults[m.intN(len(faults))]](ctx, m)
+			}
 			time.Sleep(time.Duration(m.intN(int(2 * faultEvery))))
 		}
 	})
@@ -585,6 +599,11 @@
 		// atLeast is the least percentage of the streams that go on at the first or second ask after their first node was lost.
 		atLeast int
 		named   int
+		// length is that of a seed's run, and burst the largest number of faults at once.
+		length time.Duration
+		burst  int
+		// runs is the number of runs for each seed.
+		runs uint64
 	}{
 		"any faults, often": {
 			versions:   []string{"v0", "v1"},
@@ -592,6 +611,15 @@
 			faultEvery: 1500 * time.Millisecond,
 			named:      7,
 		},
+		"a second version comes amid faults": {
+			versions:   []string{"v0"},
+			faults:     all,
+			faultEvery: 2 * time.Second,
+			named:      5,
+			length:     12 * time.Second,
+			burst:      4,
+			runs:       10,
+		},
 		"any faults": {
 			versions:   []string{"v0"},
 			faults:     all,
@@ -613,15 +641,16 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(*seeds) {
+			for seed := range uint64(*seeds) * max(c.runs, 1) {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					m := newModel(seed, c.versions...)
 					m.named = c.named
-					m.play(t, modelLength, c.faultEvery, c.faults)
+					m.hurried = c.burst > 1
+					m.play(t, cmp.Or(c.length, modelLength), c.faultEvery, c.faults, max(c.burst, 1))
 					t.Logf("seed %d: %d of %d streams went on, %d mixed", seed, m.wentOn, m.asked, m.mixed)
 					is.Equal(m.mixed, 0)
-					is.True(m.asked > 0)
+					is.True(m.asked > 0 || c.atLeast == 0)
 					is.True(m.wentOn*100 >= c.atLeast*m.asked)
 				})
 			}
