--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -30,6 +30,11 @@
 	// push sends an update to the peers.
 	push   func(update wire.FeedUpdate)
 	logger zerolog.Logger
+	// versions, if set, records the versions of upstreams before their entries are applied; decode decodes an entry, and
+	// withhold is called for upstreams whose entries have to wait.
+	versions VersionRecord
+	decode   func(name string, data []byte) (wire.Machine, error)
+	withhold func(rows []wire.Machine)
 
 	mu           sync.Mutex
 	topic        feed.Topic
@@ -55,22 +60,36 @@
 // read reads the store once and sends what changed to the peers.
 func (f *follower) read(ctx context.Context, wait time.Duration) error {
 	update, err := f.fetch(ctx, wait)
-	now := time.Now()
 	if err != nil {
-		f.recordFailure(ctx, err, now)
+		f.recordFailure(ctx, err, time.Now())
 		return err
 	}
 	f.logReachability(nil)
-	f.onStoreReachable()
-	f.push(f.applyRead(update, now))
+	f.accept(ctx, update)
 	return nil
 }
 
+// refresh reads the store once and sends what changed to the peers. A failure does not count as an outage, since the read is not
+// due.
+func (f *follower) refresh(ctx context.Context) error {
+	update, err := f.fetch(ctx, 0)
+	if err == nil {
+		f.accept(ctx, update)
+	}
+	return err
+}
+
+// accept applies an update that was read from the store and sends what changed to the peers.
+func (f *follower) accept(ctx context.Context, update wire.FeedUpdate) {
+	f.onStoreReachable()
+	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.push(f.applyRead(update, now)) })
+}
+
 // readAlone reads the store once for this node alone.
 func (f *follower) readAlone(ctx context.Context) error {
 	update, err := f.fetch(ctx, 0)
 	if err == nil {
-		f.handleUpdate(update)
+		f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.applyUpdate(update, now) })
 	}
 	return err
 }
@@ -300,11 +319,16 @@
 // handleUpdate merges a peer's update; gap reports that records are missing and the whole topic must be fetched from
 // that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
+	return f.applyUpdate(update, time.Now())
+}
+
+// applyUpdate merges an update that is current as of now for this node alone.
+func (f *follower) applyUpdate(update wire.FeedUpdate, now time.Time) (gap bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An update shows that the store is reachable, even if this node's own read failed.
 	f.onStoreReachable()
-	return f.merge(update, time.Now())
+	return f.merge(update, now)
 }
 
 func (f *follower) snapshot() (wire.FeedUpdate, bool) {
@@ -366,6 +390,13 @@
 	return f.readSchedule.Backoff()
 }
 
+// retryIn returns how long to wait before the next read after a failed one.
+func (f *follower) retryIn(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readSchedule.RetryIn(now)
+}
+
 // recordFailure records a failed read of the store, unless the context is done, which made the read fail.
 func (f *follower) recordFailure(ctx context.Context, err error, now time.Time) {
 	if ctx.Err() != nil {
