--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -254,6 +254,24 @@
 	Revision int `json:"revision"`
 }
 
+// DutyLease is the record of the lease of the duties in the platform's store.
+type DutyLease struct {
+	// Boot differs between the starts of a node.
+	Boot int `json:"boot"`
+
+	// Claim tells that the record takes the lease; others renew or release it.
+	Claim bool `json:"claim"`
+
+	// Holder is the name of the node that wrote the record.
+	Holder string `json:"holder"`
+
+	// Number is the holder's fencing token.
+	Number int `json:"number"`
+
+	// Released tells that the holder has given up the lease.
+	Released bool `json:"released"`
+}
+
 // EngineOrder is a level-triggered order to an engine under a lease.
 type EngineOrder struct {
 	// FencingNumber corresponds to the JSON schema field "fencing-number".
