--- a/internal/coordination/duty/model_faults_test.go
+++ b/internal/coordination/duty/model_faults_test.go
@@ -31,14 +31,25 @@
 	return held
 }
 
-// injectFault begins one fault, half of them at the holder.
-func (m *model) injectFault() {
+// injectFaults begins one to three faults, half of them at the holder.
+func (m *model) injectFaults() {
 	n := m.nodes[m.random.IntN(len(m.nodes))]
 	if m.chance(0.5) {
 		n = m.holderOr()
 	}
-	cuts := []*bool{&n.cutTo, &n.cutFrom, &n.cutToAPI, &n.cutFromAPI, &n.cutPeers, &m.store.down, &m.store.slow}
-	switch fault := m.random.IntN(8 + len(cuts)); fault {
+	m.injectFault(n)
+	for range 2 {
+		if m.chance(0.4) {
+			m.clock.After(m.untilQuiet(1500*time.Millisecond), func() { m.injectFault(n) })
+		}
+	}
+}
+
+func (m *model) injectFault(n *modelNode) {
+	cuts := []*bool{
+		&n.cutTo, &n.cutTo, &n.cutFrom, &n.cutToAPI, &n.cutFromAPI, &n.cutPeers, &m.store.down, &m.store.slow,
+	}
+	switch fault := m.random.IntN(10 + len(cuts)); fault {
 	case 0, 1:
 		n.kill()
 	case 2:
@@ -46,35 +57,47 @@
 			each.kill()
 		}
 	case 3:
-		n.freeze(m.untilQuiet(8*time.Second), false)
+		for _, each := range m.nodes {
+			if each != n {
+				each.killFor(m.upTo(time.Second))
+			}
+		}
 	case 4:
+		n.freeze(m.untilQuiet(8*time.Second), false)
+	case 5:
 		// A step back just before a stop by the host would hide the stop from both clocks.
 		if n.step >= 0 {
 			n.freeze(m.untilQuiet(8*time.Second), true)
 		}
-	case 5:
-		n.step += m.upTo(20*time.Second) - 5*time.Second
 	case 6:
-		if len(m.store.snapshots) > 0 {
-			era := m.store.view.Era + 1
-			m.store.view = m.store.snapshots[m.random.IntN(len(m.store.snapshots))]
-			m.store.view.Era = era
-			m.restores++
-		}
-	case 7:
+		n.step += m.upTo(20*time.Second) - 5*time.Second
+	case 7, 8:
+		m.restore()
+	case 9:
 		if n.alive && !n.frozen {
 			n.election.Close(n.now())
-			m.clock.After(m.untilQuiet(2*time.Second), n.kill)
+			m.clock.After(m.untilQuiet(2*time.Second), func() { n.killFor(m.upTo(time.Second)) })
 		}
 	default:
-		m.cut(cuts[fault-8])
+		m.cut(cuts[fault-10])
+	}
+}
+
+// restore brings back an older copy of the store.
+func (m *model) restore() {
+	if len(m.store.snapshots) == 0 {
+		return
 	}
+	era := m.store.view.Era + 1
+	m.store.view = m.store.snapshots[m.random.IntN(len(m.store.snapshots))]
+	m.store.view.Era = era
+	m.restores++
 }
 
 // run runs the site with faults and then without, and returns when a node held the lease after the last fault.
 func (m *model) run() (after time.Duration, held bool) {
 	for at := time.Duration(0); at < faultTime; at += 50*time.Millisecond + m.upTo(6*time.Second) {
-		m.clock.At(m.began.Add(at), m.injectFault)
+		m.clock.At(m.began.Add(at), m.injectFaults)
 	}
 	for at := time.Duration(0); at < faultTime; at += m.upTo(10 * time.Second) {
 		m.clock.At(m.began.Add(at), func() { m.store.snapshots = append(m.store.snapshots, m.store.view) })
@@ -93,11 +116,11 @@
 
 // modelRun is the size of a site and the number of seeds that it is run with.
 var modelRuns = []struct{ nodes, seeds int }{
-	{nodes: 2, seeds: 300},
-	{nodes: 3, seeds: 300},
+	{nodes: 2, seeds: 600},
+	{nodes: 3, seeds: 600},
 	{nodes: 9, seeds: 100},
-	{nodes: 66, seeds: 10},
-	{nodes: 300, seeds: 3},
+	{nodes: 66, seeds: 6},
+	{nodes: 300, seeds: 2},
 }
 
 // TestDutiesHaveOneHolder guards against two nodes that use one number, nodes that act in turns within the lease, numbers
@@ -107,7 +130,7 @@
 	slowest := time.Duration(0)
 	for _, run := range modelRuns {
 		for seed := range run.seeds {
-			m := newModel(uint64(seed), run.nodes, variant{})
+			m := newModel(uint64(seed), run.nodes, variant{silent: seed%2 == 1})
 			after, held := m.run()
 			for _, fault := range m.faults {
 				t.Errorf("%d nodes, seed %d: %s", run.nodes, seed, fault)
--- a/internal/coordination/duty/model_test.go
+++ b/internal/coordination/duty/model_test.go
@@ -13,6 +13,8 @@
 const (
 	modelLease  = 3 * time.Second
 	modelMargin = 500 * time.Millisecond
+	// modelDrift is the relative error of the rates of the nodes' clocks, which the margin has to cover.
+	modelDrift  = 0.05
 	modelThaw   = 400 * time.Millisecond
 	modelTick   = 200 * time.Millisecond
 	callTick    = 100 * time.Millisecond
@@ -27,6 +29,8 @@
 
 // variant is a way to decide that the model check must find wrong.
 type variant struct {
+	// silent has holders call no peers, as with no usage reports; it is not wrong.
+	silent bool
 	// noWait has nodes claim as soon as they have read the topic.
 	noWait bool
 	// unconditional has the store append at any offset.
@@ -80,7 +84,12 @@
 	// stopped is the time that the boot-time clock missed, and step the sum of the steps of the wall clock.
 	stopped time.Duration
 	step    time.Duration
-	busy    bool
+	small   bool
+	// rate is the rate of the node's clocks.
+	rate float64
+	busy bool
+	// refused is the last number that the platform API refused this node.
+	refused int
 	// The cuts are those of the ways to the store, from the store, to the platform API, from it, and to and from peers.
 	cutTo, cutFrom, cutToAPI, cutFromAPI, cutPeers bool
 	apiAnswered                                    time.Time
@@ -98,6 +107,8 @@
 		n := &modelNode{
 			model: m,
 			name:  fmt.Sprintf("front-%d", i),
+			small: i%3 == 1,
+			rate:  1 + modelDrift*(2*m.random.Float64()-1),
 		}
 		m.nodes = append(m.nodes, n)
 		m.clock.After(m.upTo(time.Second), n.start)
@@ -113,7 +124,12 @@
 
 // untilQuiet returns a delay of a fault that ends before the last faults do.
 func (m *model) untilQuiet(longest time.Duration) time.Duration {
-	return min(m.upTo(longest), m.began.Add(faultTime).Sub(m.clock.Now()))
+	return m.within(m.upTo(longest))
+}
+
+// within shortens a delay so that it ends before the last faults do.
+func (m *model) within(d time.Duration) time.Duration {
+	return min(d, m.began.Add(faultTime).Sub(m.clock.Now()))
 }
 
 func (n *modelNode) start() {
@@ -125,7 +141,7 @@
 		Boot:   n.boot,
 		Lease:  modelLease,
 		Margin: modelMargin,
-		Small:  len(n.name)%2 == 0,
+		Small:  n.small,
 	}
 	n.election.Start(n.now())
 	n.apiAnswered = n.model.clock.Now()
@@ -150,10 +166,10 @@
 
 // now reads the clocks of the node.
 func (n *modelNode) now() Reading {
-	now := n.model.clock.Now()
+	passed := time.Duration(float64(n.model.clock.Now().Sub(n.model.began)) * n.rate)
 	return Reading{
-		Boot: now.Sub(n.model.began) + time.Hour - n.stopped,
-		Wall: now.Add(n.step),
+		Boot: passed + time.Hour - n.stopped,
+		Wall: n.model.began.Add(passed + n.step),
 	}
 }
 
@@ -215,6 +231,9 @@
 	m.store.view.Offset = m.store.view.End
 	m.store.view.Lease = record
 	m.store.view.End++
+	if record.Released {
+		m.store.snapshots = append(m.store.snapshots, m.store.view)
+	}
 	return Done, m.store.view.Era
 }
 
@@ -271,6 +290,9 @@
 		m.fail("number %d was sent by %s and %s", number, sender, n.name)
 	}
 	m.senders[number] = n.name
+	if number == n.refused && ordered {
+		m.fail("%s sent %d again after it was refused", n.name, number)
+	}
 	if ordered {
 		m.checkOrder(act{
 			at:     m.clock.Now(),
@@ -298,6 +320,7 @@
 		n.later(m.upTo(20*time.Millisecond), func() {
 			n.apiAnswered = m.clock.Now()
 			if refused {
+				n.refused = number
 				n.election.Refused(number, n.now())
 			}
 		})
@@ -335,7 +358,7 @@
 
 func (n *modelNode) tellPeers() {
 	number, held := n.election.Held(n.now())
-	if !held || n.cutPeers {
+	if !held || n.cutPeers || n.model.variant.silent {
 		return
 	}
 	for _, other := range n.model.nodes {
@@ -368,12 +391,15 @@
 	})
 }
 
-func (n *modelNode) kill() {
+func (n *modelNode) kill() { n.killFor(n.model.upTo(6 * time.Second)) }
+
+// killFor kills the process, which starts again after a while.
+func (n *modelNode) killFor(d time.Duration) {
 	m := n.model
 	if !n.alive {
 		return
 	}
 	n.alive, n.frozen = false, false
 	n.diedAt = m.clock.Now()
-	m.clock.After(m.untilQuiet(6*time.Second), n.start)
+	m.clock.After(m.within(d), n.start)
 }
