--- a/internal/transport/command/cmd_gateway_test.go
+++ b/internal/transport/command/cmd_gateway_test.go
@@ -76,3 +76,19 @@
 		t.Fatal("the gateway did not stop after the signal")
 	}
 }
+
+// TestDutiesNeedSettings guards against a deployment without duties that calls the store for them.
+func TestDutiesNeedSettings(t *testing.T) {
+	is := is.New(t)
+	settings := platform.Settings{
+		Name:     "n",
+		CPUShare: 0.2,
+	}
+	is.True(newDuties(settings) == nil)
+	settings.Cloud.Address = "127.0.0.2:1"
+	is.True(newDuties(settings) == nil)
+	settings.Cloud.Autoscale = true
+	is.True(newDuties(settings).Small)
+	settings.CPUShare = 0.5
+	is.True(!newDuties(settings).Small)
+}
