--- a/internal/coordination/duty/action.go
+++ b/internal/coordination/duty/action.go
@@ -58,6 +58,7 @@
 	case e.releasing != 0:
 		return e.dueRelease(now)
 	case e.number != 0:
+		e.heldNow(now) // notes whether the lease has run out
 		return e.dueRenewal(now)
 	case e.closed:
 		return Action{}
--- a/internal/coordination/duty/election.go
+++ b/internal/coordination/duty/election.go
@@ -95,9 +95,13 @@
 // wait is how long a lease record must have remained unchanged before another node claims.
 func (e *Election) wait() time.Duration { return e.Lease + e.Margin }
 
-// Held returns the number of this node's lease, and whether it is in force.
+// Held returns the number of this node's lease, and whether it is in force. A lease that was once seen to have run out
+// remains so until it is renewed, even if the wall clock is set back.
 func (e *Election) Held(now Reading) (number int, held bool) {
-	if e.number == 0 || !e.valid || e.suspended || now.since(e.granted) >= e.Lease-e.Margin {
+	if now.since(e.granted) >= e.Lease-e.Margin {
+		e.valid = false
+	}
+	if e.number == 0 || !e.valid || e.suspended {
 		return 0, false
 	}
 	return e.number, true
