--- a/internal/coordination/duty/election.go
+++ b/internal/coordination/duty/election.go
@@ -118,16 +118,15 @@
 // Reason returns why this node lost or gave up the lease last.
 func (e *Election) Reason() string { return e.reason }
 
-// Holder returns the holder that this node heard or read of last, and its number.
+// Holder returns the holder that this node heard or read of last, and its number. The name is empty after a release.
 func (e *Election) Holder() (name string, number int) {
-	if e.number != 0 {
-		return e.Self, e.number
-	}
 	lease := e.view.Lease
-	if e.heardNumber >= lease.Number {
+	switch {
+	case e.number != 0:
+		return e.Self, e.number
+	case e.heardNumber > lease.Number:
 		return e.heardHolder, e.heardNumber
-	}
-	if lease.Released {
+	case lease.Released:
 		return "", lease.Number
 	}
 	return lease.Holder, lease.Number
--- a/internal/transport/duties/service.go
+++ b/internal/transport/duties/service.go
@@ -75,8 +75,9 @@
 	Holder string
 	// Number is the holder's number, 0 if unknown.
 	Number int
-	// Held tells whether this node holds the lease, in force or to be renewed.
-	Held bool
+	// Held tells whether this node holds the lease, and InForce whether it may act under it or has to renew it first.
+	Held    bool
+	InForce bool
 	// Since is the boot-time clock's reading when Holder and Number were first known.
 	Since time.Duration
 	// Refused is the number of calls of this node that the platform API has refused for a higher number.
@@ -220,6 +221,7 @@
 	before := s.status
 	s.status.Holder, s.status.Number = s.election.Holder()
 	s.status.Held = s.election.Number() != 0
+	_, s.status.InForce = s.election.Held(now)
 	if before.Held && (!s.status.Held || before.Number != s.status.Number) {
 		s.gained = nil
 		s.Logger.Info().
@@ -229,6 +231,12 @@
 			Str("reason", s.election.Reason()).
 			Msg("this node does not hold the lease of the duties any more")
 	}
+	if before.InForce && s.status.Held && !s.status.InForce {
+		s.Logger.Warn().
+			Str("decision", "duty").
+			Int("number", s.status.Number).
+			Msg("lease of the duties has run out here or is in doubt; nothing is sent until it is renewed")
+	}
 	if before.Holder == s.status.Holder && before.Number == s.status.Number && before.Held == s.status.Held {
 		return
 	}
