Capacity: a planner of upstreams by zone and kind, and its inputs

The number of upstreams was fixed. The planner predicts the demand that the nodes tell each other, and orders spot upstreams so that enough remain when those of one zone are reclaimed. Registry entries say whether an upstream is a spot one; the manifest describes the scaling of a service. Not wired yet.

--- /dev/null
+++ b/internal/coordination/capacity/pace.go
@@ -0,0 +1,147 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// remaining returns how many upstreams are left after the spot upstreams of the zone with the most were lost; count returns
+// the number in a group.
+func (p *Planner) remaining(count func(s subject, g *group) int) int {
+	sum, most := 0, 0
+	for s, g := range p.groups {
+		n := count(s, g)
+		sum += n
+		if s.spot {
+			most = max(most, n)
+		}
+	}
+	return sum - most
+}
+
+// raise plans more upstreams where fewer than the base would remain. Upstreams on demand beyond their reserve do not count,
+// since spot upstreams are to replace them. Zones with enough upstreams of a kind keep what they have, even if others have
+// fewer: a move costs cached prompts.
+func (p *Planner) raise(ideal division, base int) {
+	for s, g := range p.groups {
+		if !s.spot {
+			g.raiseTo(p.Settings.Min, "least number of the zone")
+		}
+	}
+	p.raiseKind(false, ideal, func() bool { return p.total(false) < ideal.onDemandTotal })
+	p.raiseKind(true, ideal, func() bool { return !p.suffices(ideal, base) })
+}
+
+// suffices reports whether the base remains of the planned upstreams, without those on demand beyond their reserve.
+func (p *Planner) suffices(ideal division, base int) bool {
+	planned := func(_ subject, g *group) int { return g.planned }
+	return p.remaining(planned)-max(p.total(false)-ideal.onDemandTotal, 0) >= base
+}
+
+// raiseKind plans more upstreams of a kind, up to the ideal number of each zone, while it is needed. The zone that lacks most
+// of its ideal number comes first.
+func (p *Planner) raiseKind(spot bool, ideal division, needed func() bool) {
+	reason := "on-demand reserve"
+	if spot {
+		reason = "demand"
+	}
+	for needed() {
+		var best *group
+		lowest := 1.0
+		for _, zone := range p.zones() {
+			g := p.group(zone, spot)
+			wanted := ideal.of(subject{
+				zone: zone,
+				spot: spot,
+			})
+			full := p.group(zone, true).planned+p.group(zone, false).planned >= p.Settings.Max
+			if share := float64(g.planned) / float64(max(wanted, 1)); g.planned < wanted && share < lowest && !full {
+				best, lowest = g, share
+			}
+		}
+		if best == nil {
+			return
+		}
+		best.raiseTo(best.planned+1, reason)
+	}
+}
+
+func (g *group) raiseTo(n int, reason string) {
+	if n > g.planned {
+		g.planned, g.reason = n, reason
+	}
+}
+
+// total returns the planned number of upstreams of a kind.
+func (p *Planner) total(spot bool) int {
+	sum := 0
+	for s, g := range p.groups {
+		if s.spot == spot {
+			sum += g.planned
+		}
+	}
+	return sum
+}
+
+// lower plans fewer upstreams, as long as enough of those that serve now remain.
+func (p *Planner) lower(ideal division, now time.Time, input Input) {
+	if !p.mayLower(now, input) {
+		return
+	}
+	largest := 0
+	for _, s := range p.bases {
+		largest = max(largest, int(s.value))
+	}
+	pool := p.total(false) + p.total(true)
+	for left := max(int(downShare*float64(pool)), 1); left > 0; left-- {
+		if !p.lowerOne(ideal, largest) {
+			return
+		}
+		p.downAt = now
+	}
+}
+
+// mayLower reports whether upstreams may be given up now.
+func (p *Planner) mayLower(now time.Time, input Input) bool {
+	return now.Sub(p.gained) >= learnTime && input.KnownShare >= minKnownShare &&
+		(p.troubleAt.IsZero() || now.Sub(p.troubleAt) >= troubleTime) &&
+		now.Sub(p.downAt) >= downInterval
+}
+
+// lowerOne plans one upstream fewer, on demand rather than spot and of the zone that exceeds its ideal number most, and
+// reports whether there is one that is not needed.
+func (p *Planner) lowerOne(ideal division, base int) bool {
+	if p.total(false) > ideal.onDemandTotal && p.lowerIn(false, ideal, base) {
+		return true
+	}
+	return p.lowerIn(true, ideal, base+int(spareShare*float64(base)))
+}
+
+func (p *Planner) lowerIn(spot bool, ideal division, base int) bool {
+	var candidates []subject
+	for s, g := range p.groups {
+		if s.spot == spot && g.planned > 0 && (spot || g.planned > p.Settings.Min) {
+			candidates = append(candidates, s)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b subject) int {
+		return cmp.Or(cmp.Compare(p.excess(b, ideal), p.excess(a, ideal)), cmp.Compare(a.zone, b.zone))
+	})
+	for _, s := range candidates {
+		g := p.groups[s]
+		g.planned--
+		serving := func(_ subject, g *group) int { return min(g.serving, g.planned) }
+		if p.remaining(serving) >= base && p.suffices(ideal, base) {
+			g.reason = "more than needed"
+			return true
+		}
+		g.planned++
+	}
+	return false
+}
+
+// excess returns the planned number of a group in relation to its ideal number.
+func (p *Planner) excess(s subject, ideal division) float64 {
+	return float64(p.groups[s].planned) / float64(max(ideal.of(s), 1))
+}
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -54,6 +54,8 @@
 	// Loads is keyed by upstream name, EngineDemands by pool name.
 	Loads         map[string]Load
 	EngineDemands map[string]EngineDemand
+	// PoolRequests is the number of requests at the upstreams of each pool that has scaling.
+	PoolRequests map[string]int
 	// Evidence is what was observed of the engines of each pool.
 	Evidence map[string]calibration.Evidence
 	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
@@ -145,6 +147,7 @@
 			digest.Loads[r.Name()] = load
 		}
 	}
+	digest.PoolRequests = d.scaledRequests()
 	digest.Suspects = d.quarantine.Rows(now)
 	digest.Limits = d.limits.Reports(now)
 	digest.Brittle = d.brittle.Reports(now)
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -73,6 +73,7 @@
 	return Digest{
 		Loads:         map[string]Load{},
 		EngineDemands: map[string]EngineDemand{},
+		PoolRequests:  map[string]int{},
 		Evidence:      map[string]calibration.Evidence{},
 		Leaving:       map[string]int{},
 	}
@@ -94,6 +95,9 @@
 	for pool, evidence := range other.Evidence {
 		g.Evidence[pool] = g.Evidence[pool].Plus(evidence, float64(sign))
 	}
+	for pool, requests := range other.PoolRequests {
+		g.PoolRequests[pool] = max(g.PoolRequests[pool]+sign*requests, 0)
+	}
 	if sign > 0 {
 		maps.Copy(g.Leaving, other.Leaving)
 	}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -511,6 +511,10 @@
 	// Nodes is the number of nodes in the sum.
 	Nodes int `json:"nodes,omitempty,omitzero"`
 
+	// Requests holds the number of requests at the upstreams of each pool that has
+	// scaling.
+	Requests []PoolRequests `json:"requests,omitempty,omitzero"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []UpstreamLoad `json:"rows,omitempty,omitzero"`
 
@@ -571,6 +575,9 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind string `json:"kind"`
 
+	// LeavesMs is the notice that a leaving upstream was given.
+	LeavesMs int `json:"leaves-ms,omitempty,omitzero"`
+
 	// Models corresponds to the JSON schema field "models".
 	Models []string `json:"models,omitempty,omitzero"`
 
@@ -589,6 +596,9 @@
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots,omitempty,omitzero"`
 
+	// Spot reports whether the platform may reclaim the upstream.
+	Spot bool `json:"spot,omitempty,omitzero"`
+
 	// State corresponds to the JSON schema field "state".
 	State string `json:"state"`
 
@@ -745,6 +755,15 @@
 	Waiting int `json:"waiting,omitempty,omitzero"`
 }
 
+// PoolRequests is the number of requests at the upstreams of a pool.
+type PoolRequests struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -33,7 +33,9 @@
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	// slots is the number of slots in the newest row of the machine.
-	slots    atomic.Int64
+	slots atomic.Int64
+	// notice is the notice in milliseconds in the newest row of the machine.
+	notice   atomic.Int64
 	failures atomic.Int64
 	// latency holds the bits of a float64, in seconds.
 	latency        atomic.Uint64
@@ -75,7 +77,8 @@
 func (r *Replica) sameUpstream(machine wire.Machine) bool {
 	return r.machine.Address == machine.Address && r.machine.Boot == machine.Boot &&
 		r.machine.Kind == machine.Kind && r.machine.Pool == machine.Pool && r.machine.Version == machine.Version &&
-		r.machine.AvailabilityZone == machine.AvailabilityZone && r.machine.Region == machine.Region
+		r.machine.AvailabilityZone == machine.AvailabilityZone && r.machine.Region == machine.Region &&
+		r.machine.Spot == machine.Spot
 }
 
 // Hash returns the hash of the machine's name for rendezvous hashing.
@@ -90,6 +93,12 @@
 // Boot identifies the current run of the upstream among those under the same name; it is 0 if unknown.
 func (r *Replica) Boot() int { return r.machine.Boot }
 
+// Spot reports whether the platform may reclaim the upstream.
+func (r *Replica) Spot() bool { return r.machine.Spot }
+
+// Notice returns the time to leave that the upstream was given when it was told to, zero if unknown.
+func (r *Replica) Notice() time.Duration { return time.Duration(r.notice.Load()) * time.Millisecond }
+
 // Version returns the version of the upstream's software, empty if unknown.
 func (r *Replica) Version() string { return r.machine.Version }
 
--- a/internal/state/replica/table.go
+++ b/internal/state/replica/table.go
@@ -105,6 +105,7 @@
 			r = New(machine)
 		}
 		r.slots.Store(int64(machine.Slots))
+		r.notice.Store(int64(machine.LeavesMs))
 		if machine.State == StateLeaving {
 			r.MarkLeaving()
 		}
--- a/internal/state/route/share.go
+++ b/internal/state/route/share.go
@@ -55,7 +55,15 @@
 
 func (p Pool) equal(other Pool) bool {
 	return p.Name == other.Name && p.HealthPath == other.HealthPath && p.MaxConnections == other.MaxConnections &&
-		equalPointees(p.Engine, other.Engine)
+		equalPointees(p.Engine, other.Engine) && p.Scaling.equal(other.Scaling)
+}
+
+func (s *Scaling) equal(other *Scaling) bool {
+	if s == nil || other == nil {
+		return s == other
+	}
+	return s.Min == other.Min && s.Max == other.Max && s.Boot == other.Boot && s.SpotPrice == other.SpotPrice &&
+		maps.Equal(s.ZonePrices, other.ZonePrices)
 }
 
 func (t *Team) equal(other *Team) bool {
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -15,6 +15,21 @@
 	MaxConnections int
 	// Engine is the capacity of each upstream of a pool of model engines, nil for a plain service.
 	Engine *Engine
+	// Scaling describes how the number of upstreams may be changed, nil if it is fixed.
+	Scaling *Scaling
+}
+
+// Scaling describes how the number of upstreams of a pool may be changed.
+type Scaling struct {
+	// Min and Max limit the upstreams in each availability zone.
+	Min int
+	Max int
+	// Boot is the time until a new upstream serves.
+	Boot time.Duration
+	// SpotPrice is the price of an upstream that the platform may reclaim, relative to one on demand; 0 if there are none.
+	SpotPrice float64
+	// ZonePrices holds the price of an upstream on demand by availability zone.
+	ZonePrices map[string]float64
 }
 
 // Engine describes the capacity of a model engine.
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -234,6 +234,12 @@
 		}
 		message.Work = append(message.Work, work)
 	}
+	for pool, requests := range digest.PoolRequests {
+		message.Requests = append(message.Requests, wire.PoolRequests{
+			Pool:     pool,
+			Requests: requests,
+		})
+	}
 	return message
 }
 
@@ -245,6 +251,7 @@
 		Nodes:         message.Nodes,
 		Loads:         make(map[string]dispatch.Load, len(message.Rows)),
 		EngineDemands: make(map[string]dispatch.EngineDemand, len(message.Work)),
+		PoolRequests:  make(map[string]int, len(message.Requests)),
 		Evidence:      make(map[string]calibration.Evidence, len(message.Work)),
 		Leaving:       make(map[string]int, len(message.Leaving)),
 		Suspects:      decodeSuspects(message.Suspects),
@@ -256,6 +263,9 @@
 			Down:    row.Down,
 		}
 	}
+	for _, row := range message.Requests {
+		digest.PoolRequests[row.Pool] = row.Requests
+	}
 	for _, row := range message.Limits {
 		digest.Limits = append(digest.Limits, decodeLimit(row))
 	}
