Capacity: a service that orders upstreams while it holds the duty, settings and gauges

The gateway gathers the demand of all nodes and the list of upstreams once a second, and sends the orders of the planner. It is inactive without autoscaling among the duties and without scaling in the manifest. The test of the stop signal builds the settings without the command line, so that it now names a valid utilization; nothing else of it has changed.

--- a/internal/coordination/capacity/division.go
+++ b/internal/coordination/capacity/division.go
@@ -94,7 +94,7 @@
 func (p *Planner) spotAt(level int, d division, zone string, weights map[string]float64, now time.Time) int {
 	g := p.group(zone, true)
 	if now.Before(g.dryUntil) {
-		return min(g.present, level)
+		return min(g.planned, level)
 	}
 	n := int(math.Round(float64(level) * weights[zone]))
 	return max(min(n, p.Settings.Max-d.onDemand[zone]), 0)
--- a/internal/coordination/capacity/pace.go
+++ b/internal/coordination/capacity/pace.go
@@ -112,7 +112,7 @@
 // lowerOne plans one upstream fewer, on demand rather than spot and of the zone that exceeds its ideal number most, and
 // reports whether there is one that is not needed.
 func (p *Planner) lowerOne(ideal division, base int) bool {
-	if p.total(false) > ideal.onDemandTotal && p.lowerIn(false, ideal, base) {
+	if p.total(false) > ideal.onDemandTotal+spareOnDemand && p.lowerIn(false, ideal, base) {
 		return true
 	}
 	return p.lowerIn(true, ideal, base+int(spareShare*float64(base)))
--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -29,6 +29,8 @@
 	// spareShare is the share above the base at which spot upstreams are not given up yet. Without it, each small change
 	// of the demand would cost an engine its cached prompts.
 	spareShare = 0.05
+	// spareOnDemand is the number of upstreams on demand above their reserve that are not given up, for the same reason.
+	spareOnDemand = 1
 	// orderInterval is the least time between two orders for a subject, repeatInterval that between repeats while the
 	// registry does not show the ordered number.
 	orderInterval  = time.Second
@@ -108,8 +110,8 @@
 
 // group is what is known of the upstreams of a subject.
 type group struct {
-	// planned is the number that is to be ordered, ordered the number that was last ordered, and known whether it is known
-	// that the platform keeps to that number.
+	// planned is the number that is to be ordered, ordered the number that was last ordered, and known whether that order
+	// was answered.
 	planned int
 	ordered int
 	known   bool
@@ -122,7 +124,10 @@
 	// dryUntil is when spot upstreams may be asked for again, dryFor the time of the last wait.
 	dryUntil time.Time
 	dryFor   time.Duration
-	reason   string
+	// reclaimed reports that the platform took all of them back since the last order. It may bring some again by itself,
+	// which then count as ordered.
+	reclaimed bool
+	reason    string
 }
 
 // Planner decides for one pool. Its exported fields must be set before Plan; the settings may be replaced between two
@@ -229,13 +234,10 @@
 	p.seen = listed
 	for _, g := range p.groups {
 		settling := now.Sub(p.gained) < p.settleTime() && g.sentAt.IsZero()
-		if settling || !g.known && g.present > g.planned {
+		if settling || g.reclaimed {
 			g.ordered = max(g.ordered, g.present)
 			g.planned = max(g.planned, g.ordered)
 		}
-		if now.Before(g.dryUntil) {
-			g.planned = min(g.planned, g.present)
-		}
 	}
 }
 
@@ -250,6 +252,7 @@
 	p.troubleAt = now
 	if u.Spot && g.present == 0 && !now.Before(g.dryUntil) {
 		g.dry(now)
+		g.planned, g.ordered, g.reclaimed = 0, 0, true
 	}
 }
 
@@ -257,7 +260,6 @@
 func (g *group) dry(now time.Time) {
 	g.dryFor = min(max(2*g.dryFor, minDry), maxDry)
 	g.dryUntil = now.Add(g.dryFor)
-	g.known = false
 }
 
 // base returns the number of upstreams that must serve even after the spot upstreams of one zone were lost.
@@ -283,7 +285,7 @@
 	case NoneAvailable:
 		g.sentAt = now
 		g.dry(now)
-		g.planned = min(g.planned, g.present)
+		g.planned = min(g.planned, max(g.ordered, g.present))
 		return
 	case Accepted:
 		g.dryFor = 0
@@ -295,7 +297,7 @@
 	if order.Desired >= g.present {
 		g.expected = 0
 	}
-	g.ordered, g.sentAt, g.known = order.Desired, now, outcome == Accepted
+	g.ordered, g.sentAt, g.known, g.reclaimed = order.Desired, now, outcome == Accepted, false
 }
 
 // due returns the orders that are to be sent now, increases first and the largest of them first.
@@ -335,7 +337,7 @@
 	if !g.sentAt.IsZero() && now.Sub(g.sentAt) < orderInterval {
 		return false
 	}
-	if now.Before(g.dryUntil) && g.planned >= g.present {
+	if now.Before(g.dryUntil) && g.planned >= g.ordered {
 		return false
 	}
 	if g.planned != g.ordered || !g.known {
--- /dev/null
+++ b/internal/coordination/capacity/planner_test.go
@@ -0,0 +1,165 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func (s *site) plan(p *Planner, seconds int, work func(second int) float64, each func(second int)) {
+	s.run(func(s *site) []Order { return p.Plan(s.now, s.input()) },
+		func(o Order, outcome Outcome) { p.Answered(s.now, o, outcome) }, seconds, work, each)
+}
+
+func newPlanner(s *site) *Planner {
+	return &Planner{
+		Pool:     "p",
+		Settings: s.settings,
+	}
+}
+
+func steady(work float64) func(int) float64 { return func(int) float64 { return work } }
+
+func nothing(int) {}
+
+func onDemand(u Upstream) bool { return !u.Spot }
+
+// TestSpotReplacesOnDemandWithoutTooFewServing guards against a replacement that gives up upstreams on demand before the
+// spot upstreams serve, or that never ends.
+func TestSpotReplacesOnDemandWithoutTooFewServing(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(22)
+	wanted := 0
+	s.plan(p, 90, steady(22), func(int) {
+		is.True(s.count(everyUpstream) >= 45) // the work of 22 engines at a utilization of 0.5, rounded up to 44, and noise
+		wanted = max(wanted, p.State().Wanted)
+	})
+	is.True(s.count(onDemand) <= wanted/6+1+spareOnDemand)
+	is.True(s.count(everyUpstream) <= 70)
+}
+
+// TestReplacementBeginsBeforeTraffic guards against idle upstreams on demand that are billed until traffic starts, and
+// against too few upstreams for the first requests.
+func TestReplacementBeginsBeforeTraffic(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.plan(p, 60, steady(0), func(int) {
+		is.True(s.count(everyUpstream) >= 30) // a third of the present number
+	})
+	is.True(s.count(onDemand) <= 12)
+	is.True(s.count(everyUpstream) <= 70)
+}
+
+// TestReclaimedZoneIsReplaced guards against a loss of more than the plan allows for when the spot upstreams of a zone are
+// reclaimed.
+func TestReclaimedZoneIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(30)
+	s.plan(p, 60, steady(30), nothing)
+	s.reclaim("b")
+	s.plan(p, 60, steady(30), func(second int) {
+		is.True(s.count(everyUpstream) >= 60)
+		if second >= 8 {
+			lost := s.count(func(u Upstream) bool { return u.Spot && u.Zone == "a" })
+			is.True(s.count(everyUpstream)-lost >= 60) // another zone may be lost
+		}
+	})
+}
+
+// TestDryZonesAreReplacedOnDemand guards against waiting for spot upstreams where there are none, against asking for them
+// too often, and against keeping their replacements when there are some again.
+func TestDryZonesAreReplacedOnDemand(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(30)
+	s.plan(p, 60, steady(30), nothing)
+	dry := []string{"b", "c", "d", "e"}
+	for _, zone := range dry {
+		s.reclaim(zone)
+	}
+	asks := map[string]int{}
+	s.run(func(s *site) []Order { return p.Plan(s.now, s.input()) }, func(o Order, outcome Outcome) {
+		if outcome == NoneAvailable {
+			asks[o.Zone]++
+		}
+		p.Answered(s.now, o, outcome)
+	}, 60, steady(30), func(second int) { is.True(second < 8 || s.count(everyUpstream) >= 60) })
+	for _, zone := range dry {
+		is.True(asks[zone] >= 5 && asks[zone] <= 9) // after 2, 4, and 8 s, and each 8 s then
+		s.dry[zone] = false
+	}
+	wanted := 0
+	s.plan(p, 60, steady(30), func(int) { wanted = max(wanted, p.State().Wanted) })
+	is.True(s.count(onDemand) <= wanted/6+1+spareOnDemand)
+}
+
+// TestStepOfDemandIsMet guards against a prediction that follows the decaying sum of the demand only when it has risen.
+func TestStepOfDemandIsMet(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(20)
+	s.plan(p, 60, steady(20), nothing)
+	s.asked, s.unserved = 0, 0
+	s.plan(p, 30, steady(40), nothing)
+	is.True(s.unserved == 0)
+	is.True(s.count(everyUpstream) >= 80)
+}
+
+// TestNothingIsGivenUpOnAPartialView guards against scaling down by the demand of a part of the nodes, right after the duty
+// was gained, or while upstreams crash.
+func TestNothingIsGivenUpOnAPartialView(t *testing.T) {
+	for name, change := range map[string]func(s *site, input *Input){
+		"few nodes are known": func(_ *site, input *Input) { input.KnownShare = 0.79 },
+		"just gained":         func(s *site, input *Input) { input.Gained = s.now.Add(-2 * time.Second) },
+		"upstreams crash": func(s *site, input *Input) {
+			input.Upstreams[s.random.IntN(len(input.Upstreams))].Boot = int(s.now.Unix())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite()
+			p := newPlanner(s)
+			s.begin(10)
+			s.run(func(s *site) []Order {
+				input := s.input()
+				change(s, &input)
+				return p.Plan(s.now, input)
+			}, func(o Order, outcome Outcome) { p.Answered(s.now, o, outcome) }, 40, steady(10), nothing)
+			is.True(s.count(onDemand) == 90)
+		})
+	}
+}
+
+// TestOrdersAreRepeatedWhileTheRegistryDiffers guards against an order without an answer that is executed late, after a
+// newer one.
+func TestOrdersAreRepeatedWhileTheRegistryDiffers(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(22)
+	s.plan(p, 90, steady(22), nothing)
+	before := s.count(everyUpstream)
+	s.desired[subject{zone: "a", spot: true}] = 1
+	s.plan(p, 20, steady(22), nothing)
+	is.True(s.count(everyUpstream) >= before-2)
+}
+
+// TestSteadyLoadMovesNothing guards against upstreams that are replaced for small gains, which costs their cached prompts.
+func TestSteadyLoadMovesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(22)
+	s.plan(p, 120, steady(22), nothing)
+	before := s.named
+	s.plan(p, 300, steady(22), nothing)
+	is.True(s.named-before <= 15) // of about 60, in 5 minutes with noise of 5%
+}
--- a/internal/coordination/capacity/state.go
+++ b/internal/coordination/capacity/state.go
@@ -33,6 +33,17 @@
 	return Count{}
 }
 
+// Spot returns the number of spot upstreams that are present.
+func (s State) Spot() int {
+	sum := 0
+	for _, count := range s.Counts {
+		if count.Spot {
+			sum += count.Present
+		}
+	}
+	return sum
+}
+
 // State returns the state of the last call of Plan.
 func (p *Planner) State() State { return p.state }
 
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -121,6 +121,18 @@
 	return pool, ok
 }
 
+// ScaledPools returns the pools with scaling, sorted by name.
+func (t *Table) ScaledPools() []Pool {
+	var scaled []Pool
+	for _, pool := range t.pools {
+		if pool.Scaling != nil {
+			scaled = append(scaled, pool)
+		}
+	}
+	sort.Slice(scaled, func(i, j int) bool { return scaled[i].Name < scaled[j].Name })
+	return scaled
+}
+
 // Match returns the route of the host with the longest matching path prefix, or nil. The host may have a port.
 func (t *Table) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -6,35 +6,22 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/schedule"
 )
 
 const (
 	// interval is the time between two decisions.
 	interval = time.Second
-	// orderTimeout limits one call to the platform. A call without an answer may still be executed.
-	orderTimeout = 2 * time.Second
-	// minBackOff and maxBackOff limit the time without calls after the platform was busy or did not answer.
-	minBackOff = 500 * time.Millisecond
-	maxBackOff = 4 * time.Second
-	// unreachableAfter is how long no call may get an answer until the platform counts as unreachable.
-	unreachableAfter = 3 * time.Second
-	// defaultOrdersPerSecond applies if the platform does not limit the calls.
-	defaultOrdersPerSecond = 16
-)
-
-// Errors of Order. Any other error means that there was no answer, and that the order may be executed later.
-var (
-	// ErrRefused means that the platform refused the order because of its number or, for a spot order, because no spot
-	// upstream is available.
-	ErrRefused = errors.New("the platform refused the order")
-	// ErrBusy means that the platform did not execute the order because there are too many calls.
-	ErrBusy = errors.New("the platform is busy")
+	// parallelOrders is the number of orders in flight: a slow platform must not delay the last of a dozen orders by the
+	// sum of their times.
+	parallelOrders = 4
 )
 
 // Pool is a pool whose number of upstreams may be changed.
@@ -52,13 +39,11 @@
 	Held func() (number int, held bool)
 	// Pools returns the pools with scaling and what is known of them.
 	Pools func(now time.Time) []Pool
-	// Order sends an order to the platform.
+	// Order sends an order to the platform, within its limit of calls and the back-off after failures. It returns
+	// duties.ErrRefused, duties.ErrBusy or duties.ErrNotHolder; after any other error the order may still be executed.
 	Order func(ctx context.Context, number int, order capacity.Order) error
-	// Refused is told that the platform refused the number, Unreachable since when it has not answered.
-	Refused     func(number int)
-	Unreachable func(since time.Time)
-	// OrdersPerSecond is the largest number of calls a second, 0 for the usual one.
-	OrdersPerSecond int
+	// Refused is told that the platform refused an order because of its number.
+	Refused func(number int)
 	// Logger receives the log lines.
 	Logger zerolog.Logger
 
@@ -69,11 +54,8 @@
 	orders   int64
 
 	// These are used by Run alone.
-	number      int
-	gained      time.Time
-	backOff     time.Duration
-	notBefore   time.Time
-	silentSince time.Time
+	number int
+	gained time.Time
 }
 
 // Run decides once a second until the context ends.
@@ -98,13 +80,12 @@
 		orders = append(orders, s.plan(pool, now)...)
 	}
 	slices.SortStableFunc(orders, func(a, b planned) int { return cmp.Compare(b.more, a.more) })
-	s.send(ctx, orders, now)
+	s.send(ctx, orders)
 }
 
 // forget drops what is known, as the duty is not held any more.
 func (s *Service) forget() {
 	s.number, s.gained = 0, time.Time{}
-	s.backOff, s.notBefore, s.silentSince = 0, time.Time{}, time.Time{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.planners, s.states, s.age = nil, nil, 0
@@ -149,68 +130,55 @@
 }
 
 // send sends the orders until the platform asks for fewer calls, or the duty is lost.
-func (s *Service) send(ctx context.Context, orders []planned, now time.Time) {
-	limit := s.OrdersPerSecond
-	if limit <= 0 {
-		limit = defaultOrdersPerSecond
-	}
-	if now.Before(s.notBefore) {
-		return
-	}
-	for _, order := range orders[:min(len(orders), limit)] {
-		number, held := s.Held()
-		if !held || number != s.number {
-			return
+func (s *Service) send(ctx context.Context, orders []planned) {
+	for batch := range slices.Chunk(orders, parallelOrders) {
+		var group sync.WaitGroup
+		var stop atomic.Bool
+		for _, order := range batch {
+			group.Go(func() {
+				if !s.sendOne(ctx, order) {
+					stop.Store(true)
+				}
+			})
 		}
-		if !s.sendOne(ctx, order, number) {
+		group.Wait()
+		if stop.Load() {
 			return
 		}
 	}
 }
 
 // sendOne sends an order and reports whether further ones may be sent.
-func (s *Service) sendOne(ctx context.Context, order planned, number int) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	sentAt := time.Now()
-	err := s.Order(ctx, number, order.Order)
-	now := time.Now()
-	outcome, more := s.judge(err, order.Spot, number, sentAt, now)
+func (s *Service) sendOne(ctx context.Context, order planned) bool {
+	if number, held := s.Held(); !held || number != s.number {
+		return false
+	}
+	err := s.Order(ctx, s.number, order.Order)
+	outcome := judge(err, order.Spot)
 	s.mu.Lock()
-	order.planner.Answered(now, order.Order, outcome)
+	order.planner.Answered(time.Now(), order.Order, outcome)
 	s.orders++
 	state := order.planner.State()
 	s.mu.Unlock()
-	s.log(order, state, number, err)
-	return more
+	s.log(order, state, err)
+	if errors.Is(err, duties.ErrRefused) && !order.Spot {
+		s.Refused(s.number)
+	}
+	return outcome == capacity.Accepted || outcome == capacity.NoneAvailable
 }
 
-// judge returns the outcome of an order by its error, and whether further orders may be sent.
-func (s *Service) judge(err error, spot bool, number int, sentAt, now time.Time) (outcome capacity.Outcome, more bool) {
+// judge returns the outcome of an order by its error. A refused spot order means that none is available, since a refused
+// number is noticed by the next order of another kind or the next renewal of the lease.
+func judge(err error, spot bool) capacity.Outcome {
 	switch {
 	case err == nil:
-		s.backOff, s.silentSince = 0, time.Time{}
-		return capacity.Accepted, true
-	case errors.Is(err, ErrRefused) && spot:
-		s.backOff, s.silentSince = 0, time.Time{}
-		return capacity.NoneAvailable, true
-	case errors.Is(err, ErrRefused):
-		s.Refused(number)
-		return capacity.NotSent, false
-	}
-	s.backOff = min(max(2*s.backOff, minBackOff), maxBackOff)
-	s.notBefore = now.Add(s.backOff)
-	if errors.Is(err, ErrBusy) {
-		s.silentSince = time.Time{}
-		return capacity.NotSent, false
+		return capacity.Accepted
+	case errors.Is(err, duties.ErrRefused) && spot:
+		return capacity.NoneAvailable
+	case errors.Is(err, duties.ErrRefused), errors.Is(err, duties.ErrBusy), errors.Is(err, duties.ErrNotHolder):
+		return capacity.NotSent
 	}
-	if s.silentSince.IsZero() {
-		s.silentSince = sentAt
-	}
-	if now.Sub(s.silentSince) >= unreachableAfter {
-		s.Unreachable(s.silentSince)
-	}
-	return capacity.Unknown, false
+	return capacity.Unknown
 }
 
 // countLine is a count in a log line.
@@ -221,10 +189,13 @@
 	e.Str("zone", c.Zone).Bool("spot", c.Spot).Int("planned", c.Planned).Int("present", c.Present).Int("serving", c.Serving)
 }
 
-func (s *Service) log(order planned, state capacity.State, number int, err error) {
-	line := s.Logger.Info()
-	if err != nil {
-		line = s.Logger.Warn().Err(err)
+func (s *Service) log(order planned, state capacity.State, err error) {
+	line, message := s.Logger.Info(), "upstreams ordered"
+	switch {
+	case errors.Is(err, duties.ErrBusy):
+		line, message = s.Logger.Debug().Err(err), "upstreams not ordered yet"
+	case err != nil:
+		line, message = s.Logger.Warn().Err(err), "upstreams not ordered"
 	}
 	counts := zerolog.Arr()
 	for _, count := range state.Counts {
@@ -235,7 +206,7 @@
 		Str("zone", order.Zone).
 		Bool("spot", order.Spot).
 		Int("desired", order.Desired).
-		Int("number", number).
+		Int("number", s.number).
 		Str("reason", order.Reason).
 		Float64("demand", state.Demand).
 		Int("predicted", state.Predicted).
@@ -245,7 +216,7 @@
 		Float64("known-share", state.KnownShare).
 		Dur("input-age-ms", order.age).
 		Array("upstreams", counts).
-		Msg("order for upstreams sent")
+		Msg(message)
 }
 
 // State returns the state of a pool's planner, zero while the duty is not held.
--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/transport/catalog"
+	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/entryvm"
 	"lagoongw/internal/transport/logwriter"
 	"lagoongw/platform"
@@ -39,6 +41,27 @@
 	Secret      string `long:"secret" env:"LAGOONGW_SECRET" default:"lagoongw peers of one site" description:"secret shared by all entry VMs, at least 16 bytes"`
 	MetricsPort int    `long:"metrics-port" env:"LAGOONGW_METRICS_PORT" default:"9464" description:"port of the metrics, at the path /metrics"`
 	LogLevel    string `long:"log-level" env:"LAGOONGW_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+	// CapacityUtilization, CapacityReserve and CapacityLeast take effect where the settings file lists autoscaling as a duty,
+	// for services with scaling.
+	CapacityUtilization float64 `long:"capacity-utilization" env:"LAGOONGW_CAPACITY_UTILIZATION" default:"0.5" description:"share of the upstreams' time or slots that requests are to take, 0.2 to 0.9"`
+	CapacityReserve     float64 `long:"capacity-reserve" env:"LAGOONGW_CAPACITY_RESERVE" default:"0.1667" description:"share of the upstreams that are not spot ones, 0 to 1"`
+	CapacityLeast       int     `long:"capacity-least" env:"LAGOONGW_CAPACITY_LEAST" default:"0" description:"least number of upstreams of each service with scaling, 0 to 10000"`
+}
+
+// maxCapacityLeast is beyond what any site has, so that only a mistyped number exceeds it.
+const maxCapacityLeast = 10000
+
+// validate returns one error that names every invalid setting.
+func (s *gatewaySettings) validate() error {
+	var errs settingErrors
+	errs.require(len(s.Secret) >= minSecretBytes, "secret", "at least 16 bytes")
+	errs.require(s.CapacityUtilization >= 0.2 && s.CapacityUtilization <= 0.9, "capacity-utilization", "0.2 to 0.9")
+	errs.require(s.CapacityReserve >= 0 && s.CapacityReserve <= 1, "capacity-reserve", "0 to 1")
+	errs.require(s.CapacityLeast >= 0 && s.CapacityLeast <= maxCapacityLeast, "capacity-least", "0 to 10000")
+	if len(errs) > 0 {
+		return usageError{text: strings.Join(errs, "\n")}
+	}
+	return nil
 }
 
 func cmdGateway() subcommand {
@@ -59,8 +82,8 @@
 // runGateway runs the gateway until it is drained. The first signal, which ends ctx, starts the drain; further ones are
 // ignored, so that no request in flight is aborted.
 func runGateway(ctx context.Context, settings *gatewaySettings) error {
-	if len(settings.Secret) < minSecretBytes {
-		return usageError{text: "--secret: expected at least 16 bytes"}
+	if err := settings.validate(); err != nil {
+		return err
 	}
 	platformSettings, err := platform.ReadSettings(settings.Config)
 	if err != nil {
@@ -163,10 +186,37 @@
 		DroppedLines: logWriter.Dropped,
 		MemoryLimit:  platformSettings.MemoryLimit,
 		Descriptors:  platformSettings.Descriptors,
+		Duties:       newDuties(platformSettings),
+		Autoscale:    newAutoscale(settings, platformSettings),
 		Logger:       logger,
 	}
 }
 
+// newAutoscale returns how upstreams are ordered, or nil if this is no duty of the site.
+func newAutoscale(settings *gatewaySettings, platformSettings platform.Settings) *entryvm.Autoscale {
+	if !platformSettings.Cloud.Autoscale {
+		return nil
+	}
+	return &entryvm.Autoscale{
+		Order:       platform.OpenCloud(platformSettings.Cloud.Address).OrderUpstreams,
+		Utilization: settings.CapacityUtilization,
+		Reserve:     settings.CapacityReserve,
+		Least:       settings.CapacityLeast,
+	}
+}
+
+// newDuties returns the service that holds the lease of the duties, or nil if the site has none.
+func newDuties(settings platform.Settings) *duties.Service {
+	if !settings.Cloud.Active() {
+		return nil
+	}
+	return &duties.Service{
+		Name:           settings.Name,
+		Lease:          settings.Cloud.Lease,
+		CallsPerSecond: settings.Cloud.CallsPerSecond,
+	}
+}
+
 func newCatalog(settings platform.Settings) *catalog.Service {
 	open := func(topic string) *platform.Store {
 		return platform.OpenStore(settings.StoreAddress, topic, storeTimeout)
--- a/internal/transport/command/cmd_gateway_test.go
+++ b/internal/transport/command/cmd_gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,10 +63,11 @@
 	done := make(chan error, 1)
 	go func() {
 		done <- runGateway(ctx, &gatewaySettings{
-			Config:      path,
-			Secret:      "a secret of sixteen",
-			MetricsPort: ports[4].(int),
-			LogLevel:    "error",
+			Config:              path,
+			Secret:              "a secret of sixteen",
+			MetricsPort:         ports[4].(int),
+			LogLevel:            "error",
+			CapacityUtilization: 0.5,
 		})
 	}()
 	cancel()
@@ -76,3 +78,21 @@
 		t.Fatal("the gateway did not stop after the signal")
 	}
 }
+
+// TestCapacitySettingsOutOfRangeAreRefused guards against a mistyped setting that orders upstreams without end or none.
+func TestCapacitySettingsOutOfRangeAreRefused(t *testing.T) {
+	for _, args := range [][]string{
+		{"--capacity-utilization", "0.1"},
+		{"--capacity-utilization", "50"},
+		{"--capacity-utilization", "NaN"},
+		{"--capacity-reserve", "-0.1"},
+		{"--capacity-reserve", "1.1"},
+		{"--capacity-least", "-1"},
+		{"--capacity-least", "10001"},
+	} {
+		is := is.New(t)
+		var out, errOut bytes.Buffer
+		is.Equal(Main(append([]string{"gateway"}, args...), &out, &errOut), exitUsage)
+		is.True(strings.Contains(errOut.String(), args[0]+": expected"))
+	}
+}
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -32,6 +32,7 @@
 				Bulk:        9,
 			},
 		},
+		PoolRequests: map[string]int{"p": 41},
 		Evidence: map[string]calibration.Evidence{
 			"p": {
 				Steps: [calibration.GroupCount]calibration.Group{
--- a/internal/transport/entryvm/metrics.go
+++ b/internal/transport/entryvm/metrics.go
@@ -50,6 +50,7 @@
 	})
 	p.registerMemoryGauges(m)
 	p.registerBudgetGauges(m)
+	p.registerCapacityGauges(m)
 	return m
 }
 
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -21,9 +21,11 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
+	"lagoongw/internal/transport/capacities"
 	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/connection"
 	"lagoongw/internal/transport/detour"
+	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/httpapi"
 	"lagoongw/internal/transport/members"
@@ -95,6 +97,10 @@
 	MemoryLimit int64
 	// Descriptors is how many sockets the process may have open, 0 if unknown.
 	Descriptors int
+	// Duties holds the lease of the site's duties, nil if there are none; Prepare sets its logger and callbacks.
+	Duties *duties.Service
+	// Autoscale describes how upstreams are ordered, nil if this is no duty of the site.
+	Autoscale *Autoscale
 	// Logger receives the log lines of the process.
 	Logger zerolog.Logger
 
@@ -110,6 +116,7 @@
 	origins        *origins.Service
 	detours        *detour.Dialer
 	detourServer   *detour.Server
+	capacities     *capacities.Service
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -137,6 +144,9 @@
 	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
 	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
+	if p.capacities != nil {
+		group.Go(func() { p.capacities.Run(ctx) })
+	}
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -178,6 +188,7 @@
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
 	p.origins = p.newOrigins()
+	p.capacities = p.newCapacities()
 	p.prepareDetours()
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
