--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -32,6 +32,8 @@
 	directoryAnswerTTL = time.Second
 	// settingsPollInterval is the time between two reads of the settings file, which may change without a signal.
 	settingsPollInterval = time.Second
+	// smallCPUShare is the share of a core below which others claim the lease of the duties first.
+	smallCPUShare = 0.5
 )
 
 // gatewaySettings holds the options of the gateway command: the path of the platform's settings file, and the settings
@@ -183,10 +185,10 @@
 		DirectoryRoutes: func(addresses func(zone, region string) []string) []rest.Route {
 			return platform.DirectoryRoutes(addresses, directoryAnswerTTL)
 		},
+		Duties:       newDuties(platformSettings),
 		DroppedLines: logWriter.Dropped,
 		MemoryLimit:  platformSettings.MemoryLimit,
 		Descriptors:  platformSettings.Descriptors,
-		Duties:       newDuties(platformSettings),
 		Autoscale:    newAutoscale(settings, platformSettings),
 		Logger:       logger,
 	}
@@ -205,18 +207,6 @@
 	}
 }
 
-// newDuties returns the service that holds the lease of the duties, or nil if the site has none.
-func newDuties(settings platform.Settings) *duties.Service {
-	if !settings.Cloud.Active() {
-		return nil
-	}
-	return &duties.Service{
-		Name:           settings.Name,
-		Lease:          settings.Cloud.Lease,
-		CallsPerSecond: settings.Cloud.CallsPerSecond,
-	}
-}
-
 func newCatalog(settings platform.Settings) *catalog.Service {
 	open := func(topic string) *platform.Store {
 		return platform.OpenStore(settings.StoreAddress, topic, storeTimeout)
@@ -232,3 +222,17 @@
 		DecodeUpstream:      settings.ParseEntry,
 	}
 }
+
+// newDuties returns the service that keeps the lease of the duties, nil if the settings name no duty.
+func newDuties(settings platform.Settings) *duties.Service {
+	if !settings.Cloud.Active() {
+		return nil
+	}
+	return &duties.Service{
+		Name:           settings.Name,
+		Log:            platform.OpenStore(settings.StoreAddress, platform.TopicDuties, storeTimeout),
+		Lease:          settings.Cloud.Lease,
+		CallsPerSecond: settings.Cloud.CallsPerSecond,
+		Small:          settings.CPUShare > 0 && settings.CPUShare < smallCPUShare,
+	}
+}
