--- a/internal/coordination/capacity/forecast.go
+++ b/internal/coordination/capacity/forecast.go
@@ -62,8 +62,9 @@
 	firstAt time.Time
 }
 
-// add adds the demand at a time.
-func (f *forecast) add(now time.Time, demand Demand, settings Settings) {
+// add adds the demand at a time. A demand that is known of a part of the nodes only counts as no lower than before: it would
+// look like a fall now, and like a steep rise once all nodes are known again.
+func (f *forecast) add(now time.Time, demand Demand, complete bool, settings Settings) {
 	if f.firstAt.IsZero() {
 		if demand.Engines == 0 && demand.Requests == 0 {
 			return
@@ -72,6 +73,9 @@
 	}
 	work := demand.Engines * digestUtilization / settings.Utilization
 	slots := demand.Requests / float64(max(demand.Slots, 1)) / settings.Utilization
+	if last := len(f.work) - 1; !complete && last >= 0 {
+		work, slots = max(work, f.work[last].value), max(slots, f.slots[last].value)
+	}
 	f.work = keepSince(append(f.work, sample{
 		at:    now,
 		value: work,
--- a/internal/coordination/capacity/model_test.go
+++ b/internal/coordination/capacity/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,14 +17,17 @@
 	machines map[string]*machine
 	desired  map[subject]int
 	dry      map[string]bool
+	lost     string
 	named    int
 	// demand is the decayed demand in engines at full use.
 	demand float64
-	// cost is in seconds of an upstream on demand at the usual price; unserved and busy in engine seconds.
+	// cost is in seconds of an upstream on demand at the usual price, asked and unserved in engine seconds. crowded is the
+	// number of seconds in which some work was unserved.
 	cost     float64
 	unserved float64
 	asked    float64
-	least    int
+	crowded  int
+	most     int
 }
 
 type machine struct {
@@ -64,7 +66,6 @@
 		machines: map[string]*machine{},
 		desired:  map[subject]int{},
 		dry:      map[string]bool{},
-		least:    math.MaxInt,
 	}
 	s.now = s.start
 	for zone := range s.settings.ZonePrices {
@@ -90,7 +91,8 @@
 		for ; len(live) > desired; live = live[:len(live)-1] {
 			s.leave(s.machines[live[len(live)-1]], drainTime)
 		}
-		for n := len(live); n < desired && (!key.spot || !s.dry[key.zone]); n++ {
+		available := key.zone != s.lost && (!key.spot || !s.dry[key.zone])
+		for n := len(live); n < desired && available; n++ {
 			s.named++
 			name := fmt.Sprintf("u%05d", s.named)
 			s.machines[name] = &machine{
@@ -117,10 +119,20 @@
 	}
 }
 
+// lose stops all upstreams of a zone at once, where none start until further notice.
+func (s *site) lose(zone string) {
+	s.lost = zone
+	for name, m := range s.machines {
+		if m.upstream.Zone == zone {
+			delete(s.machines, name)
+		}
+	}
+}
+
 // order executes an order.
 func (s *site) order(o Order) Outcome {
 	key := subject{zone: o.Zone, spot: o.Spot}
-	if o.Spot && s.dry[o.Zone] && o.Desired > 0 {
+	if o.Spot && (s.dry[o.Zone] || o.Zone == s.lost) && o.Desired > 0 {
 		return NoneAvailable
 	}
 	s.desired[key] = o.Desired
@@ -169,9 +181,12 @@
 	noise := 1 + 0.05*s.random.NormFloat64()
 	s.demand += (work*noise - s.demand) / lag.Seconds()
 	serving := s.count(everyUpstream)
-	s.least = min(s.least, serving)
+	s.most = max(s.most, serving)
 	s.asked += work
-	s.unserved += max(work-fullDemand*float64(serving), 0)
+	if missing := work - fullDemand*float64(serving); missing > 0 {
+		s.unserved += missing
+		s.crowded++
+	}
 }
 
 // begin sets the demand that is known at the beginning.
--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -153,7 +153,7 @@
 		p.reset(input)
 	}
 	p.observe(now, input)
-	p.forecast.add(now, input.Demand, p.Settings)
+	p.forecast.add(now, input.Demand, input.KnownShare >= minKnownShare, p.Settings)
 	base := p.base(now, input)
 	p.bases = keepSince(append(p.bases, sample{
 		at:    now,
--- a/internal/state/replica/table_test.go
+++ b/internal/state/replica/table_test.go
@@ -34,6 +34,8 @@
 		"pool":    {change: func(row *wire.Machine) { row.Pool = "q" }},
 		"address": {change: func(row *wire.Machine) { row.Address = "10.0.0.2:80" }},
 		"boot":    {change: func(row *wire.Machine) { row.Boot = 2 }},
+		"notice":  {change: func(row *wire.Machine) { row.LeavesMs = 9000 }, same: true},
+		"spot":    {change: func(row *wire.Machine) { row.Spot = true }},
 		"zone":    {change: func(row *wire.Machine) { row.AvailabilityZone = "b" }},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -47,6 +49,8 @@
 			is.Equal(before == after, c.same)
 			is.Equal(after.Slots(), changed.Slots)
 			is.Equal(after.Pool(), changed.Pool)
+			is.Equal(after.Spot(), changed.Spot)
+			is.Equal(after.Notice().Milliseconds(), int64(changed.LeavesMs))
 			is.Equal(after.Leaving(), changed.State == StateLeaving)
 			is.Equal(len(table.Load().PoolReplicas(changed.Pool)), 1)
 		})
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -44,6 +44,8 @@
 	Order func(ctx context.Context, number int, order capacity.Order) error
 	// Refused is told that the platform refused an order because of its number.
 	Refused func(number int)
+	// OrdersPerTick is the largest number of orders in a second, 0 for no limit.
+	OrdersPerTick int
 	// Logger receives the log lines.
 	Logger zerolog.Logger
 
@@ -131,6 +133,9 @@
 
 // send sends the orders until the platform asks for fewer calls, or the duty is lost.
 func (s *Service) send(ctx context.Context, orders []planned) {
+	if s.OrdersPerTick > 0 {
+		orders = orders[:min(len(orders), s.OrdersPerTick)]
+	}
 	for batch := range slices.Chunk(orders, parallelOrders) {
 		var group sync.WaitGroup
 		var stop atomic.Bool
@@ -154,6 +159,9 @@
 		return false
 	}
 	err := s.Order(ctx, s.number, order.Order)
+	if errors.Is(err, duties.ErrRefused) && !order.Spot {
+		s.Refused(s.number)
+	}
 	outcome := judge(err, order.Spot)
 	s.mu.Lock()
 	order.planner.Answered(time.Now(), order.Order, outcome)
@@ -161,9 +169,6 @@
 	state := order.planner.State()
 	s.mu.Unlock()
 	s.log(order, state, err)
-	if errors.Is(err, duties.ErrRefused) && !order.Spot {
-		s.Refused(s.number)
-	}
 	return outcome == capacity.Accepted || outcome == capacity.NoneAvailable
 }
 
--- /dev/null
+++ b/internal/transport/capacities/service_test.go
@@ -0,0 +1,112 @@
+package capacities
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/transport/duties"
+)
+
+// platformStub is a platform API and the duty at one node.
+type platformStub struct {
+	mu      sync.Mutex
+	held    bool
+	answer  func(order capacity.Order) error
+	orders  []capacity.Order
+	refused []int
+}
+
+func (p *platformStub) order(_ context.Context, _ int, order capacity.Order) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders = append(p.orders, order)
+	return p.answer(order)
+}
+
+func (p *platformStub) refuse(number int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = append(p.refused, number)
+}
+
+// newService returns a service of a pool that needs orders in six zones.
+func newService(p *platformStub) *Service {
+	p.held = true
+	return &Service{
+		Held:    func() (int, bool) { return 7, p.held },
+		Order:   p.order,
+		Refused: p.refuse,
+		Logger:  zerolog.Nop(),
+		Pools: func(time.Time) []Pool {
+			return []Pool{{
+				Name: "p",
+				Settings: capacity.Settings{
+					Min:         1,
+					Max:         30,
+					SpotPrice:   0.2,
+					ZonePrices:  map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1},
+					Utilization: 0.5,
+					Least:       40,
+				},
+				Input: capacity.Input{KnownShare: 1},
+			}}
+		},
+	}
+}
+
+// TestRefusedOrdersAreToldApart guards against a holder that goes on after its number was refused, and against one that gives
+// up the duty because a zone has no spot upstreams.
+func TestRefusedOrdersAreToldApart(t *testing.T) {
+	is := is.New(t)
+	p := &platformStub{answer: func(order capacity.Order) error {
+		if order.Spot {
+			return duties.ErrRefused
+		}
+		return nil
+	}}
+	s := newService(p)
+	s.Tick(t.Context(), time.Now())
+	is.Equal(len(p.orders), 12) // both kinds in six zones
+	is.Equal(len(p.refused), 0)
+	p = &platformStub{answer: func(capacity.Order) error { return duties.ErrRefused }}
+	s = newService(p)
+	s.Tick(t.Context(), time.Now())
+	is.True(len(p.refused) > 0)
+	is.Equal(p.refused[0], 7)
+	is.True(len(p.orders) <= 8) // the spot orders that came first, and those that were under way with the refused one
+}
+
+// TestFewerOrdersWhenThePlatformIsBusy guards against orders that go on at the same rate to a platform that does not answer
+// or asks for fewer calls.
+func TestFewerOrdersWhenThePlatformIsBusy(t *testing.T) {
+	for _, err := range []error{duties.ErrBusy, errors.New("no answer")} {
+		is := is.New(t)
+		p := &platformStub{answer: func(capacity.Order) error { return err }}
+		s := newService(p)
+		s.Tick(t.Context(), time.Now())
+		is.Equal(len(p.orders), parallelOrders)
+	}
+}
+
+// TestNothingIsOrderedWithoutTheDuty guards against orders of a node that lost the duty while it sent some, and against more
+// of them in a second than allowed.
+func TestNothingIsOrderedWithoutTheDuty(t *testing.T) {
+	is := is.New(t)
+	p := &platformStub{answer: func(capacity.Order) error { return nil }}
+	s := newService(p)
+	s.OrdersPerTick = 3
+	s.Tick(t.Context(), time.Now())
+	is.Equal(len(p.orders), 3)
+	is.True(s.Total(func(state capacity.State) float64 { return float64(state.Wanted) }) >= 40)
+	p.held = false
+	s.Tick(t.Context(), time.Now())
+	is.Equal(len(p.orders), 3)
+	is.Equal(s.State("p").Wanted, 0)
+}
--- a/internal/transport/entryvm/capacities.go
+++ b/internal/transport/entryvm/capacities.go
@@ -22,6 +22,15 @@
 	Least       int
 }
 
+// ordersPerTick returns how many orders may be sent in a second, 0 for no limit. The duties may call at half the limit of the
+// platform API; one call is left for a usage report, which must not wait for orders.
+func ordersPerTick(callsPerSecond float64) int {
+	if callsPerSecond <= 0 {
+		return 0
+	}
+	return max(int(callsPerSecond/2)-1, 1)
+}
+
 // newCapacities returns the service that orders upstreams, or nil if this is not a duty of the site.
 func (p *Process) newCapacities() *capacities.Service {
 	if p.Autoscale == nil || p.Duties == nil {
@@ -33,6 +42,8 @@
 		Order:   p.orderUpstreams,
 		Refused: p.Duties.Refused,
 		Logger:  p.Logger,
+
+		OrdersPerTick: ordersPerTick(p.Duties.CallsPerSecond),
 	}
 }
 
