Capacity: memory of engines, upstreams that do not serve, and upstreams found late

Requests that need much memory and little work were not counted. Upstreams that were ordered or listed and do not serve are replaced, at most a quarter of the base. A holder that learned of the upstreams only after it gained the duty took them for surplus. Digests hold the requests only where autoscaling is a duty.

--- a/internal/coordination/capacity/forecast.go
+++ b/internal/coordination/capacity/forecast.go
@@ -17,6 +17,9 @@
 	// maxRise limits the predicted demand to a multiple of the demand seen, so that a step is not taken for the first
 	// part of an endless rise.
 	maxRise = 2.5
+	// memoryShare is the share of the engines' memory that prompts in flight may take. The rest is for what they generate and
+	// for cached prompt parts.
+	memoryShare = 0.75
 	// digestUtilization is the utilization that the demand in the digests includes; see dispatch.EngineDemand.
 	digestUtilization = 0.5
 	// usualBacklog is the time that prompts usually wait at an upstream, and backlogTime the time within which more than
@@ -34,6 +37,10 @@
 	// Requests is the number of requests in flight, running or waiting, and Slots the number that an upstream runs at once.
 	Requests float64
 	Slots    int
+	// Tokens is the number of prompt tokens of the requests in flight, and Memory the number that an engine has room for, 0 for
+	// plain services.
+	Tokens float64
+	Memory int
 	// Backlog is the time that one upstream would need for all prompts that wait for prefill.
 	Backlog time.Duration
 }
@@ -53,7 +60,7 @@
 
 // forecast predicts the number of upstreams that the demand needs.
 type forecast struct {
-	// work and slots are the numbers of upstreams that are needed by the work and by the slots.
+	// work and slots are the numbers of upstreams that are needed by the work, and by the slots or the memory.
 	work  []sample
 	slots []sample
 	// lag is Demand.Lag, backlog the part of the upstreams that is needed for the backlog.
@@ -73,6 +80,9 @@
 	}
 	work := demand.Engines * digestUtilization / settings.Utilization
 	slots := demand.Requests / float64(max(demand.Slots, 1)) / settings.Utilization
+	if demand.Memory > 0 {
+		slots = max(slots, demand.Tokens/float64(demand.Memory)/memoryShare)
+	}
 	if last := len(f.work) - 1; !complete && last >= 0 {
 		work, slots = max(work, f.work[last].value), max(slots, f.slots[last].value)
 	}
--- a/internal/coordination/capacity/model_test.go
+++ b/internal/coordination/capacity/model_test.go
@@ -114,7 +114,8 @@
 	s.desired[subject{zone: zone, spot: true}] = 0
 	for _, m := range s.machines {
 		if m.upstream.Zone == zone && m.upstream.Spot && m.goneAt.IsZero() {
-			s.leave(m, 2*time.Second)
+			m.upstream.Notice = 2 * time.Second
+			s.leave(m, m.upstream.Notice)
 		}
 	}
 }
--- a/internal/coordination/capacity/pace.go
+++ b/internal/coordination/capacity/pace.go
@@ -55,8 +55,7 @@
 				zone: zone,
 				spot: spot,
 			})
-			full := p.group(zone, true).planned+p.group(zone, false).planned >= p.Settings.Max
-			if share := float64(g.planned) / float64(max(wanted, 1)); g.planned < wanted && share < lowest && !full {
+			if share := float64(g.planned) / float64(max(wanted, 1)); g.planned < wanted && share < lowest && !p.full(zone) {
 				best, lowest = g, share
 			}
 		}
@@ -67,6 +66,16 @@
 	}
 }
 
+// full reports whether a zone has no room for another upstream. Those that are to leave take room until they do.
+func (p *Planner) full(zone string) bool {
+	sum := 0
+	for _, spot := range []bool{false, true} {
+		g := p.group(zone, spot)
+		sum += max(g.planned, g.ordered, g.present)
+	}
+	return sum >= p.Settings.Max
+}
+
 func (g *group) raiseTo(n int, reason string) {
 	if n > g.planned {
 		g.planned, g.reason = n, reason
--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -38,6 +38,9 @@
 	// minDry and maxDry limit the time before spot upstreams are asked for again in a zone that had none.
 	minDry = 2 * time.Second
 	maxDry = 8 * time.Second
+	// maxShortShare limits the upstreams that replace those that were ordered and do not serve, as a share of the base. Where
+	// none at all serve, as seen from nodes that are cut off, more would not serve either.
+	maxShortShare = 0.25
 )
 
 // Settings are the operator's limits for a pool and the prices of its upstreams.
@@ -67,6 +70,8 @@
 	Leaving bool
 	// Down reports that the nodes cannot use the upstream though it is listed.
 	Down bool
+	// Notice is the time to leave that the platform has given to an upstream that it reclaims, zero if there is none.
+	Notice time.Duration
 	// Boot and Version identify the run of the upstream and its software.
 	Boot    int
 	Version string
@@ -121,6 +126,8 @@
 	serving int
 	// expected is the number of upstreams that are still to leave because fewer were ordered.
 	expected int
+	// shortSince is when fewer than planned began to serve, zero if enough do.
+	shortSince time.Time
 	// dryUntil is when spot upstreams may be asked for again, dryFor the time of the last wait.
 	dryUntil time.Time
 	dryFor   time.Duration
@@ -137,6 +144,7 @@
 	Settings Settings
 
 	gained    time.Time
+	firstAt   time.Time
 	initial   int
 	groups    map[subject]*group
 	seen      map[string]Upstream
@@ -150,11 +158,11 @@
 // Plan returns the orders that are due, increases first. It is to be called once a second while the duty is held.
 func (p *Planner) Plan(now time.Time, input Input) []Order {
 	if input.Gained != p.gained || p.groups == nil {
-		p.reset(input)
+		p.reset(now, input)
 	}
 	p.observe(now, input)
 	p.forecast.add(now, input.Demand, input.KnownShare >= minKnownShare, p.Settings)
-	base := p.base(now, input)
+	base := p.base(now)
 	p.bases = keepSince(append(p.bases, sample{
 		at:    now,
 		value: float64(base),
@@ -167,11 +175,12 @@
 }
 
 // reset forgets what was known under an earlier holdership. The upstreams that are present count as ordered.
-func (p *Planner) reset(input Input) {
+func (p *Planner) reset(now time.Time, input Input) {
 	*p = Planner{
 		Pool:     p.Pool,
 		Settings: p.Settings,
 		gained:   input.Gained,
+		firstAt:  now,
 		groups:   map[subject]*group{},
 		seen:     map[string]Upstream{},
 	}
@@ -179,9 +188,11 @@
 		p.group(zone, false)
 	}
 	for _, u := range input.Upstreams {
-		p.group(u.Zone, u.Spot)
+		g := p.group(u.Zone, u.Spot)
 		p.seen[u.Name] = u
 		if !u.Leaving {
+			g.planned++
+			g.ordered++
 			p.initial++
 		}
 	}
@@ -202,7 +213,7 @@
 	}]
 }
 
-// settleTime is how long after the duty was gained upstreams may appear that the former holder ordered.
+// settleTime is how long after the first decision upstreams may appear that the former holder ordered.
 func (p *Planner) settleTime() time.Duration { return p.Settings.Boot + orderInterval }
 
 // observe counts the listed upstreams and notes those that left without an order.
@@ -228,31 +239,39 @@
 			continue
 		}
 		if !before.Leaving {
-			p.departed(before, now)
+			p.departed(before, after, now)
 		}
 	}
 	p.seen = listed
 	for _, g := range p.groups {
-		settling := now.Sub(p.gained) < p.settleTime() && g.sentAt.IsZero()
+		settling := now.Sub(p.firstAt) < p.settleTime() && g.sentAt.IsZero()
 		if settling || g.reclaimed {
 			g.ordered = max(g.ordered, g.present)
 			g.planned = max(g.planned, g.ordered)
 		}
+		switch {
+		case g.serving >= g.planned:
+			g.shortSince = time.Time{}
+		case g.shortSince.IsZero():
+			g.shortSince = now
+		}
 	}
 }
 
-// departed notes that an upstream began to leave, vanished or restarted. If no order explains it, it is a fault, and if it
-// is a spot upstream, those of its zone are being reclaimed.
-func (p *Planner) departed(u Upstream, now time.Time) {
-	g := p.group(u.Zone, u.Spot)
+// departed notes that an upstream began to leave, vanished or restarted; after is zero if it vanished. If no order explains
+// it, it is a fault. The platform reclaims all spot upstreams of a zone at once, but the registry may show it one by one.
+func (p *Planner) departed(before, after Upstream, now time.Time) {
+	g := p.group(before.Zone, before.Spot)
 	if g.expected > 0 {
 		g.expected--
 		return
 	}
 	p.troubleAt = now
-	if u.Spot && g.present == 0 && !now.Before(g.dryUntil) {
-		g.dry(now)
-		g.planned, g.ordered, g.reclaimed = 0, 0, true
+	if before.Spot && (g.present == 0 || after.Leaving && after.Notice > 0) {
+		if !now.Before(g.dryUntil) {
+			g.dry(now)
+		}
+		g.planned, g.ordered, g.reclaimed = min(g.planned, g.present), min(g.ordered, g.present), true
 	}
 }
 
@@ -263,17 +282,24 @@
 }
 
 // base returns the number of upstreams that must serve even after the spot upstreams of one zone were lost.
-func (p *Planner) base(now time.Time, input Input) int {
+func (p *Planner) base(now time.Time) int {
 	base := max(p.forecast.upstreams(now, p.Settings), p.Settings.Least)
 	if !p.forecast.known(now) {
 		base = max(base, roundUp(unknownShare*float64(p.initial)))
 	}
-	for _, u := range input.Upstreams {
-		if u.Down && !u.Leaving {
-			base++ // it takes up room in its zone and serves nobody
+	base += min(p.short(now), roundUp(maxShortShare*float64(base)))
+	return min(base, len(p.groups)/2*p.Settings.Max)
+}
+
+// short returns how many upstreams were planned for long enough to serve, and don't: they did not start, or are down.
+func (p *Planner) short(now time.Time) int {
+	sum := 0
+	for _, g := range p.groups {
+		if !g.shortSince.IsZero() && now.Sub(g.shortSince) >= p.Settings.Boot+bootReserve {
+			sum += g.planned - g.serving
 		}
 	}
-	return min(base, len(p.groups)/2*p.Settings.Max)
+	return sum
 }
 
 // Answered records the outcome of an order that Plan returned.
--- a/internal/coordination/capacity/planner_test.go
+++ b/internal/coordination/capacity/planner_test.go
@@ -163,3 +163,95 @@
 	s.plan(p, 300, steady(22), nothing)
 	is.True(s.named-before <= 15) // of about 60, in 5 minutes with noise of 5%
 }
+
+// TestUpstreamsFoundLateAreNotGivenUp guards against a holder that takes the upstreams for surplus because it learned of them
+// only some time after it gained the duty.
+func TestUpstreamsFoundLateAreNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(30)
+	gained := s.now
+	s.now = s.now.Add(time.Minute)
+	s.run(func(s *site) []Order {
+		input := s.input()
+		input.Gained = gained
+		return p.Plan(s.now, input)
+	}, func(o Order, outcome Outcome) { p.Answered(s.now, o, outcome) }, 40, steady(30), func(int) {
+		is.True(s.count(everyUpstream) >= 60)
+	})
+}
+
+// TestUpstreamsThatDoNotServeAreReplaced guards against a plan that counts on upstreams that are listed and down, and against
+// one that orders without end because the nodes are cut off from all of them.
+func TestUpstreamsThatDoNotServeAreReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		down     func(u Upstream) bool
+		min, max int
+	}{
+		"a zone": {
+			down: func(u Upstream) bool { return u.Zone == "a" },
+			min:  60,
+			max:  100,
+		},
+		"all": {
+			down: everyUpstream,
+			max:  110, // a quarter above the base, with the spot upstreams of a zone
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite()
+			p := newPlanner(s)
+			s.begin(30)
+			s.plan(p, 60, steady(30), nothing)
+			s.run(func(s *site) []Order {
+				input := s.input()
+				for i := range input.Upstreams {
+					input.Upstreams[i].Down = c.down(input.Upstreams[i])
+				}
+				return p.Plan(s.now, input)
+			}, func(o Order, outcome Outcome) { p.Answered(s.now, o, outcome) }, 40, steady(30), nothing)
+			up := s.count(func(u Upstream) bool { return !c.down(u) })
+			is.True(up >= c.min)
+			is.True(s.count(everyUpstream) <= c.max)
+		})
+	}
+}
+
+// TestReturnAfterAPartialViewIsNoRise guards against orders for a steep rise when all nodes are known again, and against
+// upstreams that are given up by the demand of a part of the nodes right after.
+func TestReturnAfterAPartialViewIsNoRise(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	p := newPlanner(s)
+	s.begin(22)
+	s.plan(p, 60, steady(22), nothing)
+	before := s.count(everyUpstream)
+	s.run(func(s *site) []Order {
+		input := s.input()
+		if since := s.now.Sub(s.start).Seconds(); since > 70 && since < 100 {
+			input.KnownShare = 0.3
+			input.Demand.Engines *= 0.3
+		}
+		return p.Plan(s.now, input)
+	}, func(o Order, outcome Outcome) { p.Answered(s.now, o, outcome) }, 80, steady(22), func(int) {
+		is.True(s.count(everyUpstream) >= 44)
+		is.True(s.count(everyUpstream) <= before+before/10)
+	})
+}
+
+// TestMemoryCounts guards against too few engines for requests that need little work and much memory.
+func TestMemoryCounts(t *testing.T) {
+	is := is.New(t)
+	var f forecast
+	now := time.Unix(1000, 0)
+	f.add(now, Demand{
+		Engines:  2,
+		Requests: 100,
+		Slots:    64,
+		Tokens:   30 * 580_000,
+		Memory:   580_000,
+	}, true, testSettings())
+	is.Equal(f.upstreams(now, testSettings()), 40) // 30 engines full of prompts, at 3/4 of the memory
+}
--- a/internal/coordination/dispatch/demand.go
+++ b/internal/coordination/dispatch/demand.go
@@ -10,8 +10,10 @@
 	// Engines is how many engines the requests need, and EnginesLag the mean age of the requests that it counts.
 	Engines    EngineDemand
 	EnginesLag time.Duration
-	// Requests is the number of requests at the pool's upstreams. It is known only for pools with scaling.
+	// Requests is the number of requests at the pool's upstreams, and Tokens that of their prompt tokens. They are known only
+	// for pools with scaling.
 	Requests float64
+	Tokens   float64
 	// Backlog is the time that one engine would need to prefill all prompts that wait.
 	Backlog time.Duration
 	// KnownShare is the share of the live nodes whose digests are known. The figures are extrapolated to the others, by
@@ -38,15 +40,16 @@
 		EnginesLag: time.Duration(demandHalfLife.Seconds() / math.Ln2 * float64(time.Second)),
 		Down:       map[string]bool{},
 	}
-	covered, others := 1, 0
+	covered, others := 1, PoolRequests{}
 	for _, peer := range d.peers {
 		covered += peer.nodes()
-		others += peer.PoolRequests[pool]
+		others = others.plus(peer.PoolRequests[pool], 1)
 		demand.Age = max(demand.Age, now.Sub(peer.receivedAt))
 	}
 	demand.KnownShare = min(float64(covered)/float64(max(d.Nodes(), 1)), 1)
 	own := d.poolRequests(pool)
-	demand.Requests = float64(own) + scale*float64(others)
+	demand.Requests = float64(own.Requests) + scale*float64(others.Requests)
+	demand.Tokens = float64(own.Tokens) + scale*float64(others.Tokens)
 	waiting := 0.0
 	for _, s := range d.view(pool).states {
 		waiting += float64(s.forecast.backlog(lastTier, now)) + scale*float64(s.peerLoad.Waiting)
@@ -62,23 +65,43 @@
 	return demand
 }
 
-// poolRequests returns the number of this node's requests at the upstreams of a pool; the lock must be held.
-func (d *Dispatcher) poolRequests(pool string) int {
-	sum := 0
+// PoolRequests is the number of requests at the upstreams of a pool, and of their prompt tokens.
+type PoolRequests struct {
+	Requests int
+	Tokens   int
+}
+
+// plus returns the sum of the requests and sign times others, at least zero.
+func (r PoolRequests) plus(other PoolRequests, sign int) PoolRequests {
+	return PoolRequests{
+		Requests: max(r.Requests+sign*other.Requests, 0),
+		Tokens:   max(r.Tokens+sign*other.Tokens, 0),
+	}
+}
+
+// poolRequests returns this node's requests at the upstreams of a pool; the lock must be held.
+func (d *Dispatcher) poolRequests(pool string) PoolRequests {
+	var sum PoolRequests
 	for _, s := range d.view(pool).states {
-		sum += s.forecast.inFlight
+		sum.Requests += s.forecast.inFlight
+		sum.Tokens += s.forecast.tokens
 	}
 	return sum
 }
 
-// scaledRequests returns the number of this node's requests in each pool that has scaling; the lock must be held.
-func (d *Dispatcher) scaledRequests() map[string]int {
-	requests := map[string]int{}
+// scaledRequests returns this node's requests in each pool that has scaling; the lock must be held.
+func (d *Dispatcher) scaledRequests() map[string]PoolRequests {
+	requests := map[string]PoolRequests{}
+	if !d.CountRequests {
+		return requests
+	}
 	for _, pool := range d.Table.Load().PoolNames() {
-		if settings, known := d.Pool(pool); known && settings.Scaling != nil {
-			if n := d.poolRequests(pool); n > 0 {
-				requests[pool] = n
-			}
+		settings, known := d.Pool(pool)
+		if !known || settings.Scaling == nil {
+			continue
+		}
+		if own := d.poolRequests(pool); own != (PoolRequests{}) {
+			requests[pool] = own
 		}
 	}
 	return requests
--- a/internal/coordination/dispatch/demand_test.go
+++ b/internal/coordination/dispatch/demand_test.go
@@ -14,6 +14,7 @@
 // newScaledNode returns a dispatcher of a site with requests in flight, in a pool with scaling.
 func newScaledNode(nodes, requests int) *Dispatcher {
 	node := newBusyDispatcher(nodes, requests)
+	node.CountRequests = true
 	node.Pool = func(string) (route.Pool, bool) {
 		return route.Pool{
 			Engine:  &route.Engine{Slots: 64},
@@ -61,6 +62,7 @@
 			demand := node.PoolDemand("p", now)
 			is.Equal(demand.KnownShare, 1.0)
 			is.Equal(demand.Requests, float64(requests))
+			is.Equal(demand.Tokens, float64(requests*newPrompt(1, 2).Tokens()))
 			is.True(engines > 0)
 			is.True(math.Abs(demand.Engines.Bulk-engines) < 1e-6*engines)
 			is.True((demand.Backlog - backlog).Abs() < time.Millisecond)
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -93,6 +93,9 @@
 	Nodes func() int
 	// Rank, if set, returns this node's rank for a key among the live nodes, 0 for the first.
 	Rank func(key string) int
+	// CountRequests adds the requests in pools with scaling to the digests, for the node that decides on the number of
+	// upstreams.
+	CountRequests bool
 	// OnSplitChange, if set, is called when the number of engines that are reserved for interactive requests changes,
 	// with that number and the number of all engines of the pool. It must not block.
 	OnSplitChange func(pool string, interactive, engines int)
--- a/internal/coordination/dispatch/forecast.go
+++ b/internal/coordination/dispatch/forecast.go
@@ -23,10 +23,12 @@
 // forecast predicts the response times of one upstream.
 type forecast struct {
 	// waiting holds the requests whose prompts wait for prefill, running is the number of requests past their first
-	// event, and inFlight is the number of all requests, including those of plain services.
+	// event, and inFlight is the number of all requests, including those of plain services. tokens is the number of their
+	// prompt tokens.
 	waiting  map[*Assignment]struct{}
 	running  int
 	inFlight int
+	tokens   int
 	// waitingUntil is when the last prompt stopped waiting.
 	waitingUntil time.Time
 	// latency is the average response time of a plain service, zero before the first response.
@@ -95,6 +97,7 @@
 	// uncached is Choice.Uncached; prefillTokens adds the delay of the start of the prefill.
 	uncached      int
 	prefillTokens int
+	promptTokens  int
 	predicted     time.Duration
 	sent          time.Time
 	// measurable reports that no other prompt was known to wait at the upstream when the request was sent, and that it
@@ -137,6 +140,8 @@
 		return assignment
 	}
 	known := d.pace(r.Pool())
+	assignment.promptTokens = p.Tokens()
+	upstream.forecast.tokens += assignment.promptTokens
 	assignment.prefillTokens = choice.Uncached + known.profile.QueueDelayTokens()
 	assignment.measurable = !choice.assumed && len(upstream.forecast.waiting) == 0 && upstream.peerLoad.Waiting == 0
 	upstream.forecast.addWaiting(assignment)
@@ -195,6 +200,7 @@
 	}
 	f := &upstream.forecast
 	f.inFlight--
+	f.tokens -= a.promptTokens
 	if _, waiting := f.waiting[a]; waiting {
 		delete(f.waiting, a)
 		f.waitingUntil = now
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -54,8 +54,8 @@
 	// Loads is keyed by upstream name, EngineDemands by pool name.
 	Loads         map[string]Load
 	EngineDemands map[string]EngineDemand
-	// PoolRequests is the number of requests at the upstreams of each pool that has scaling.
-	PoolRequests map[string]int
+	// PoolRequests holds the requests at the upstreams of each pool that has scaling.
+	PoolRequests map[string]PoolRequests
 	// Evidence is what was observed of the engines of each pool.
 	Evidence map[string]calibration.Evidence
 	// Leaving holds the boots of the upstreams that said that they are leaving, by name.
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -73,7 +73,7 @@
 	return Digest{
 		Loads:         map[string]Load{},
 		EngineDemands: map[string]EngineDemand{},
-		PoolRequests:  map[string]int{},
+		PoolRequests:  map[string]PoolRequests{},
 		Evidence:      map[string]calibration.Evidence{},
 		Leaving:       map[string]int{},
 	}
@@ -96,7 +96,7 @@
 		g.Evidence[pool] = g.Evidence[pool].Plus(evidence, float64(sign))
 	}
 	for pool, requests := range other.PoolRequests {
-		g.PoolRequests[pool] = max(g.PoolRequests[pool]+sign*requests, 0)
+		g.PoolRequests[pool] = g.PoolRequests[pool].plus(requests, sign)
 	}
 	if sign > 0 {
 		maps.Copy(g.Leaving, other.Leaving)
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -529,8 +529,7 @@
 	// Nodes is the number of nodes in the sum.
 	Nodes int `json:"nodes,omitempty,omitzero"`
 
-	// Requests holds the number of requests at the upstreams of each pool that has
-	// scaling.
+	// Requests holds the requests at the upstreams of each pool that has scaling.
 	Requests []PoolRequests `json:"requests,omitempty,omitzero"`
 
 	// Rows corresponds to the JSON schema field "rows".
@@ -773,13 +772,17 @@
 	Waiting int `json:"waiting,omitempty,omitzero"`
 }
 
-// PoolRequests is the number of requests at the upstreams of a pool.
+// PoolRequests is the number of requests at the upstreams of a pool, and of their
+// prompt tokens.
 type PoolRequests struct {
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
 
 	// Requests corresponds to the JSON schema field "requests".
 	Requests int `json:"requests"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens,omitempty,omitzero"`
 }
 
 // PoolRow is the use of one pool that one node reports.
--- a/internal/transport/entryvm/capacities.go
+++ b/internal/transport/entryvm/capacities.go
@@ -111,6 +111,8 @@
 		result.Engines = demand.Engines.Interactive + demand.Engines.Bulk
 		result.Lag = demand.EnginesLag
 		result.Backlog = demand.Backlog
+		result.Tokens = demand.Tokens
+		result.Memory = pool.Engine.CacheTokens
 	}
 	return result
 }
@@ -124,6 +126,7 @@
 			Spot:    upstream.Spot(),
 			Leaving: upstream.Leaving(),
 			Down:    down[upstream.Name()],
+			Notice:  upstream.Notice(),
 			Boot:    upstream.Boot(),
 			Version: upstream.Version(),
 		})
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -237,7 +237,8 @@
 	for pool, requests := range digest.PoolRequests {
 		message.Requests = append(message.Requests, wire.PoolRequests{
 			Pool:     pool,
-			Requests: requests,
+			Requests: requests.Requests,
+			Tokens:   requests.Tokens,
 		})
 	}
 	return message
@@ -251,7 +252,7 @@
 		Nodes:         message.Nodes,
 		Loads:         make(map[string]dispatch.Load, len(message.Rows)),
 		EngineDemands: make(map[string]dispatch.EngineDemand, len(message.Work)),
-		PoolRequests:  make(map[string]int, len(message.Requests)),
+		PoolRequests:  make(map[string]dispatch.PoolRequests, len(message.Requests)),
 		Evidence:      make(map[string]calibration.Evidence, len(message.Work)),
 		Leaving:       make(map[string]int, len(message.Leaving)),
 		Suspects:      decodeSuspects(message.Suspects),
@@ -264,7 +265,10 @@
 		}
 	}
 	for _, row := range message.Requests {
-		digest.PoolRequests[row.Pool] = row.Requests
+		digest.PoolRequests[row.Pool] = dispatch.PoolRequests{
+			Requests: row.Requests,
+			Tokens:   row.Tokens,
+		}
 	}
 	for _, row := range message.Limits {
 		digest.Limits = append(digest.Limits, decodeLimit(row))
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -32,7 +32,12 @@
 				Bulk:        9,
 			},
 		},
-		PoolRequests: map[string]int{"p": 41},
+		PoolRequests: map[string]dispatch.PoolRequests{
+			"p": {
+				Requests: 41,
+				Tokens:   9000,
+			},
+		},
 		Evidence: map[string]calibration.Evidence{
 			"p": {
 				Steps: [calibration.GroupCount]calibration.Group{
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -176,6 +176,7 @@
 		Pool:             p.lookupPool,
 		Nodes:            func() int { return p.members.LiveCount() },
 		Rank:             p.rank,
+		CountRequests:    p.Autoscale != nil,
 		OnSplitChange:    p.logSplitChange,
 		OnProfileChange:  p.logProfileChange,
 	}
