Capacity: count the requests that no upstream had room for

Refused requests cause no work and took no slot, so that the demand of an overloaded pool was too low. Nodes tell each other which share they refused, where autoscaling is a duty.

--- a/internal/coordination/capacity/forecast.go
+++ b/internal/coordination/capacity/forecast.go
@@ -17,6 +17,8 @@
 	// maxRise limits the predicted demand to a multiple of the demand seen, so that a step is not taken for the first
 	// part of an endless rise.
 	maxRise = 2.5
+	// maxRefusalFactor limits what is added for refused requests, since refused callers come back and are counted again.
+	maxRefusalFactor = 2
 	// memoryShare is the share of the engines' memory that prompts in flight may take. The rest is for what they generate and
 	// for cached prompt parts.
 	memoryShare = 0.75
@@ -37,6 +39,8 @@
 	// Requests is the number of requests in flight, running or waiting, and Slots the number that an upstream runs at once.
 	Requests float64
 	Slots    int
+	// RefusedShare is the share of the recent requests that were not sent to any upstream, and are not in the other figures.
+	RefusedShare float64
 	// Tokens is the number of prompt tokens of the requests in flight, and Memory the number that an engine has room for, 0 for
 	// plain services.
 	Tokens float64
@@ -83,6 +87,8 @@
 	if demand.Memory > 0 {
 		slots = max(slots, demand.Tokens/float64(demand.Memory)/memoryShare)
 	}
+	factor := 1 / max(1-demand.RefusedShare, 1.0/maxRefusalFactor)
+	work, slots = factor*work, factor*slots
 	if last := len(f.work) - 1; !complete && last >= 0 {
 		work, slots = max(work, f.work[last].value), max(slots, f.slots[last].value)
 	}
--- a/internal/coordination/capacity/planner_test.go
+++ b/internal/coordination/capacity/planner_test.go
@@ -241,6 +241,20 @@
 	})
 }
 
+// TestRefusedRequestsCount guards against too few upstreams for a load of which a part is refused and so causes no work.
+func TestRefusedRequestsCount(t *testing.T) {
+	for share, upstreams := range map[float64]int{0: 20, 0.2: 25, 0.5: 40, 1: 40} {
+		is := is.New(t)
+		var f forecast
+		now := time.Unix(1000, 0)
+		f.add(now, Demand{
+			Engines:      20,
+			RefusedShare: share,
+		}, true, testSettings())
+		is.Equal(f.upstreams(now, testSettings()), upstreams)
+	}
+}
+
 // TestMemoryCounts guards against too few engines for requests that need little work and much memory.
 func TestMemoryCounts(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/dispatch/demand_test.go
+++ b/internal/coordination/dispatch/demand_test.go
@@ -13,7 +13,7 @@
 
 // newScaledNode returns a dispatcher of a site with requests in flight, in a pool with scaling.
 func newScaledNode(nodes, requests int) *Dispatcher {
-	node := newBusyDispatcher(nodes, requests)
+	node := newBusyDispatcher(nodes, 0)
 	node.CountRequests = true
 	node.Pool = func(string) (route.Pool, bool) {
 		return route.Pool{
@@ -21,6 +21,9 @@
 			Scaling: &route.Scaling{Max: 30},
 		}, true
 	}
+	for i := range requests {
+		node.Begin(node.Table.Load().PoolReplicas("p")[0], Request{Prompt: newPrompt(1, uint64(100+i))}, Choice{Uncached: 1000}, start)
+	}
 	return node
 }
 
@@ -85,3 +88,25 @@
 	is.Equal(demand.Requests, 4.0)
 	is.Equal(demand.KnownShare, 1.0/11)
 }
+
+// TestRefusedRequestsAreCounted guards against a demand that leaves out the requests that no upstream had room for, and one
+// that counts those that more upstreams would not help.
+func TestRefusedRequestsAreCounted(t *testing.T) {
+	is := is.New(t)
+	node, now := newScaledNode(2, 0), start
+	node.ReceiveDigest("other", newScaledNode(2, 6).Advertise(now), now)
+	is.Equal(node.PoolDemand("p", now).RefusedShare, 0.0)
+	for _, upstream := range node.Table.Load().PoolReplicas("p") {
+		upstream.MarkLeaving()
+	}
+	for _, request := range []Request{
+		{},
+		{Bound: true},
+		{Exclude: []string{"e1"}},
+		{},
+	} {
+		request.Pool = "p"
+		is.True(node.Choose(request, 0, now).Replica == nil)
+	}
+	is.Equal(node.PoolDemand("p", now).RefusedShare, 0.25) // 2 of 8
+}
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -121,6 +121,8 @@
 	// brittle holds how many requests a second brittle upstreams may turn away.
 	brittle ratelimit.Limits
 	grants  ratelimit.Grants
+	// offered holds the requests that were sent and refused by pool, if CountRequests is set.
+	offered map[string]*offered
 	// lastReturn is the latest time that a refused caller was told to come back at, by pool.
 	lastReturn map[string]time.Time
 }
@@ -209,6 +211,7 @@
 		c.compareAll()
 	}
 	if c.best.Replica == nil {
+		d.countRefusal(request, now)
 		d.refuse(c)
 	}
 	c.best.Candidates = c.candidates
--- a/internal/coordination/dispatch/forecast.go
+++ b/internal/coordination/dispatch/forecast.go
@@ -132,6 +132,9 @@
 	upstream := d.state(r)
 	p := request.Prompt
 	upstream.forecast.inFlight++
+	if d.CountRequests {
+		d.offeredTo(r.Pool(), now).sent++
+	}
 	upstream.health.recordSend(now)
 	if assignment.suspect = d.quarantine.Suspected(assignment.request); assignment.suspect {
 		upstream.suspects++
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -147,7 +147,7 @@
 			digest.Loads[r.Name()] = load
 		}
 	}
-	digest.PoolRequests = d.scaledRequests()
+	digest.PoolRequests = d.scaledRequests(now)
 	digest.Suspects = d.quarantine.Rows(now)
 	digest.Limits = d.limits.Reports(now)
 	digest.Brittle = d.brittle.Reports(now)
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -773,14 +773,20 @@
 }
 
 // PoolRequests is the number of requests at the upstreams of a pool, and of their
-// prompt tokens.
+// prompt tokens, with decaying sums of the requests sent and refused.
 type PoolRequests struct {
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
 
+	// Refused corresponds to the JSON schema field "refused".
+	Refused float64 `json:"refused,omitempty,omitzero"`
+
 	// Requests corresponds to the JSON schema field "requests".
 	Requests int `json:"requests"`
 
+	// Sent corresponds to the JSON schema field "sent".
+	Sent float64 `json:"sent,omitempty,omitzero"`
+
 	// Tokens corresponds to the JSON schema field "tokens".
 	Tokens int `json:"tokens,omitempty,omitzero"`
 }
--- a/internal/transport/entryvm/capacities.go
+++ b/internal/transport/entryvm/capacities.go
@@ -103,8 +103,9 @@
 		slots = max(slots, upstream.Slots())
 	}
 	result := capacity.Demand{
-		Requests: demand.Requests,
-		Slots:    slots,
+		Requests:     demand.Requests,
+		Slots:        slots,
+		RefusedShare: demand.RefusedShare,
 	}
 	if pool.Engine != nil {
 		result.Slots = pool.Engine.Slots
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -239,6 +239,8 @@
 			Pool:     pool,
 			Requests: requests.Requests,
 			Tokens:   requests.Tokens,
+			Sent:     round(requests.Sent),
+			Refused:  round(requests.Refused),
 		})
 	}
 	return message
@@ -268,6 +270,8 @@
 		digest.PoolRequests[row.Pool] = dispatch.PoolRequests{
 			Requests: row.Requests,
 			Tokens:   row.Tokens,
+			Sent:     row.Sent,
+			Refused:  row.Refused,
 		}
 	}
 	for _, row := range message.Limits {
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -36,6 +36,8 @@
 			"p": {
 				Requests: 41,
 				Tokens:   9000,
+				Sent:     12.5,
+				Refused:  0.25,
 			},
 		},
 		Evidence: map[string]calibration.Evidence{
