Capacity: two thirds of the upstreams found are kept until the demand is known

Half left 4% of the work unserved in the first 20 s in a model where the traffic begins with the work of 50 of 90 engines; two thirds leave none and cost 3% more in the 40 s before.

--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -11,10 +11,10 @@
 	// second between two decisions, the digests of the demand and the registry.
 	bootReserve = 5 * time.Second
 	// unknownTime is the traffic that must have been seen before the demand counts as known, and unknownShare the share
-	// of the upstreams found at the beginning that is kept until then. Half of them as spot upstreams cost less than a
-	// tenth of them on demand.
+	// of the upstreams found at the beginning that is kept until then. If the traffic begins with the work of 50 of 90
+	// engines, half of them leave 4% of it unserved in the first 20 s of the model and two thirds none, at 3% more cost.
 	unknownTime  = 15 * time.Second
-	unknownShare = 0.5
+	unknownShare = 2.0 / 3
 	// learnTime is how long after the duty was gained nothing is scaled down.
 	learnTime = 3 * time.Second
 	// minKnownShare is the share of the live nodes whose demand must be known to scale down.
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -62,7 +62,8 @@
 
 // Run decides once a second until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	schedule.Every(ctx, interval, func(now time.Time) { s.Tick(ctx, now) })
+	// The time of a tick that waited for slow orders is too old.
+	schedule.Every(ctx, interval, func(time.Time) { s.Tick(ctx, time.Now()) })
 }
 
 // Tick decides for all pools and sends the orders that are due.
