--- a/internal/transport/command/cmd_gateway_test.go
+++ b/internal/transport/command/cmd_gateway_test.go
@@ -96,3 +96,29 @@
 		is.True(strings.Contains(errOut.String(), args[0]+": expected"))
 	}
 }
+
+// TestDutiesNeedSettings guards against a deployment without duties that calls the store for them.
+func TestDutiesNeedSettings(t *testing.T) {
+	is := is.New(t)
+	settings := platform.Settings{
+		Name:     "n",
+		CPUShare: 0.2,
+	}
+	is.True(newDuties(settings) == nil)
+	settings.Cloud.Address = "127.0.0.2:1"
+	is.True(newDuties(settings) == nil)
+	settings.Cloud.Autoscale = true
+	is.True(newDuties(settings).Small)
+	settings.CPUShare = 0.5
+	is.True(!newDuties(settings).Small)
+}
+
+// TestAutoscalingNeedsItsDuty guards against orders by a site that leaves the number of upstreams to others.
+func TestAutoscalingNeedsItsDuty(t *testing.T) {
+	is := is.New(t)
+	var settings platform.Settings
+	settings.Cloud.ReportUsage = true
+	is.True(newAutoscale(&gatewaySettings{}, settings) == nil)
+	settings.Cloud.Autoscale = true
+	is.Equal(newAutoscale(&gatewaySettings{CapacityLeast: 7}, settings).Least, 7)
+}
