Capacity: wait in dry zones with every order, and drop pools without scaling

An order of fewer spot upstreams to a zone that had refused one was repeated each second. The figures of a pool that lost its scaling stayed in the gauges.

--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -363,7 +363,7 @@
 	if !g.sentAt.IsZero() && now.Sub(g.sentAt) < orderInterval {
 		return false
 	}
-	if now.Before(g.dryUntil) && g.planned >= g.ordered {
+	if now.Before(g.dryUntil) {
 		return false
 	}
 	if g.planned != g.ordered || !g.known {
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -79,9 +80,12 @@
 		s.Logger.Info().Str("decision", "capacity").Int("number", number).Msg("this node decides on the number of upstreams")
 	}
 	var orders []planned
+	listed := map[string]bool{}
 	for _, pool := range s.Pools(now) {
+		listed[pool.Name] = true
 		orders = append(orders, s.plan(pool, now)...)
 	}
+	s.prune(listed)
 	slices.SortStableFunc(orders, func(a, b planned) int { return cmp.Compare(b.more, a.more) })
 	s.send(ctx, orders)
 }
@@ -94,6 +98,14 @@
 	s.planners, s.states, s.age = nil, nil, 0
 }
 
+// prune drops the pools that have no scaling any more.
+func (s *Service) prune(listed map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.planners, func(pool string, _ *capacity.Planner) bool { return !listed[pool] })
+	maps.DeleteFunc(s.states, func(pool string, _ capacity.State) bool { return !listed[pool] })
+}
+
 // planned is an order of a planner.
 type planned struct {
 	capacity.Order
