--- a/internal/coordination/capacity/faults_test.go
+++ b/internal/coordination/capacity/faults_test.go
@@ -1,4 +1,4 @@
-package capacity
+package capacity_test
 
 import (
 	"math/rand/v2"
@@ -6,61 +6,63 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/model/scaling"
 )
 
 // lateOrder is an order without an answer that is executed later.
 type lateOrder struct {
-	order Order
+	order capacity.Order
 	at    time.Time
 }
 
 // faultySite loses answers, executes orders late, reclaims spot upstreams and changes the holder.
 type faultySite struct {
-	*site
-	planner *Planner
-	gained  time.Time
+	*scaling.Site
+	planner *scaling.Planner
 	late    []lateOrder
 }
 
 // send executes an order, loses it, or executes it late.
-func (f *faultySite) send(o Order, faults bool) Outcome {
-	switch chance := f.random.IntN(10); {
+func (f *faultySite) send(o capacity.Order, faults bool) capacity.Outcome {
+	switch chance := f.Random.IntN(10); {
 	case !faults || chance > 2:
-		return f.order(o)
+		return f.Execute(o)
 	case chance > 0:
 		f.late = append(f.late, lateOrder{
 			order: o,
-			at:    f.now.Add(time.Duration(1+f.random.IntN(6)) * time.Second),
+			at:    f.Now().Add(time.Duration(1+f.Random.IntN(6)) * time.Second),
 		})
 	}
-	return Unknown
+	return capacity.Unknown
 }
 
 func (f *faultySite) second(work float64, faults bool) {
-	f.step(work)
+	f.Step(work)
 	pending := f.late
 	f.late = nil
 	for _, l := range pending {
-		if f.now.Before(l.at) {
+		if f.Now().Before(l.at) {
 			f.late = append(f.late, l)
 		} else {
-			f.order(l.order)
+			f.Execute(l.order)
 		}
 	}
-	if faults && f.random.IntN(40) == 0 {
-		f.planner, f.gained = newPlanner(f.site), f.now
+	if faults && f.Random.IntN(40) == 0 {
+		gained := f.Now()
+		f.planner = scaling.NewPlanner(f.Settings)
+		f.planner.Change = func(input *capacity.Input) { input.Gained = gained }
 	}
-	zone := []string{"a", "b", "c", "d", "e", "f"}[f.random.IntN(6)]
+	zone := f.Zones()[f.Random.IntN(6)]
 	switch {
-	case faults && f.random.IntN(25) == 0:
-		f.reclaim(zone)
-	case !faults || f.random.IntN(4) == 0:
-		f.dry[zone] = false
+	case faults && f.Random.IntN(25) == 0:
+		f.Reclaim(zone)
+	case !faults || f.Random.IntN(4) == 0:
+		f.Refill(zone)
 	}
-	input := f.input()
-	input.Gained = f.gained
-	for _, o := range f.planner.Plan(f.now, input) {
-		f.planner.Answered(f.now, o, f.send(o, faults))
+	for _, o := range f.planner.Decide(f.Site) {
+		f.planner.Answered(f.Site, o, f.send(o, faults))
 	}
 }
 
@@ -69,30 +71,28 @@
 func TestPlansRecoverFromFaults(t *testing.T) {
 	for seed := range uint64(25) {
 		is := is.New(t)
-		s := newSite()
-		s.random = rand.New(rand.NewPCG(seed, 1))
+		s, p := newSite(25)
+		s.Random = rand.New(rand.NewPCG(seed, 1))
 		f := &faultySite{
-			site:    s,
-			planner: newPlanner(s),
-			gained:  s.now,
+			Site:    s,
+			planner: p,
 		}
-		s.begin(25)
 		for range 120 {
 			f.second(25, true)
-			for zone := range s.settings.ZonePrices {
-				is.True(s.count(func(u Upstream) bool { return u.Zone == zone }) <= s.settings.Max)
+			for zone := range s.Settings.ZonePrices {
+				is.True(s.Count(func(u capacity.Upstream) bool { return u.Zone == zone }) <= s.Settings.Max)
 			}
 		}
 		for range 90 {
 			f.second(25, false)
 		}
-		serving := s.count(everyUpstream)
+		serving := s.Count(scaling.Every)
 		most := 0
-		for zone := range s.settings.ZonePrices {
-			most = max(most, s.count(func(u Upstream) bool { return u.Spot && u.Zone == zone }))
+		for zone := range s.Settings.ZonePrices {
+			most = max(most, s.Count(func(u capacity.Upstream) bool { return u.Spot && u.Zone == zone }))
 		}
-		if serving-most < 50 || serving > 85 || s.count(onDemand) > serving/4+spareOnDemand {
-			t.Errorf("seed %d: serving %d, spot of a zone %d, on demand %d", seed, serving, most, s.count(onDemand))
+		if serving-most < 50 || serving > 85 || s.Count(onDemand) > serving/4+spareOnDemand {
+			t.Errorf("seed %d: serving %d, spot of a zone %d, on demand %d", seed, serving, most, s.Count(onDemand))
 		}
 	}
 }
--- a/internal/transport/command/cmd_lab.go
+++ b/internal/transport/command/cmd_lab.go
@@ -11,6 +11,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"lagoongw/internal/model/experiment"
+	"lagoongw/internal/model/scaling"
 	"lagoongw/internal/model/site"
 )
 
@@ -20,6 +21,7 @@
 	Seeds    int      `long:"seeds" default:"5" description:"runs of each policy"`
 	JSON     bool     `long:"json" description:"print a JSON line for each policy, seed and class instead of a table"`
 	Plots    string   `long:"plots" description:"directory for SVG plots of the share in time"`
+	Capacity bool     `long:"capacity" description:"compare policies for the number of upstreams; takes no FILE"`
 }
 
 func labSubcommands() []subcommand { return []subcommand{cmdLab()} }
@@ -32,6 +34,9 @@
 		summary: "compare routing policies on a model of an installation",
 		options: settings,
 		run: func(ctx context.Context, out io.Writer, args []string) error {
+			if settings.Capacity {
+				return compareCapacity(out, args)
+			}
 			path, err := oneOperand(args, "FILE")
 			if err != nil {
 				return err
@@ -41,6 +46,14 @@
 	}
 }
 
+// compareCapacity writes the comparison of policies for the number of upstreams.
+func compareCapacity(out io.Writer, args []string) error {
+	if len(args) > 0 {
+		return usageError{text: "--capacity takes no FILE"}
+	}
+	return scaling.WriteTable(out, scaling.Compare())
+}
+
 func (s *labSettings) run(ctx context.Context, out io.Writer, path string) error {
 	logx.DisableStat() // go-zero would print its statistics among the results
 	policies, err := s.selectPolicies()
--- a/internal/transport/command/cmd_lab_test.go
+++ b/internal/transport/command/cmd_lab_test.go
@@ -69,3 +69,12 @@
 	is.Equal(code, exitFailed)
 	is.True(strings.Contains(errOut, "nodse"))
 }
+
+// TestLabComparesCapacityPolicies guards against an option that asks for an experiment file, which this comparison has none of.
+func TestLabComparesCapacityPolicies(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"lab", "--capacity"}, &out, &errOut), exitOK)
+	is.Equal(strings.Count(out.String(), "planner"), 5) // one row for each load pattern
+	is.Equal(Main([]string{"lab", "--capacity", "file"}, &out, &errOut), exitUsage)
+}
