Capacity: spot upstreams take over sooner, and a lower usual utilization

Upstreams on demand are now given up all at once before any request has come, and by a fifth of the pool later. The target utilization is 0.3 instead of 0.5, so that those present bear a demand that rises to 2.5 times until ordered ones serve.

--- a/internal/coordination/capacity/pace.go
+++ b/internal/coordination/capacity/pace.go
@@ -95,13 +95,17 @@
 
 // lower plans fewer upstreams, as long as enough of those that serve now remain.
 func (p *Planner) lower(ideal division, now time.Time, input Input) {
-	if !p.mayLower(now, input) {
+	if !p.sees(now, input) {
 		return
 	}
 	largest := 0
 	for _, s := range p.bases {
 		largest = max(largest, int(s.value))
 	}
+	p.replace(ideal, largest, now)
+	if now.Sub(p.downAt) < downInterval {
+		return
+	}
 	pool := p.total(false) + p.total(true)
 	for left := max(int(downShare*float64(pool)), 1); left > 0; left-- {
 		if !p.lowerOne(ideal, largest) {
@@ -111,11 +115,25 @@
 	}
 }
 
-// mayLower reports whether upstreams may be given up now.
-func (p *Planner) mayLower(now time.Time, input Input) bool {
+// replace gives up upstreams on demand beyond their reserve once spot upstreams serve in their place. Before any request has
+// come it gives up all at once, since no request loses its cached prompts; later it goes on in steps.
+func (p *Planner) replace(ideal division, base int, now time.Time) {
+	left := p.total(false) - ideal.onDemandTotal - spareOnDemand
+	if !p.forecast.firstAt.IsZero() {
+		if now.Sub(p.replacedAt) < downInterval {
+			return
+		}
+		left = min(left, max(int(replaceShare*float64(p.total(false)+p.total(true))), 1))
+	}
+	for ; left > 0 && p.lowerIn(false, ideal, base); left-- {
+		p.replacedAt = now
+	}
+}
+
+// sees reports whether enough of the site is seen, and calm enough, to give up upstreams.
+func (p *Planner) sees(now time.Time, input Input) bool {
 	return now.Sub(p.gained) >= learnTime && input.KnownShare >= minKnownShare &&
-		(p.troubleAt.IsZero() || now.Sub(p.troubleAt) >= troubleTime) &&
-		now.Sub(p.downAt) >= downInterval
+		(p.troubleAt.IsZero() || now.Sub(p.troubleAt) >= troubleTime)
 }
 
 // lowerOne plans one upstream fewer, on demand rather than spot and of the zone that exceeds its ideal number most, and
--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -26,6 +26,9 @@
 	// downInterval is the time between two steps down, and downShare the share of the pool that a step takes at most.
 	downInterval = 2 * time.Second
 	downShare    = 0.1
+	// replaceShare is the share of the pool that a step takes at most of the upstreams on demand that spot ones replace. The
+	// step may be larger, since the number of upstreams stays.
+	replaceShare = 0.2
 	// spareShare is the share above the base at which spot upstreams are not given up yet. Without it, each small change
 	// of the demand would cost an engine its cached prompts.
 	spareShare = 0.05
@@ -152,7 +155,9 @@
 	bases     []sample
 	troubleAt time.Time
 	downAt    time.Time
-	state     State
+	// replacedAt is when upstreams on demand were last given up for spot ones.
+	replacedAt time.Time
+	state      State
 }
 
 // Plan returns the orders that are due, increases first. It is to be called once a second while the duty is held.
--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -45,7 +45,7 @@
 	LogLevel    string `long:"log-level" env:"LAGOONGW_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
 	// CapacityUtilization, CapacityReserve and CapacityLeast take effect where the settings file lists autoscaling as a duty,
 	// for services with scaling.
-	CapacityUtilization float64 `long:"capacity-utilization" env:"LAGOONGW_CAPACITY_UTILIZATION" default:"0.5" description:"share of the upstreams' time or slots that requests are to take, 0.2 to 0.9"`
+	CapacityUtilization float64 `long:"capacity-utilization" env:"LAGOONGW_CAPACITY_UTILIZATION" default:"0.3" description:"share of the upstreams' time or slots that requests are to take, 0.2 to 0.9"`
 	CapacityReserve     float64 `long:"capacity-reserve" env:"LAGOONGW_CAPACITY_RESERVE" default:"0.1667" description:"share of the upstreams that are not spot ones, 0 to 1"`
 	CapacityLeast       int     `long:"capacity-least" env:"LAGOONGW_CAPACITY_LEAST" default:"0" description:"least number of upstreams of each service with scaling, 0 to 10000"`
 }
