--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -93,6 +93,9 @@
 	Nodes func() int
 	// Rank, if set, returns this node's rank for a key among the live nodes, 0 for the first.
 	Rank func(key string) int
+	// CountRequests adds the requests in pools with scaling to the digests, for the node that decides on the number of
+	// upstreams.
+	CountRequests bool
 	// OnSplitChange, if set, is called when the number of engines that are reserved for interactive requests changes,
 	// with that number and the number of all engines of the pool. It must not block.
 	OnSplitChange func(pool string, interactive, engines int)
@@ -118,6 +121,8 @@
 	// brittle holds how many requests a second brittle upstreams may turn away.
 	brittle ratelimit.Limits
 	grants  ratelimit.Grants
+	// offered holds the requests that were sent and refused by pool, if CountRequests is set.
+	offered map[string]*offered
 	// lastReturn is the latest time that a refused caller was told to come back at, by pool.
 	lastReturn map[string]time.Time
 }
@@ -206,6 +211,7 @@
 		c.compareAll()
 	}
 	if c.best.Replica == nil {
+		d.countRefusal(request, now)
 		d.refuse(c)
 	}
 	c.best.Candidates = c.candidates
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -529,6 +529,9 @@
 	// Nodes is the number of nodes in the sum.
 	Nodes int `json:"nodes,omitempty,omitzero"`
 
+	// Requests holds the requests at the upstreams of each pool that has scaling.
+	Requests []PoolRequests `json:"requests,omitempty,omitzero"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []UpstreamLoad `json:"rows,omitempty,omitzero"`
 
@@ -589,6 +592,9 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind string `json:"kind"`
 
+	// LeavesMs is the notice that a leaving upstream was given.
+	LeavesMs int `json:"leaves-ms,omitempty,omitzero"`
+
 	// Models corresponds to the JSON schema field "models".
 	Models []string `json:"models,omitempty,omitzero"`
 
@@ -607,6 +613,9 @@
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots,omitempty,omitzero"`
 
+	// Spot reports whether the platform may reclaim the upstream.
+	Spot bool `json:"spot,omitempty,omitzero"`
+
 	// State corresponds to the JSON schema field "state".
 	State string `json:"state"`
 
@@ -763,6 +772,25 @@
 	Waiting int `json:"waiting,omitempty,omitzero"`
 }
 
+// PoolRequests is the number of requests at the upstreams of a pool, and of their
+// prompt tokens, with decaying sums of the requests sent and refused.
+type PoolRequests struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Refused corresponds to the JSON schema field "refused".
+	Refused float64 `json:"refused,omitempty,omitzero"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests int `json:"requests"`
+
+	// Sent corresponds to the JSON schema field "sent".
+	Sent float64 `json:"sent,omitempty,omitzero"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens,omitempty,omitzero"`
+}
+
 // PoolRow is the use of one pool that one node reports.
 type PoolRow struct {
 	// Demand corresponds to the JSON schema field "demand".
--- a/internal/transport/command/cmd_gateway_test.go
+++ b/internal/transport/command/cmd_gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,10 +63,11 @@
 	done := make(chan error, 1)
 	go func() {
 		done <- runGateway(ctx, &gatewaySettings{
-			Config:      path,
-			Secret:      "a secret of sixteen",
-			MetricsPort: ports[4].(int),
-			LogLevel:    "error",
+			Config:              path,
+			Secret:              "a secret of sixteen",
+			MetricsPort:         ports[4].(int),
+			LogLevel:            "error",
+			CapacityUtilization: 0.5,
 		})
 	}()
 	cancel()
@@ -77,6 +79,24 @@
 	}
 }
 
+// TestCapacitySettingsOutOfRangeAreRefused guards against a mistyped setting that orders upstreams without end or none.
+func TestCapacitySettingsOutOfRangeAreRefused(t *testing.T) {
+	for _, args := range [][]string{
+		{"--capacity-utilization", "0.1"},
+		{"--capacity-utilization", "50"},
+		{"--capacity-utilization", "NaN"},
+		{"--capacity-reserve", "-0.1"},
+		{"--capacity-reserve", "1.1"},
+		{"--capacity-least", "-1"},
+		{"--capacity-least", "10001"},
+	} {
+		is := is.New(t)
+		var out, errOut bytes.Buffer
+		is.Equal(Main(append([]string{"gateway"}, args...), &out, &errOut), exitUsage)
+		is.True(strings.Contains(errOut.String(), args[0]+": expected"))
+	}
+}
+
 // TestDutiesNeedSettings guards against a deployment without duties that calls the store for them.
 func TestDutiesNeedSettings(t *testing.T) {
 	is := is.New(t)
@@ -92,3 +112,13 @@
 	settings.CPUShare = 0.5
 	is.True(!newDuties(settings).Small)
 }
+
+// TestAutoscalingNeedsItsDuty guards against orders by a site that leaves the number of upstreams to others.
+func TestAutoscalingNeedsItsDuty(t *testing.T) {
+	is := is.New(t)
+	var settings platform.Settings
+	settings.Cloud.ReportUsage = true
+	is.True(newAutoscale(&gatewaySettings{}, settings) == nil)
+	settings.Cloud.Autoscale = true
+	is.Equal(newAutoscale(&gatewaySettings{CapacityLeast: 7}, settings).Least, 7)
+}
--- a/internal/transport/entryvm/loads_test.go
+++ b/internal/transport/entryvm/loads_test.go
@@ -32,6 +32,14 @@
 				Bulk:        9,
 			},
 		},
+		PoolRequests: map[string]dispatch.PoolRequests{
+			"p": {
+				Requests: 41,
+				Tokens:   9000,
+				Sent:     12.5,
+				Refused:  0.25,
+			},
+		},
 		Evidence: map[string]calibration.Evidence{
 			"p": {
 				Steps: [calibration.GroupCount]calibration.Group{
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -21,6 +21,7 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
+	"lagoongw/internal/transport/capacities"
 	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/connection"
 	"lagoongw/internal/transport/detour"
@@ -102,6 +103,8 @@
 	MemoryLimit int64
 	// Descriptors is how many sockets the process may have open, 0 if unknown.
 	Descriptors int
+	// Autoscale describes how upstreams are ordered, nil if this is no duty of the site.
+	Autoscale *Autoscale
 	// Logger receives the log lines of the process.
 	Logger zerolog.Logger
 
@@ -117,6 +120,7 @@
 	origins        *origins.Service
 	detours        *detour.Dialer
 	detourServer   *detour.Server
+	capacities     *capacities.Service
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -145,6 +149,9 @@
 	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
 	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
+	if p.capacities != nil {
+		group.Go(func() { p.capacities.Run(ctx) })
+	}
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -173,6 +180,7 @@
 		Pool:             p.lookupPool,
 		Nodes:            func() int { return p.members.LiveCount() },
 		Rank:             p.rank,
+		CountRequests:    p.Autoscale != nil,
 		OnSplitChange:    p.logSplitChange,
 		OnProfileChange:  p.logProfileChange,
 	}
@@ -187,6 +195,7 @@
 	p.memoryReporter.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
+	p.capacities = p.newCapacities()
 	p.prepareDetours()
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
