--- a/internal/coordination/duty/election_test.go
+++ b/internal/coordination/duty/election_test.go
@@ -236,3 +236,104 @@
 	e.Small = true
 	is.Equal(e.delay(0), time.Second)
 }
+
+// A suspension shows in the boot-time clock, a stop by the host in the wall clock alone; a wall clock that is set back must
+// not make a lease valid again that has run out.
+func TestLeaseRunsOutByEitherClock(t *testing.T) {
+	is := is.New(t)
+	const held = modelLease - modelMargin
+	for _, passed := range []struct{ boot, wall time.Duration }{
+		{boot: held, wall: -time.Hour},
+		{wall: held},
+	} {
+		s := newSingle()
+		s.run(6 * time.Second)
+		granted := s.election.granted
+		_, before := s.election.Held(Reading{
+			Boot: granted.Boot + max(passed.boot-1, 0),
+			Wall: granted.Wall.Add(passed.wall - 1),
+		})
+		is.True(before)
+		_, after := s.election.Held(Reading{
+			Boot: granted.Boot + passed.boot,
+			Wall: granted.Wall.Add(passed.wall),
+		})
+		is.True(!after)
+		is.Equal(s.held(), "0 false") // although both clocks have been set back
+		s.run(modelTick)
+		is.Equal(s.held(), "1 true") // renewed, since nobody has claimed
+	}
+}
+
+// A conflict may mean that another node has the lease: this one must not act until a read has shown that it has not.
+func TestConflictSuspendsTheLease(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.run(6 * time.Second)
+	s.view.End++ // a late append of another key
+	is.True(!s.election.Saved(Conflict, 0, s.reading()))
+	is.Equal(s.held(), "0 false")
+	s.run(modelTick)
+	is.Equal(s.held(), "1 true")
+}
+
+// A number that was given up must not be taken up again when its release has failed.
+func TestRetiredNumberIsNotTakenUp(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.run(6 * time.Second)
+	s.election.Refused(1, s.reading())
+	s.now += modelLease // the store was down all the while
+	s.run(modelTick)
+	is.True(!s.view.Lease.Released)
+	is.Equal(s.held(), "0 false")
+	for s.held() == "0 false" {
+		s.run(modelTick)
+	}
+	is.True(s.held() != "1 true")
+}
+
+// The time of a freeze must not count as one in which the platform API was not reached.
+func TestThawedHolderKeepsTheLease(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.run(6 * time.Second)
+	s.now += 20 * time.Second
+	s.election.Unreachable(20*time.Second, s.reading())
+	s.run(time.Second)
+	s.election.Unreachable(21*time.Second, s.reading())
+	is.Equal(s.held(), "1 true")
+	s.run(unreachableLimit)
+	s.election.Unreachable(24*time.Second, s.reading())
+	is.Equal(s.held(), "0 false")
+}
+
+// A site must not wait for 3 s without a call when the members know that the holder is gone.
+func TestGoneHolderIsReplacedSooner(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.put(wire.DutyLease{
+		Holder: "b",
+		Number: 1,
+	})
+	s.live = []string{"a", "b"}
+	s.election.Heard("b", 1, s.reading())
+	s.run(modelTick)
+	is.Equal(s.reads, 0)
+	s.live = []string{"a"}
+	s.run(s.election.wait() + 2*modelTick)
+	is.Equal(s.held(), "2 true")
+}
+
+// A site whose platform API was away must have a holder soon after the pause of 10 s, also when the release was lost.
+func TestPausedNodeReadsBeforeItsPauseEnds(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.run(12 * time.Second)
+	s.election.Unreachable(unreachableLimit, s.reading())
+	s.now += modelLease // the store was down all the while
+	s.run(unreachablePause - modelLease)
+	is.Equal(s.held(), "0 false")
+	s.run(2 * modelTick)
+	is.True(s.held() != "0 false")
+}
