--- a/internal/coordination/duty/election_test.go
+++ b/internal/coordination/duty/election_test.go
@@ -325,12 +325,20 @@
 	is.Equal(s.held(), "2 true")
 }
 
-// A site whose platform API was away must have a holder soon after the pause of 10 s, also when the release was lost.
+// A site whose platform API was away must have a holder soon after the pause of 10 s, also when the release was lost
+// and the topic has changed since the last read.
 func TestPausedNodeReadsBeforeItsPauseEnds(t *testing.T) {
 	is := is.New(t)
 	s := newSingle()
 	s.run(12 * time.Second)
 	s.election.Unreachable(unreachableLimit, s.reading())
+	release := s.election.Due(s.reading(), nil)
+	s.election.Appended(release, Unknown, 0, s.reading())
+	s.put(wire.DutyLease{
+		Holder: "a",
+		Boot:   7,
+		Number: 1,
+	}) // a renewal is executed late in place of the release
 	s.now += modelLease // the store was down all the while
 	s.run(unreachablePause - modelLease)
 	is.Equal(s.held(), "0 false")
