Duties: back-off of a holder whose appends have no answer

A store that turned each append away got up to 15 calls a second from the holder: a read and an append at each check. The time before the next read is now doubled up to 2 s; the first one still comes at once.

--- a/internal/coordination/duty/election.go
+++ b/internal/coordination/duty/election.go
@@ -21,6 +21,10 @@
 	maxReadInterval  = 4 * time.Second
 	// holderReadInterval is the time between two reads of a holder after one that failed.
 	holderReadInterval = 200 * time.Millisecond
+	// maxRetryDelay limits the time before such a read when appends have had no answer, and maxRetryDoublings how often it
+	// is doubled.
+	maxRetryDelay     = 2 * time.Second
+	maxRetryDoublings = 4
 	// renewInterval is the time between two renewals.
 	renewInterval = time.Second
 	// unreachableLimit is the time after which a holder that can't reach the platform API releases the lease, and
@@ -53,6 +57,8 @@
 	// seenAt is when the newest lease record was first seen, or when the store was first seen in its era.
 	seenAt   time.Duration
 	nextRead time.Duration
+	// failures is the number of the holder's appends in a row that had no answer.
+	failures int
 
 	heardAt     time.Duration
 	heardHolder string
--- a/internal/coordination/duty/election_test.go
+++ b/internal/coordination/duty/election_test.go
@@ -18,8 +18,11 @@
 	// live holds the live members.
 	live []string
 	// lost has the store execute appends without an answer.
-	lost  bool
-	reads int
+	lost bool
+	// turnedAway has the store answer appends with an error and not execute them.
+	turnedAway bool
+	reads      int
+	appends    int
 }
 
 func newSingle() *single {
@@ -64,6 +67,9 @@
 	case action.Kind == Read:
 		s.reads++
 		s.election.ReadDone(s.view, s.reading())
+	case action.Kind == Append && s.turnedAway:
+		s.appends++
+		s.election.Appended(action, Unknown, 0, s.reading())
 	case action.Kind == Append && action.At != s.view.End:
 		s.election.Appended(action, Conflict, 0, s.reading())
 	case action.Kind == Append:
@@ -345,3 +351,17 @@
 	s.run(2 * modelTick)
 	is.True(s.held() != "0 false")
 }
+
+// A store that turns appends away must get fewer calls, not a read and an append at each check.
+func TestStoreThatTurnsAppendsAwayGetsFewerCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.run(6 * time.Second)
+	s.turnedAway = true
+	reads := s.reads
+	s.run(20 * time.Second)
+	is.True(s.appends+s.reads-reads <= 40) // no more than two calls a second
+	s.turnedAway = false
+	s.run(maxRetryDelay + modelTick)
+	is.Equal(s.held(), "1 true")
+}
--- a/internal/coordination/duty/result.go
+++ b/internal/coordination/duty/result.go
@@ -1,5 +1,7 @@
 package duty
 
+import "time"
+
 // ReadDone takes in what a read showed.
 func (e *Election) ReadDone(view View, now Reading) {
 	if e.known && view.Era < e.view.Era {
@@ -114,6 +116,7 @@
 	case result == Done && era == e.view.Era:
 		e.view.End++
 		e.current = true
+		e.failures = 0
 		return true
 	case result == Done && era > e.view.Era && e.number != 0:
 		e.restored(now)
@@ -121,7 +124,21 @@
 	e.current = false
 	if e.number != 0 || e.releasing != 0 {
 		e.nextRead = now.Boot
-		e.suspended = e.suspended || result == Conflict
+		if result == Conflict {
+			e.suspended = true
+		} else {
+			e.nextRead += e.retryDelay()
+		}
 	}
 	return false
 }
+
+// retryDelay returns the time before the topic is read after an append without an answer. The first read comes at once,
+// within the lease; it is doubled from the second on, so that a store that turns calls away gets fewer.
+func (e *Election) retryDelay() time.Duration {
+	e.failures++
+	if e.failures == 1 {
+		return 0
+	}
+	return min(holderReadInterval<<min(e.failures-2, maxRetryDoublings), maxRetryDelay)
+}
