Origins: one append for each version that comes or goes, also where several nodes read the list

Nodes that read the list for callers each recorded a version that came at that moment, and the entries of nodes that started together for the first time were unknown to the one that has to remove them, so that a version stayed in the record. Nodes other than the reader now leave a new version to the reader and to one another for 150 to 550 ms, and wait for one that has said that it writes; the reader reads the record once before a removal.

--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -10,6 +10,8 @@
 	// minRecordBackoff is the pause after the first failed call for the record, maxRecordBackoff after many.
 	minRecordBackoff = 100 * time.Millisecond
 	maxRecordBackoff = 2 * time.Second
+	// toldTime is how long a node leaves a version to another one that has said that it records it.
+	toldTime = 500 * time.Millisecond
 )
 
 // Entry is an entry of the record of software versions in the store.
@@ -33,6 +35,8 @@
 
 	era     int
 	entries map[string]Entry
+	// toldAt holds when other nodes said that they write an entry, by key.
+	toldAt map[string]time.Time
 	// wanted holds the entries to append by key, inFlight those that are being appended.
 	wanted   map[string]Entry
 	inFlight []Entry
@@ -44,11 +48,37 @@
 func (r *Record) Read(entries []Entry, era int) {
 	r.era = max(r.era, era)
 	r.entries = map[string]Entry{}
-	r.Told(entries)
+	r.put(entries)
 }
 
 // Told records entries that another node has written or is about to write.
-func (r *Record) Told(entries []Entry) {
+func (r *Record) Told(entries []Entry, now time.Time) {
+	if r.toldAt == nil {
+		r.toldAt = map[string]time.Time{}
+	}
+	for key, at := range r.toldAt {
+		if now.Sub(at) >= toldTime {
+			delete(r.toldAt, key)
+		}
+	}
+	for _, e := range entries {
+		r.toldAt[e.Key] = now
+	}
+	r.put(entries)
+}
+
+// BeingWritten reports whether another node has said of late that it records a version.
+func (r *Record) BeingWritten(pool, version string, now time.Time) bool {
+	for key, at := range r.toldAt {
+		e, known := r.entries[key]
+		if known && e.Pool == pool && e.Version == version && now.Sub(at) < toldTime {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Record) put(entries []Entry) {
 	if r.entries == nil {
 		r.entries = map[string]Entry{}
 	}
@@ -119,7 +149,7 @@
 }
 
 func (r *Record) want(pool, version string, complete bool) {
-	r.put(Entry{
+	r.append(Entry{
 		Key:      r.NewKey(),
 		Pool:     pool,
 		Version:  version,
@@ -128,7 +158,7 @@
 	})
 }
 
-func (r *Record) put(e Entry) {
+func (r *Record) append(e Entry) {
 	if r.wanted == nil {
 		r.wanted = map[string]Entry{}
 	}
@@ -140,7 +170,7 @@
 	for _, e := range r.entries {
 		if e.Pool == pool && e.Version == version {
 			e.Gone = true
-			r.put(e)
+			r.append(e)
 		}
 	}
 }
@@ -178,7 +208,7 @@
 	for _, e := range sent {
 		delete(r.wanted, e.Key)
 	}
-	r.Told(sent)
+	r.put(sent)
 }
 
 // Failed records that the store did not answer; the next call is due after a pause.
--- a/internal/coordination/origin/sightings.go
+++ b/internal/coordination/origin/sightings.go
@@ -96,11 +96,20 @@
 	s.note(versions, true, now)
 }
 
-// Confirm records that a version was recorded.
-func (s *Sightings) Confirm(pool, version string, now time.Time) {
-	s.note(map[string][]string{pool: {version}}, true, now)
+// Learn records versions that a record holds and that were never seen; another node may have seen them.
+func (s *Sightings) Learn(versions map[string][]string, now time.Time) {
+	for pool, names := range versions {
+		for _, name := range names {
+			if _, seen := s.seen[pool][name]; !seen {
+				s.note(map[string][]string{pool: {name}}, false, now)
+			}
+		}
+	}
 }
 
+// Confirm records versions that were recorded, or are in a list that is current.
+func (s *Sightings) Confirm(versions map[string][]string, now time.Time) { s.note(versions, true, now) }
+
 // Covered reports whether a record was read since the observation was last interrupted.
 func (s *Sightings) Covered() bool { return !s.coveredAt.IsZero() }
 
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -12,7 +12,7 @@
 type VersionRecord interface {
 	// Recorded reports whether a version of a pool is recorded, or need not be.
 	Recorded(pool, version string) bool
-	// Listed notes versions by pool that are listed or about to be.
+	// Listed notes versions by pool that are about to be listed.
 	Listed(versions map[string][]string)
 	// Admit records versions by pool and returns once that is done, or failed for too long.
 	Admit(ctx context.Context, versions map[string][]string)
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -47,7 +47,7 @@
 // upstreamsChanged is called when the list of upstreams has changed.
 func (p *Process) upstreamsChanged() {
 	p.dispatcher.Prune()
-	p.origins.Listed(p.listedVersions())
+	p.origins.Serving(p.listedVersions())
 }
 
 // storeReader returns the name of the node that reads the store for all.
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -63,6 +63,8 @@
 	// was sent, refreshAskedAt when the last one was.
 	refreshing                  bool
 	refreshedAt, refreshAskedAt time.Time
+	// recordReadAt is when the record was last read.
+	recordReadAt time.Time
 	// readingRecord and readingLog are set while a read of the topic is in flight.
 	readingRecord, readingLog bool
 	// logged holds the streams of the log; logReadAt is when the read that returned them was sent, logAskedAt when the last one
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -23,6 +23,14 @@
 	readTime = 400 * time.Millisecond
 	// contactDelay is the time after which an origin that nobody knew is worth another search: its node may have been cut off.
 	contactDelay = time.Second
+	// othersDelay is how long a node leaves a new version to the node that reads the store for all, and by delayStep longer to each
+	// of up to maxDelaySteps nodes whose names come first: several that read the list for callers would all write it else.
+	othersDelay   = 150 * time.Millisecond
+	delayStep     = 50 * time.Millisecond
+	maxDelaySteps = 8
+	// removalReadAge is the age up to which a read of the record serves for removals: nodes that started together have each
+	// written entries for a version, of which they told no other.
+	removalReadAge = 2 * time.Second
 	// waitPoll is the time between two checks of a wait; calls that failed are repeated at one of them.
 	waitPoll = 50 * time.Millisecond
 )
@@ -55,12 +63,27 @@
 	if s.VersionRecord == nil {
 		return
 	}
-	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
+	from := time.Now().Add(s.recordDelay())
+	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, from, now) }) {
 		s.Logger.Warn().Str("decision", "versions").Interface("versions", versions).
 			Msg("versions not recorded in time; their upstreams are listed all the same")
 	}
 }
 
+// recordDelay returns how long this node leaves a new version to others, which tell it that they record it.
+func (s *Service) recordDelay() time.Duration {
+	if s.Writer == nil || s.Writer() == s.Name {
+		return 0
+	}
+	before := 0
+	for _, node := range s.Nodes() {
+		if node.Name < s.Name {
+			before++
+		}
+	}
+	return othersDelay + time.Duration(min(before, maxDelaySteps))*delayStep
+}
+
 // awaitVersions waits for the list of upstreams to be read after a caller came, and for the record to be read, and reports
 // whether the list was.
 func (s *Service) awaitVersions(ctx context.Context, search *search) bool {
@@ -163,8 +186,8 @@
 	}
 }
 
-// admitted makes the versions be recorded and reports whether they are; the caller must hold the lock.
-func (s *Service) admitted(versions map[string][]string, now time.Time) bool {
+// admitted makes the versions be recorded, from a time on, and reports whether they are; the caller must hold the lock.
+func (s *Service) admitted(versions map[string][]string, from, now time.Time) bool {
 	bounds := s.bounds()
 	if bounds == nil {
 		return false
@@ -189,14 +212,24 @@
 	s.sightings.Note(missing, now)
 	for pool, names := range missing {
 		for _, name := range names {
-			s.record.Want(pool, name)
+			if !now.Before(from) && !s.record.BeingWritten(pool, name, now) {
+				s.record.Want(pool, name)
+			}
 		}
 	}
 	s.startAppend(now)
 	return false
 }
 
-// Listed records the versions that are listed by pool.
+// Serving records the versions that this node lists by pool; its list has just been confirmed.
+func (s *Service) Serving(versions map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sightings.Confirm(versions, time.Now())
+	s.notifyLocked()
+}
+
+// Listed records versions that are about to be listed by pool.
 func (s *Service) Listed(versions map[string][]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,7 +240,7 @@
 func (s *Service) ToldVersions(entries []origin.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record.Told(entries)
+	s.record.Told(entries, time.Now())
 	for _, e := range entries {
 		if !e.Gone {
 			s.sightings.Note(map[string][]string{e.Pool: {e.Version}}, time.Now())
@@ -248,9 +281,14 @@
 		return
 	}
 	for _, version := range recorded {
-		if !slices.Contains(sighted.Versions, version) {
-			s.record.Remove(pool, version)
+		if slices.Contains(sighted.Versions, version) {
+			continue
 		}
+		if now.Sub(s.recordReadAt) > removalReadAge {
+			s.startRecordRead(now)
+			return
+		}
+		s.record.Remove(pool, version)
 	}
 	if !s.record.Complete(pool) {
 		s.record.WantAll(pool, sighted.Versions)
@@ -283,6 +321,11 @@
 		return
 	}
 	s.record.Read(entries, batch.Era)
+	s.recordReadAt = now
+	if s.sightings.Covered() {
+		s.sightings.Learn(s.record.Versions(), now)
+		return // the others are known from this node's observation
+	}
 	complete := map[string]bool{}
 	for pool := range s.bounds() {
 		complete[pool] = s.record.Complete(pool)
@@ -328,7 +371,7 @@
 	s.record.Done(err == nil, now)
 	for _, e := range entries {
 		if err == nil && !e.Gone {
-			s.sightings.Confirm(e.Pool, e.Version, now)
+			s.sightings.Confirm(map[string][]string{e.Pool: {e.Version}}, now)
 		}
 	}
 	s.startAppend(now)
