Gateway: tests of take-ups of take-ups, of the last second, and of a node that has just started

They guard against a stream that is lost for good when all nodes are lost once more after it was taken up, a log of streams that is written more than 300 ms late, and a Retry-After before the node can know or long after.

--- a/internal/transport/gateway/takeups_test.go
+++ b/internal/transport/gateway/takeups_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/catalog"
 )
@@ -139,7 +142,7 @@
 // takeUpTwice takes a stream up, and once more after the time that the first answer names.
 func (s *takeUpSite) takeUpTwice(t *testing.T, number int, id string, lastEvent int) (wentOn bool) {
 	got := s.takeUp(t.Context(), number, id, lastEvent)
-	if got.status != 200 {
+	if got.status != http.StatusOK {
 		wait, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
 		if err != nil {
 			t.Errorf("take-up refused without a time to come back: %v", err)
@@ -147,7 +150,7 @@
 		time.Sleep(wait)
 		got = s.takeUp(t.Context(), number, id, lastEvent)
 	}
-	return got.status == 200 && got.whole
+	return got.status == http.StatusOK && got.whole
 }
 
 // TestStreamsGoOnAfterAllNodesWereLost guards against refusing the callers of a site whose nodes were all lost at once, and
@@ -265,3 +268,99 @@
 	group.Wait()
 	return int(wentOn.Load())
 }
+
+// TestTakeUpOfATakeUpGoesOn guards against a stream that is lost with all nodes once more after it was taken up: its caller names
+// the request that took it up.
+func TestTakeUpOfATakeUpGoesOn(t *testing.T) {
+	for name, versions := range map[string][]string{
+		"one version":  {"v1"},
+		"two versions": {"v1", "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				site := newTakeUpSiteOf(t, versions...)
+				time.Sleep(contactTime)
+				id, lastEvent := site.begin(t.Context(), 0)
+				for range 3 {
+					time.Sleep(3 * time.Second)
+					site.loseAll(t, time.Second)
+					time.Sleep(2 * time.Second)
+					is.True(site.takeUpTwice(t, 1, id, lastEvent))
+					id = site.lastTakeUp()
+				}
+				is.Equal(site.mixed, 0)
+			})
+		})
+	}
+}
+
+// lastTakeUp returns the ID of the last request that took a stream up.
+func (s *takeUpSite) lastTakeUp() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("again-%d", s.nextID)
+}
+
+// TestStreamsOfTheLastSecondGoOn guards against a log of streams that is written too late: all that began more than 300 ms before
+// the loss of all nodes must go on.
+func TestStreamsOfTheLastSecondGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := newTakeUpSite(t)
+		time.Sleep(contactTime)
+		var ids []string
+		for i := range 14 { // in 700 ms
+			id := fmt.Sprint("late-", i)
+			site.node(i%siteNodes).origins.Began(id, origin.Origin{
+				Pool:    "s",
+				Version: site.versionOf(i),
+			})
+			site.noteFirst(id, "", site.versionOf(i))
+			ids = append(ids, id)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		site.loseAll(t, time.Second)
+		for i, id := range ids {
+			is.True(site.takeUpTwice(t, i%siteNodes, id, 1))
+		}
+		is.Equal(site.mixed, 0)
+	})
+}
+
+// TestNodeThatHasJustStartedNamesATimeToComeBack guards against callers who are told to come back before the node can know, or long
+// after it does.
+func TestNodeThatHasJustStartedNamesATimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGateway(t, map[string]script{"u1": eventStream(0)})
+		store := &storeClient{store: newSiteStore()}
+		loadedAt := time.Now().Add(2 * time.Second)
+		g.origins.VersionRecord = store.topic("versions")
+		g.origins.StreamLog = store.topic("origins")
+		g.origins.Timeouts = func() map[string]time.Duration { return map[string]time.Duration{"s": 15 * time.Second} }
+		g.origins.Versions = func() (map[string][]string, bool) {
+			return map[string][]string{"s": {defaultVersion}}, time.Now().After(loadedAt)
+		}
+		g.origins.Refresh = func(context.Context) error {
+			if time.Now().Before(loadedAt) {
+				return errStoreDown
+			}
+			return nil
+		}
+		g.origins.RefreshIn = func() time.Duration { return max(time.Until(loadedAt), 0) }
+		headers := map[string]string{
+			"Last-Event-Id": "2",
+			"Resumes":       "first",
+		}
+		got := g.call(t.Context(), "/resumable/x", "{}", headers)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		wait, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+		is.NoErr(err)
+		is.True(time.Now().Add(wait).After(loadedAt))
+		is.True(wait < 3*time.Second)
+		time.Sleep(wait)
+		is.Equal(g.call(t.Context(), "/resumable/x", "{}", headers).status, http.StatusOK)
+	})
+}
