Origins: nodes have the reader record a new version

Nodes that read the list for callers wrote a version that had just come at the same instant in spite of the delays between them (3 appends in place of 2 in 1 of 60 runs of TestCallsOfTheStore).

--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -829,6 +829,15 @@
 	Records []LogRecord `json:"records"`
 }
 
+// RecordVersions asks a node to record software versions that have come.
+type RecordVersions struct {
+	// Versions holds the versions by pool.
+	Versions RecordVersionsVersions `json:"versions"`
+}
+
+// Versions holds the versions by pool.
+type RecordVersionsVersions map[string][]string
+
 // ReplicaStatus is the state of one upstream at a node.
 type ReplicaStatus struct {
 	// Address corresponds to the JSON schema field "address".
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -38,6 +38,7 @@
 		Writer:        p.storeReader,
 		Era:           p.Catalog.UpstreamsEra,
 		TellVersions:  p.tellVersions,
+		AskRecord:     p.askRecord,
 		Refresh:       p.Catalog.RefreshUpstreams,
 		RefreshIn:     p.Catalog.UpstreamsRetryIn,
 		Logger:        p.Logger,
@@ -176,6 +177,19 @@
 	return p.callPeer(ctx, name, peer.MethodTellVersions, params, &answer)
 }
 
+func (p *Process) askRecord(ctx context.Context, name string, versions map[string][]string) error {
+	var answer struct{}
+	return p.callPeer(ctx, name, peer.MethodRecordVersions, wire.RecordVersions{Versions: versions}, &answer)
+}
+
+func (p *Process) handleRecordVersions(ctx context.Context, params json.RawMessage) (any, error) {
+	var request wire.RecordVersions
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, eris.Wrap(err, "decode versions to record")
+	}
+	return struct{}{}, p.origins.RecordFor(ctx, request.Versions)
+}
+
 func (p *Process) handleTellVersions(_ context.Context, params json.RawMessage) (any, error) {
 	var message wire.TellVersions
 	if err := json.Unmarshal(params, &message); err != nil {
--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -206,6 +206,11 @@
 		Era:           func() (era int) { m.locked(func() { era = n.era }); return era },
 		Refresh:       n.read,
 		RefreshIn:     func() time.Duration { return 0 },
+		AskRecord: func(ctx context.Context, name string, versions map[string][]string) error {
+			result := errLost
+			_ = n.with(name, func(to *origins.Service) { result = to.RecordFor(ctx, versions) })
+			return result
+		},
 		TellVersions: func(_ context.Context, name string, entries []origin.Entry) error {
 			return n.with(name, func(to *origins.Service) { to.ToldVersions(entries) })
 		},
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -8,10 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/transport/catalog"
 )
 
+var errNotRecorded = eris.New("versions not recorded in time")
+
 const (
 	// admitTimeout is how long an upstream of a new version waits for its version to be recorded.
 	admitTimeout = time.Second
@@ -23,11 +27,6 @@
 	readTime = 400 * time.Millisecond
 	// contactDelay is the time after which an origin that nobody knew is worth another search: its node may have been cut off.
 	contactDelay = time.Second
-	// othersDelay is how long a node leaves a new version to the node that reads the store for all, and by delayStep longer to each
-	// of up to maxDelaySteps nodes whose names come first: several that read the list for callers would all write it else.
-	othersDelay   = 150 * time.Millisecond
-	delayStep     = 50 * time.Millisecond
-	maxDelaySteps = 8
 	// removalReadAge is the age up to which a read of the record serves for removals: nodes that started together have each
 	// written entries for a version, of which they told no other.
 	removalReadAge = 2 * time.Second
@@ -63,25 +62,40 @@
 	if s.VersionRecord == nil {
 		return
 	}
-	from := time.Now().Add(s.recordDelay())
-	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, from, now) }) {
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	s.askWriter(ctx, versions)
+	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
 		s.Logger.Warn().Str("decision", "versions").Interface("versions", versions).
 			Msg("versions not recorded in time; their upstreams are listed all the same")
 	}
 }
 
-// recordDelay returns how long this node leaves a new version to others, which tell it that they record it.
-func (s *Service) recordDelay() time.Duration {
-	if s.Writer == nil || s.Writer() == s.Name {
-		return 0
+// RecordFor records versions for another node, and returns an error if that was not done within admitTimeout.
+func (s *Service) RecordFor(ctx context.Context, versions map[string][]string) error {
+	if s.VersionRecord == nil ||
+		!s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
+		return errNotRecorded
 	}
-	before := 0
-	for _, node := range s.Nodes() {
-		if node.Name < s.Name {
-			before++
-		}
+	return nil
+}
+
+// askWriter has the node that reads the store for all record versions, if that is another one: several nodes that read a list for
+// callers would each write a version that has just come.
+func (s *Service) askWriter(ctx context.Context, versions map[string][]string) {
+	if s.Writer == nil || s.AskRecord == nil {
+		return
+	}
+	writer := s.Writer()
+	s.mu.Lock()
+	missing := s.missing(versions, time.Now())
+	s.mu.Unlock()
+	if writer == s.Name || len(missing) == 0 || s.AskRecord(ctx, writer, missing) != nil {
+		return
 	}
-	return othersDelay + time.Duration(min(before, maxDelaySteps))*delayStep
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sightings.Confirm(missing, time.Now())
 }
 
 // awaitVersions waits for the list of upstreams to be read after a caller came, and for the record to be read, and reports
@@ -186,13 +200,9 @@
 	}
 }
 
-// admitted makes the versions be recorded, from a time on, and reports whether they are; the caller must hold the lock.
-func (s *Service) admitted(versions map[string][]string, from, now time.Time) bool {
+// missing returns the versions that have to be recorded and are not; the caller must hold the lock.
+func (s *Service) missing(versions map[string][]string, now time.Time) map[string][]string {
 	bounds := s.bounds()
-	if bounds == nil {
-		return false
-	}
-	s.record.NewKey = newKey
 	missing := map[string][]string{}
 	for pool, names := range versions {
 		bound, takenUp := bounds[pool]
@@ -202,6 +212,16 @@
 			}
 		}
 	}
+	return missing
+}
+
+// admitted makes the versions be recorded and reports whether they are; the caller must hold the lock.
+func (s *Service) admitted(versions map[string][]string, now time.Time) bool {
+	if s.bounds() == nil {
+		return false
+	}
+	s.record.NewKey = newKey
+	missing := s.missing(versions, now)
 	if len(missing) == 0 {
 		return true
 	}
@@ -212,7 +232,7 @@
 	s.sightings.Note(missing, now)
 	for pool, names := range missing {
 		for _, name := range names {
-			if !now.Before(from) && !s.record.BeingWritten(pool, name, now) {
+			if !s.record.BeingWritten(pool, name, now) {
 				s.record.Want(pool, name)
 			}
 		}
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -39,6 +39,8 @@
 	MethodFindVersions = "find-versions"
 	// MethodTellVersions tells a node of software versions that are about to serve, or are no longer recorded.
 	MethodTellVersions = "tell-versions"
+	// MethodRecordVersions asks a node to record software versions.
+	MethodRecordVersions = "record-versions"
 	// MethodDetour asks a node to connect to an upstream for the caller, which takes the connection with Client.OpenStream.
 	MethodDetour = "detour"
 	// MethodPause tells a node that an upstream asked it to send nothing for a while.
