Dispatch: reserve engines for short answers only once the site's demand is known

Cause: a node derives its demand after a second, and divided the pool at that moment by what it knew, although the others' demand takes up to 1.5 s more to arrive. The delay that isInteractive has for this does not apply to kinds that are tight from the beginning. Ruled out: slots taken by long prompts (the engines concerned held short answers) and preemption (none).

The pool is now divided 2.5 s after the first request.

--- a/internal/coordination/dispatch/split.go
+++ b/internal/coordination/dispatch/split.go
@@ -45,6 +45,9 @@
 	minObservation = time.Second
 	// tightDelay is the time within which every node knows the demand of all, after a kind of request has become tight.
 	tightDelay = 1500 * time.Millisecond
+	// siteObservation is the time from a node's first request until it knows the demand of the nodes that started with it:
+	// these derive theirs from minObservation, and tell it within tightDelay.
+	siteObservation = minObservation + tightDelay
 )
 
 // kindOf returns the target gap of a request that may share engines with other streams that need short pauses, or zero
@@ -161,9 +164,10 @@
 }
 
 // resize sets how many engines are reserved for interactive requests, by the demand of all nodes: as many as these
-// requests need, or a proportional share if there are too few engines for both kinds.
+// requests need, or a proportional share if there are too few engines for both kinds. It reserves none until that demand
+// is known: by the demand of a few nodes too few engines would be reserved, and filled by the requests of all nodes.
 func (s *split) resize(demand EngineDemand, engines int, bulkWait time.Duration) {
-	if demand.Interactive == 0 || demand.Bulk == 0 || engines < 2 || s.decayedAt.Sub(s.firstAt) < minObservation {
+	if demand.Interactive == 0 || demand.Bulk == 0 || engines < 2 || s.decayedAt.Sub(s.firstAt) < siteObservation {
 		s.interactiveEngines = 0
 		return
 	}
