Usage: counters, tally and collection of usage reports

Sites with the duty usage_report must tell the platform how many requests of each team began to run in each window of true time. Each node now counts by an estimate of true time, and the holder of the duties collects the counts, fixes each window in the store before it is sent, and sends only what is fixed. Without the duty nothing is counted, called or saved.

--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -1121,3 +1121,53 @@
 	// Upstream corresponds to the JSON schema field "upstream".
 	Upstream string `json:"upstream"`
 }
+
+// UsageCall is the call of the holder of the duties for the usage counts of a
+// node.
+type UsageCall struct {
+	// Boot is the start of the node that Since belongs to.
+	Boot int `json:"boot,omitempty,omitzero"`
+
+	// Holder corresponds to the JSON schema field "holder".
+	Holder string `json:"holder"`
+
+	// Number is the holder's fencing token.
+	Number int `json:"number"`
+
+	// Since is the revision up to which the holder has the counts.
+	Since int `json:"since,omitempty,omitzero"`
+
+	// TimeUs is the true time in microseconds since 1970, 0 if unknown.
+	TimeUs int `json:"time-us,omitempty,omitzero"`
+}
+
+// UsageCounts holds the cumulative counts of one start of a node that have
+// changed.
+type UsageCounts struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot int `json:"boot"`
+
+	// Current is the window that the node counts in, 0 if it knows no time yet.
+	Current int `json:"current"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision int `json:"revision"`
+
+	// WallUs is the node's wall clock in microseconds since 1970.
+	WallUs int `json:"wall-us"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []UsageWindow `json:"windows,omitempty,omitzero"`
+}
+
+// UsageWindow holds the counts of teams in one window.
+type UsageWindow struct {
+	// Counts holds the count of each of Teams.
+	Counts []int `json:"counts"`
+
+	// Teams corresponds to the JSON schema field "teams".
+	Teams []string `json:"teams"`
+
+	// Window corresponds to the JSON schema field "window".
+	Window int `json:"window"`
+}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -24,6 +24,7 @@
 	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/connection"
 	"lagoongw/internal/transport/detour"
+	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/gateway"
 	"lagoongw/internal/transport/httpapi"
 	"lagoongw/internal/transport/members"
@@ -31,6 +32,7 @@
 	"lagoongw/internal/transport/peer"
 	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/shutdown"
+	"lagoongw/internal/transport/usages"
 )
 
 const (
@@ -85,6 +87,10 @@
 	Codec gateway.Codec
 	// Catalog follows the routes and upstreams; Prepare sets its table, peers, logger and callback.
 	Catalog *catalog.Service
+	// Duties holds the lease of the duties, nil if there are none.
+	Duties *duties.Service
+	// UsageReports describes the usage reports, nil if there are none.
+	UsageReports *UsageReports
 	// ReadyRoutes builds the HTTP routes of the platform's readiness check, DirectoryRoutes those that tell callers which
 	// entry VMs to connect to.
 	ReadyRoutes     func(ready func() bool) []rest.Route
@@ -110,6 +116,7 @@
 	origins        *origins.Service
 	detours        *detour.Dialer
 	detourServer   *detour.Server
+	usages         *usages.Service
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -137,6 +144,9 @@
 	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
 	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
+	if p.usages != nil {
+		group.Go(func() { p.usages.Run(ctx) })
+	}
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -197,6 +207,7 @@
 		Logger:      p.Logger,
 	}
 	p.preparePeers()
+	p.prepareUsages()
 	p.drainer.PollInterval = drainPollInterval
 	p.drainer.InFlight = p.inFlight
 	p.drainer.Announce = p.members.Leave
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -81,6 +81,8 @@
 	digest uint64
 	// ranWell reports that an upstream answered for longer than one that the prompt crashes.
 	ranWell bool
+	// usageCounted reports that the request was counted as begun.
+	usageCounted bool
 }
 
 // upstreamSend is one send of the request to an upstream.
@@ -293,6 +295,7 @@
 		x.setBuffered(nil)
 		return x.relayStream(s)
 	}
+	x.countPlainUsage()
 	return x.bufferAnswer(s)
 }
 
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -44,6 +44,8 @@
 	RetryBudget func(pool string) *retry.WindowBudget
 	// Origins keeps where streams began.
 	Origins Origins
+	// Usage, if set, counts the requests that began to run.
+	Usage Usage
 	// AskHolder asks another node for a send to an upstream that has named a limit; it may be nil if there is no other node.
 	AskHolder AskHolder
 	// TellHolder, if set, returns a place at an upstream to the node that gave it; refused reports that the upstream has turned
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -135,6 +135,7 @@
 // ID.
 func (x *exchange) writeEvents(s *upstreamSend, events []byte, lastID string, count int) error {
 	now := time.Now()
+	x.countUsage()
 	if !x.progress.headWritten {
 		x.copyHeader(s.response.Header)
 		x.w.WriteHeader(http.StatusOK)
--- a/internal/transport/peer/methods.go
+++ b/internal/transport/peer/methods.go
@@ -45,6 +45,8 @@
 	MethodTakeLimit = "take-limit"
 	// MethodReleasePlace returns a place at a brittle upstream to the node that gave it.
 	MethodReleasePlace = "release-place"
+	// MethodUsageCounts asks a node for its usage counts, and tells it the true time and the holder of the duties.
+	MethodUsageCounts = "usage-counts"
 )
 
 // Roles of the two nodes of a connection, which enter the proofs of the handshake. The caller opened the connection,
