--- a/internal/coordination/usage/tally.go
+++ b/internal/coordination/usage/tally.go
@@ -8,12 +8,15 @@
 const (
 	// fixWait is how long after its end a window is waited for whose nodes have not all been heard.
 	fixWait = 6 * time.Second
-	// goneAfter is how long a node that is not a live member must not have been heard until it counts as gone. A node that
-	// is only slow to answer the membership protocol still answers the holder's calls.
-	goneAfter = 2 * time.Second
-	// goneUnheard is how long a node ran on average after it was last heard, if it is gone: half the time between two
-	// calls.
+	// goneAfter is how long a node that is not a live member must not have been heard until it counts as gone, unless its
+	// process is known to have ended. A node that is cut off from the others may serve callers meanwhile, so windows are
+	// left out if too many are.
+	goneAfter = 10 * time.Second
+	// goneUnheard is how long a node ran on average after it was last heard, if its process has ended: half the time
+	// between two calls.
 	goneUnheard = 500 * time.Millisecond
+	// sendMargin keeps a report from being accepted too late; it covers a call that is answered slowly.
+	sendMargin = 500 * time.Millisecond
 	// eraMargin is how far the estimates of true time of two holders may lie apart. A window that ended this long before a
 	// new era of the store was seen has not been fixed in an earlier one.
 	eraMargin = time.Second
@@ -91,6 +94,8 @@
 	boots map[bootKey]*bootState
 	// latest is the boot under which each node was last heard.
 	latest map[string]uint64
+	// ended holds when calls to nodes showed that their process had ended; a later answer removes the node.
+	ended map[string]time.Time
 	// fixed holds the windows whose counts the store has confirmed.
 	fixed map[int]*fixedWindow
 	// accepted holds the windows whose reports were accepted.
@@ -139,11 +144,14 @@
 // SetNodes sets the nodes that the membership protocol knows.
 func (t *Tally) SetNodes(nodes []Node) {
 	t.live = make(map[string]bool, len(nodes))
+	known := make(map[string]bool, len(nodes))
 	for _, node := range nodes {
+		known[node.Name] = true
 		if node.Live {
 			t.live[node.Name] = true
 		}
 	}
+	maps.DeleteFunc(t.ended, func(node string, _ time.Time) bool { return !known[node] && t.latest[node] == 0 })
 }
 
 // Revision returns the boot of a node and the revision up to which its counts are known, 0 for none.
@@ -167,6 +175,9 @@
 		state.heard = sent
 		t.latest[node] = counts.Boot
 	}
+	if t.ended[node].Before(sent) {
+		delete(t.ended, node)
+	}
 	state.current = max(state.current, counts.Current)
 	state.revision = max(state.revision, counts.Revision)
 	oldest := WindowAt(received, t.Window) - t.kept()
@@ -208,6 +219,14 @@
 	}
 }
 
+// Ended records that a call to a node, sent at a time, showed that its process has ended.
+func (t *Tally) Ended(node string, sent time.Time) {
+	if t.ended == nil {
+		t.ended = map[string]time.Time{}
+	}
+	t.ended[node] = sent
+}
+
 // Lose ends the holdership.
 func (t *Tally) Lose() { t.held = false }
 
@@ -324,7 +343,8 @@
 	}
 	unknown := 0
 	for node := range t.live {
-		if _, known := t.latest[node]; !known {
+		_, known := t.latest[node]
+		if _, ended := t.ended[node]; !known && !ended {
 			unknown++
 		}
 	}
@@ -338,7 +358,7 @@
 
 // gone reports whether a start of a node counts no more requests.
 func (t *Tally) gone(key bootKey, state *bootState, now time.Time) bool {
-	if t.latest[key.node] != key.boot {
+	if t.latest[key.node] != key.boot || t.ended[key.node].After(state.heard) {
 		return true
 	}
 	return !t.live[key.node] && now.Sub(state.heard) >= goneAfter
@@ -394,7 +414,7 @@
 	for window, fixed := range t.fixed {
 		switch {
 		case t.accepted[window] || fixed.late:
-		case now.Sub(startOf(window+1, t.Window)) >= t.Late:
+		case now.Sub(startOf(window+1, t.Window)) >= t.Late-sendMargin:
 			fixed.late = true
 			actions = append(actions, Action{
 				Kind:    LeaveOut,
@@ -453,6 +473,7 @@
 			delete(t.boots, key)
 			if t.latest[key.node] == key.boot {
 				delete(t.latest, key.node)
+				delete(t.ended, key.node)
 			}
 		}
 	}
--- a/internal/transport/entryvm/usages.go
+++ b/internal/transport/entryvm/usages.go
@@ -55,6 +55,7 @@
 		Report:      p.reportUsage,
 		Nodes:       p.usageNodes,
 		Call:        p.callUsageCounts,
+		Ended:       func(err error) bool { return errors.Is(err, unix.ECONNREFUSED) },
 		Logger:      p.Logger,
 	}
 	p.usages.Prepare()
--- a/internal/transport/usages/collect.go
+++ b/internal/transport/usages/collect.go
@@ -81,7 +81,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls.calling, calls.failed = false, err != nil
-	if err != nil || s.number != number {
+	if s.number != number {
+		return
+	}
+	sentAt, timeKnown := s.consensus.Now(sent)
+	if err != nil {
+		if timeKnown && s.Ended(err) {
+			s.tally.Ended(name, sentAt)
+		}
 		return
 	}
 	calls.heard = received
@@ -89,7 +96,6 @@
 		calls.roundTrip = trip
 	}
 	s.consensus.Observe(name, time.UnixMicro(int64(answer.WallUs)), sent, received)
-	sentAt, timeKnown := s.consensus.Now(sent)
 	if !timeKnown || answer.Current == 0 {
 		return
 	}
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -59,6 +59,8 @@
 	Nodes func() []usage.Node
 	// Call calls another node.
 	Call func(ctx context.Context, node string, call wire.UsageCall) (wire.UsageCounts, error)
+	// Ended reports whether the error of a call shows that the node's process has ended.
+	Ended func(err error) bool
 	// Logger receives a line for each window.
 	Logger zerolog.Logger
 
