Usage: estimate what nodes that ended or fell silent have not told

A node that was silent for longer than the change to another holder takes may have served callers; its rate when it was last heard now counts as lost.

--- a/internal/coordination/usage/record.go
+++ b/internal/coordination/usage/record.go
@@ -60,7 +60,9 @@
 	Boot    uint64 `json:"boot"`
 	HeardMs int64  `json:"heard-ms"`
 	Current int    `json:"current"`
-	Latest  bool   `json:"latest,omitempty"`
+	// EndedMs is when the process was noticed to have ended, 0 if it was not.
+	EndedMs int64 `json:"ended-ms,omitempty"`
+	Latest  bool  `json:"latest,omitempty"`
 	// Rate is the requests a second that the node had.
 	Rate    float64            `json:"rate,omitempty"`
 	Windows []checkpointWindow `json:"windows,omitempty"`
@@ -110,7 +112,10 @@
 			HeardMs: state.heard.UnixMilli(),
 			Current: state.current,
 			Latest:  t.latest[key.node] == key.boot,
-			Rate:    math.Round(state.rate(t.next, t.Window)*10) / 10,
+			Rate:    math.Round(state.rate*10) / 10,
+		}
+		if !state.ended.IsZero() {
+			boot.EndedMs = state.ended.UnixMilli()
 		}
 		detailed := all || t.gone(key, state, now) || !t.live[key.node]
 		for window, byTeam := range state.windows {
@@ -268,13 +273,21 @@
 		boot: boot.Boot,
 	}
 	state := t.stateOf(key)
-	if _, heard := t.latest[boot.Node]; boot.Latest && !heard {
+	heard := time.UnixMilli(boot.HeardMs)
+	latest := t.boots[bootKey{
+		node: boot.Node,
+		boot: t.latest[boot.Node],
+	}]
+	if boot.Latest && (latest == nil || heard.After(latest.heard)) {
 		t.latest[boot.Node] = boot.Boot
 	}
-	state.heard = later(state.heard, time.UnixMilli(boot.HeardMs))
+	if boot.EndedMs > 0 && state.ended.IsZero() {
+		state.ended = time.UnixMilli(boot.EndedMs)
+	}
+	state.heard = later(state.heard, heard)
 	state.current = max(state.current, boot.Current)
 	if state.revision == 0 {
-		state.savedRate = boot.Rate
+		state.rate = boot.Rate
 	}
 	for _, window := range boot.Windows {
 		byTeam, err := decodeWindow(window, teams)
--- a/internal/coordination/usage/tally.go
+++ b/internal/coordination/usage/tally.go
@@ -13,8 +13,10 @@
 	// left out if too many are.
 	goneAfter = 10 * time.Second
 	// goneUnheard is how long a node ran on average after it was last heard, if its process has ended: half the time
-	// between two calls.
-	goneUnheard = 500 * time.Millisecond
+	// between two calls. It holds if the end was noticed within shortSilence, which covers the change to another holder
+	// that is lost at the same moment.
+	goneUnheard  = 500 * time.Millisecond
+	shortSilence = 6 * time.Second
 	// sendMargin keeps a report from being accepted too late; it covers a call that is answered slowly.
 	sendMargin = 500 * time.Millisecond
 	// eraMargin is how far the estimates of true time of two holders may lie apart. A window that ended this long before a
@@ -94,8 +96,8 @@
 	boots map[bootKey]*bootState
 	// latest is the boot under which each node was last heard.
 	latest map[string]uint64
-	// ended holds when calls to nodes showed that their process had ended; a later answer removes the node.
-	ended map[string]time.Time
+	// refused holds the nodes that were never heard and whose process has ended.
+	refused map[string]bool
 	// fixed holds the windows whose counts the store has confirmed.
 	fixed map[int]*fixedWindow
 	// accepted holds the windows whose reports were accepted.
@@ -126,10 +128,14 @@
 	current  int
 	revision int
 	windows  map[int]map[string]int
+	// totals holds the sums of windows.
+	totals map[int]int
 	// omitted holds, by window, the number of requests whose teams did not fit in the checkpoint of an earlier holder.
 	omitted map[int]int
-	// savedRate is the requests a second by the checkpoint of an earlier holder, until this one has heard the node.
-	savedRate float64
+	// rate is the requests a second when the node was last heard.
+	rate float64
+	// ended is when it was noticed that the process had ended, zero if it wasn't.
+	ended time.Time
 }
 
 // fixedWindow is a window whose counts the store has confirmed.
@@ -151,7 +157,7 @@
 			t.live[node.Name] = true
 		}
 	}
-	maps.DeleteFunc(t.ended, func(node string, _ time.Time) bool { return !known[node] && t.latest[node] == 0 })
+	maps.DeleteFunc(t.refused, func(node string, _ bool) bool { return !known[node] })
 }
 
 // Revision returns the boot of a node and the revision up to which its counts are known, 0 for none.
@@ -171,13 +177,18 @@
 		boot: counts.Boot,
 	}
 	state := t.stateOf(key)
+	delete(t.refused, node)
+	if before, known := t.latest[node]; known && before != counts.Boot {
+		t.end(bootKey{
+			node: node,
+			boot: before,
+		}, sent)
+	}
 	if state.heard.Before(sent) {
 		state.heard = sent
+		state.ended = time.Time{}
 		t.latest[node] = counts.Boot
 	}
-	if t.ended[node].Before(sent) {
-		delete(t.ended, node)
-	}
 	state.current = max(state.current, counts.Current)
 	state.revision = max(state.revision, counts.Revision)
 	oldest := WindowAt(received, t.Window) - t.kept()
@@ -187,7 +198,30 @@
 		}
 	}
 	clear(state.omitted) // the node has answered with all its counts
-	state.savedRate = 0
+	state.setRate(t.Window)
+}
+
+// Ended records that a call to a node, sent at a time, showed that its process has ended.
+func (t *Tally) Ended(node string, sent time.Time) {
+	boot, known := t.latest[node]
+	if !known {
+		if t.refused == nil {
+			t.refused = map[string]bool{}
+		}
+		t.refused[node] = true
+		return
+	}
+	t.end(bootKey{
+		node: node,
+		boot: boot,
+	}, sent)
+}
+
+// end records that a process has ended, unless it was heard later.
+func (t *Tally) end(key bootKey, noticed time.Time) {
+	if state := t.boots[key]; state != nil && state.ended.IsZero() && noticed.After(state.heard) {
+		state.ended = noticed
+	}
 }
 
 // stateOf returns the state of a start of a node, which it adds if there is none.
@@ -200,6 +234,7 @@
 	if state == nil {
 		state = &bootState{
 			windows: map[int]map[string]int{},
+			totals:  map[int]int{},
 			omitted: map[int]int{},
 		}
 		t.boots[key] = state
@@ -215,16 +250,18 @@
 		s.windows[window] = held
 	}
 	for team, count := range byTeam {
-		held[team] = max(held[team], count)
+		if before := held[team]; count > before {
+			held[team] = count
+			s.totals[window] += count - before
+		}
 	}
 }
 
-// Ended records that a call to a node, sent at a time, showed that its process has ended.
-func (t *Tally) Ended(node string, sent time.Time) {
-	if t.ended == nil {
-		t.ended = map[string]time.Time{}
-	}
-	t.ended[node] = sent
+// setRate sets the requests a second from the current window and the one before.
+func (s *bootState) setRate(length time.Duration) {
+	requests := s.totals[s.current] + s.totals[s.current-1]
+	known := s.heard.Sub(startOf(s.current-1, length))
+	s.rate = float64(requests) / min(max(known, length/2), 2*length).Seconds()
 }
 
 // Lose ends the holdership.
@@ -326,25 +363,17 @@
 	for key, state := range t.boots {
 		lost += float64(state.omitted[window])
 		if state.current > window {
-			rates += state.rate(window, t.Window)
+			rates += state.rate
 			heard++
 			continue
 		}
-		unheard := startOf(window+1, t.Window).Sub(later(state.heard, startOf(window, t.Window)))
-		if t.gone(key, state, now) {
-			if state.heard.Before(startOf(window, t.Window)) {
-				continue
-			}
-			unheard = min(unheard, goneUnheard)
-		} else {
-			complete = false
-		}
-		lost += state.rate(window, t.Window) * max(unheard, 0).Seconds()
+		gone := t.gone(key, state, now)
+		complete = complete && gone
+		lost += state.rate * t.unheard(state, window, gone).Seconds()
 	}
 	unknown := 0
 	for node := range t.live {
-		_, known := t.latest[node]
-		if _, ended := t.ended[node]; !known && !ended {
+		if _, known := t.latest[node]; !known && !t.refused[node] {
 			unknown++
 		}
 	}
@@ -358,24 +387,25 @@
 
 // gone reports whether a start of a node counts no more requests.
 func (t *Tally) gone(key bootKey, state *bootState, now time.Time) bool {
-	if t.latest[key.node] != key.boot || t.ended[key.node].After(state.heard) {
+	if t.latest[key.node] != key.boot || !state.ended.IsZero() {
 		return true
 	}
 	return !t.live[key.node] && now.Sub(state.heard) >= goneAfter
 }
 
-// rate returns the requests a second that a node had in a window and in the one before, as far as it was heard.
-func (s *bootState) rate(window int, length time.Duration) float64 {
-	requests := 0
-	for _, w := range []int{window - 1, window} {
-		requests += s.omitted[w]
-		for _, count := range s.windows[w] {
-			requests += count
-		}
-	}
-	known := s.heard.Sub(startOf(window-1, length))
-	known = min(max(known, length/2), 2*length)
-	return max(float64(requests)/known.Seconds(), s.savedRate)
+// unheard returns the part of a window in which a start of a node may have counted requests that are not known.
+func (t *Tally) unheard(state *bootState, window int, gone bool) time.Duration {
+	from, until := later(state.heard, startOf(window, t.Window)), startOf(window+1, t.Window)
+	switch {
+	case !gone:
+	case state.ended.IsZero():
+		until = earlier(until, state.heard.Add(goneAfter))
+	case state.ended.Sub(state.heard) <= shortSilence:
+		until = earlier(until, state.heard.Add(goneUnheard))
+	default:
+		until = earlier(until, state.ended)
+	}
+	return max(until.Sub(from), 0)
 }
 
 // sum returns the counts of a window of all starts of all nodes.
@@ -468,12 +498,12 @@
 	maps.DeleteFunc(t.accepted, func(window int, _ bool) bool { return window < oldest })
 	for key, state := range t.boots {
 		maps.DeleteFunc(state.windows, func(window int, _ map[string]int) bool { return window < oldest })
+		maps.DeleteFunc(state.totals, func(window int, _ int) bool { return window < oldest })
 		maps.DeleteFunc(state.omitted, func(window int, _ int) bool { return window < oldest })
 		if len(state.windows) == 0 && t.gone(key, state, now) && state.heard.Before(startOf(oldest, t.Window)) {
 			delete(t.boots, key)
 			if t.latest[key.node] == key.boot {
 				delete(t.latest, key.node)
-				delete(t.ended, key.node)
 			}
 		}
 	}
@@ -481,6 +511,13 @@
 
 func (t *Tally) kept() int { return KeptWindows(t.Window, t.Late) }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
