--- a/internal/coordination/usage/counter.go
+++ b/internal/coordination/usage/counter.go
@@ -29,6 +29,8 @@
 	Current int
 	// Revision is to be given to Counter.Counts to get only what has changed after these counts.
 	Revision int
+	// Up is how long the node has been counting.
+	Up time.Duration
 	// Windows holds the cumulative counts by window and team of the teams whose count has changed.
 	Windows map[int]map[string]int
 }
@@ -44,6 +46,8 @@
 	Kept int
 	// BootTime returns the boot-time clock.
 	BootTime func() time.Duration
+	// Started is what the boot-time clock showed when the node began to count.
+	Started time.Duration
 
 	mu    sync.Mutex
 	clock Clock
@@ -109,6 +113,7 @@
 		Boot:     c.Boot,
 		Current:  c.current,
 		Revision: c.revision,
+		Up:       boot - c.Started,
 		Windows:  map[int]map[string]int{},
 	}
 	for window, held := range c.windows {
--- a/internal/coordination/usage/tally.go
+++ b/internal/coordination/usage/tally.go
@@ -17,6 +17,8 @@
 	// that is lost at the same moment.
 	goneUnheard  = 500 * time.Millisecond
 	shortSilence = 6 * time.Second
+	// minRateTime is the shortest time over which the rate of a node's requests is taken.
+	minRateTime = 500 * time.Millisecond
 	// sendMargin keeps a report from being accepted too late; it covers a call that is answered slowly.
 	sendMargin = 500 * time.Millisecond
 	// eraMargin is how far the estimates of true time of two holders may lie apart. A window that ended this long before a
@@ -124,6 +126,8 @@
 type bootState struct {
 	// heard is when the node was last heard.
 	heard time.Time
+	// up is how long the node had been counting when it was last heard.
+	up time.Duration
 	// current is the current window that the node named; its counts of earlier windows don't change any more.
 	current  int
 	revision int
@@ -182,10 +186,11 @@
 		t.end(bootKey{
 			node: node,
 			boot: before,
-		}, sent)
+		}, earlier(sent, received.Add(-counts.Up)))
 	}
 	if state.heard.Before(sent) {
 		state.heard = sent
+		state.up = counts.Up
 		state.ended = time.Time{}
 		t.latest[node] = counts.Boot
 	}
@@ -219,8 +224,8 @@
 
 // end records that a process has ended, unless it was heard later.
 func (t *Tally) end(key bootKey, noticed time.Time) {
-	if state := t.boots[key]; state != nil && state.ended.IsZero() && noticed.After(state.heard) {
-		state.ended = noticed
+	if state := t.boots[key]; state != nil && state.ended.IsZero() {
+		state.ended = later(noticed, state.heard)
 	}
 }
 
@@ -260,8 +265,8 @@
 // setRate sets the requests a second from the current window and the one before.
 func (s *bootState) setRate(length time.Duration) {
 	requests := s.totals[s.current] + s.totals[s.current-1]
-	known := s.heard.Sub(startOf(s.current-1, length))
-	s.rate = float64(requests) / min(max(known, length/2), 2*length).Seconds()
+	known := min(s.heard.Sub(startOf(s.current-1, length)), s.up)
+	s.rate = float64(requests) / max(known, minRateTime).Seconds()
 }
 
 // Lose ends the holdership.
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -1153,6 +1153,9 @@
 	// Revision corresponds to the JSON schema field "revision".
 	Revision int `json:"revision"`
 
+	// UpMs is how long ago the node started to count.
+	UpMs int `json:"up-ms,omitempty,omitzero"`
+
 	// WallUs is the node's wall clock in microseconds since 1970.
 	WallUs int `json:"wall-us"`
 
--- a/internal/transport/usages/collect.go
+++ b/internal/transport/usages/collect.go
@@ -116,6 +116,7 @@
 		WallUs:   int(wall.UnixMicro()),
 		Current:  counts.Current,
 		Revision: counts.Revision,
+		UpMs:     int(counts.Up.Milliseconds()),
 	}
 	for _, window := range slices.Sorted(maps.Keys(counts.Windows)) {
 		byTeam := counts.Windows[window]
@@ -137,6 +138,7 @@
 		Boot:     uint64(answer.Boot),
 		Current:  answer.Current,
 		Revision: answer.Revision,
+		Up:       time.Duration(answer.UpMs) * time.Millisecond,
 		Windows:  make(map[int]map[string]int, len(answer.Windows)),
 	}
 	for _, row := range answer.Windows {
--- a/internal/transport/usages/model_test.go
+++ b/internal/transport/usages/model_test.go
@@ -430,11 +430,14 @@
 		if n.ended.IsZero() {
 			s.kill(n)
 		}
+	}
+	nodes := slices.Clone(s.nodes)
+	s.mu.Unlock()
+	for _, n := range nodes {
 		for reason, windows := range n.service.Stats().LeftOut {
 			s.leftOut[reason] += windows
 		}
 	}
-	s.mu.Unlock()
 	time.Sleep(20 * time.Second)
 }
 
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -117,6 +117,7 @@
 	s.counter.Window = s.Window
 	s.counter.Kept = usage.KeptWindows(s.Window, s.Late)
 	s.counter.BootTime = s.BootTime
+	s.counter.Started = s.BootTime()
 	s.tally.Window = s.Window
 	s.tally.Off = s.Off
 	s.tally.Late = s.Late
@@ -257,10 +258,11 @@
 		return
 	}
 	s.stats.CheckpointBytes = len(value)
-	s.save(ctx, usage.KeyOpen, value, func() {})
+	s.save(ctx, usage.KeyOpen, value, nil)
 }
 
-// save saves a record and calls saved, with s.mu held, if that is confirmed within the same holdership.
+// save saves a record and calls saved, with s.mu held, if that is confirmed within the same holdership. A checkpoint, for
+// which saved is nil, is made anew if it is not confirmed.
 func (s *Service) save(ctx context.Context, key string, value []byte, saved func()) {
 	s.saving = true
 	number := s.number
@@ -270,10 +272,11 @@
 		defer s.mu.Unlock()
 		s.saving = false
 		if err != nil {
+			s.checkpointDue = s.checkpointDue || saved == nil
 			s.Logger.Debug().Err(err).Str("step", "save "+key).Msg("usage record not confirmed")
 			return
 		}
-		if current, held := s.Held(); held && current == number && s.number == number {
+		if current, held := s.Held(); held && current == number && s.number == number && saved != nil {
 			saved()
 		}
 	}()
