--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -16,6 +16,7 @@
 
 	"lagoongw/internal/coordination/retry"
 	"lagoongw/internal/transport/catalog"
+	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/entryvm"
 	"lagoongw/internal/transport/logwriter"
 	"lagoongw/platform"
@@ -30,6 +31,8 @@
 	directoryAnswerTTL = time.Second
 	// settingsPollInterval is the time between two reads of the settings file, which may change without a signal.
 	settingsPollInterval = time.Second
+	// smallCPUShare is the share of a core below which others claim the lease of the duties first.
+	smallCPUShare = 0.5
 )
 
 // gatewaySettings holds the options of the gateway command: the path of the platform's settings file, and the settings
@@ -160,6 +163,8 @@
 		DirectoryRoutes: func(addresses func(zone, region string) []string) []rest.Route {
 			return platform.DirectoryRoutes(addresses, directoryAnswerTTL)
 		},
+		Duties:       newDuties(platformSettings),
+		UsageReports: newUsageReports(platformSettings.Cloud),
 		DroppedLines: logWriter.Dropped,
 		MemoryLimit:  platformSettings.MemoryLimit,
 		Descriptors:  platformSettings.Descriptors,
@@ -182,3 +187,30 @@
 		DecodeUpstream:      settings.ParseEntry,
 	}
 }
+
+// newUsageReports describes the usage reports, nil if they are not among the duties.
+func newUsageReports(settings platform.CloudSettings) *entryvm.UsageReports {
+	if !settings.ReportUsage {
+		return nil
+	}
+	return &entryvm.UsageReports{
+		Window:    settings.UsageWindow,
+		Tolerance: settings.UsageTolerance,
+		Delay:     settings.UsageDelay,
+		Report:    platform.OpenCloud(settings.Address).ReportUsage,
+	}
+}
+
+// newDuties returns the service that keeps the lease of the duties, nil if the settings name no duty.
+func newDuties(settings platform.Settings) *duties.Service {
+	if !settings.Cloud.Active() {
+		return nil
+	}
+	return &duties.Service{
+		Name:           settings.Name,
+		Log:            platform.OpenStore(settings.StoreAddress, platform.TopicDuties, storeTimeout),
+		Lease:          settings.Cloud.Lease,
+		CallsPerSecond: settings.Cloud.CallsPerSecond,
+		Small:          settings.CPUShare > 0 && settings.CPUShare < smallCPUShare,
+	}
+}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -87,14 +87,14 @@
 	Codec gateway.Codec
 	// Catalog follows the routes and upstreams; Prepare sets its table, peers, logger and callback.
 	Catalog *catalog.Service
-	// Duties holds the lease of the duties, nil if there are none.
-	Duties *duties.Service
 	// UsageReports describes the usage reports, nil if there are none.
 	UsageReports *UsageReports
 	// ReadyRoutes builds the HTTP routes of the platform's readiness check, DirectoryRoutes those that tell callers which
 	// entry VMs to connect to.
 	ReadyRoutes     func(ready func() bool) []rest.Route
 	DirectoryRoutes func(addresses func(zone, region string) []string) []rest.Route
+	// Duties keeps the lease of the duties, nil if there are none; Prepare sets its live nodes and logger.
+	Duties *duties.Service
 	// DroppedLines returns the number of log lines that were dropped.
 	DroppedLines func() int64
 	// MemoryLimit is the memory in bytes above which the platform kills the process, 0 for none.
@@ -139,6 +139,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { p.Catalog.Run(ctx) })
 	group.Go(func() { p.joinWhenReady(ctx) })
+	group.Go(func() { p.runDuties(ctx) })
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
 	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
@@ -207,6 +208,7 @@
 		Logger:      p.Logger,
 	}
 	p.preparePeers()
+	p.prepareDuties()
 	p.prepareUsages()
 	p.drainer.PollInterval = drainPollInterval
 	p.drainer.InFlight = p.inFlight
@@ -291,10 +293,15 @@
 
 // joinWhenReady joins the members once this node can serve.
 func (p *Process) joinWhenReady(ctx context.Context) {
+	p.awaitCatalog(ctx)
+	p.members.Run(ctx)
+}
+
+// awaitCatalog waits until the routes and upstreams are known, or until the context ends.
+func (p *Process) awaitCatalog(ctx context.Context) {
 	for !p.Catalog.Ready() && ctx.Err() == nil {
 		schedule.Pause(ctx, readyPollInterval)
 	}
-	p.members.Run(ctx)
 }
 
 func (p *Process) lookupPool(name string) (route.Pool, bool) {
