Usage: count each request once, and use records of the present holdership alone

The holdership may end between the check and the reading of its records, so it is checked again after. Saves end within 2 s, before this node can lose the duties and hold them again.

--- a/internal/transport/usages/collect.go
+++ b/internal/transport/usages/collect.go
@@ -105,7 +105,7 @@
 
 func (s *Service) ask(ctx context.Context, name string, call wire.UsageCall) (wire.UsageCounts, error) {
 	if name == s.Name {
-		return s.Answer(call), nil
+		return s.answer(call), nil
 	}
 	return s.Call(ctx, name, call)
 }
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -23,6 +23,9 @@
 	maxRetries = 4
 	// heardWithin is how long a node counts as heard after its last answer: two rounds, and the time for an answer.
 	heardWithin = 2500 * time.Millisecond
+	// saveTimeout limits a save, so that it ends before this node can lose the duties and hold them again, when its records
+	// may be outdated.
+	saveTimeout = 2 * time.Second
 	// eraBits is the number of low bits of a holder's number that don't belong to the era of the store.
 	eraBits = 40
 )
@@ -145,6 +148,10 @@
 // Answer answers a holder's call.
 func (s *Service) Answer(call wire.UsageCall) wire.UsageCounts {
 	s.Heard(call.Holder, call.Number)
+	return s.answer(call)
+}
+
+func (s *Service) answer(call wire.UsageCall) wire.UsageCounts {
 	s.mu.Lock()
 	current := call.Number >= s.seenNumber
 	s.seenNumber = max(s.seenNumber, call.Number)
@@ -186,8 +193,12 @@
 	}
 	s.checkpointDue = s.checkpointDue || s.ticks%ticksPerRound == 1
 	s.ticks++
-	if now, known := s.consensus.Now(boot); known {
-		s.load(now)
+	now, timeKnown := s.consensus.Now(boot)
+	if !timeKnown {
+		return
+	}
+	s.load(now)
+	if s.loaded {
 		s.act(ctx, now)
 	}
 }
@@ -212,8 +223,12 @@
 	if s.loaded {
 		return
 	}
+	records := s.Records()
+	if number, held := s.Held(); !held || number != s.number {
+		return // the records may be those of another holdership
+	}
 	s.loaded = true
-	if err := s.tally.Gain(s.number>>eraBits, s.Records(), now); err != nil {
+	if err := s.tally.Gain(s.number>>eraBits, records, now); err != nil {
 		s.Logger.Error().Err(err).Str("decision", "usage").Int("number", s.number).
 			Msg("usage records of an earlier holder can't be used")
 	}
@@ -267,6 +282,8 @@
 	s.saving = true
 	number := s.number
 	go func() {
+		ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+		defer cancel()
 		err := s.Save(ctx, key, value)
 		s.mu.Lock()
 		defer s.mu.Unlock()
