--- a/internal/transport/usages/collect.go
+++ b/internal/transport/usages/collect.go
@@ -33,6 +33,7 @@
 		}
 		if !calls.calling {
 			calls.calling = true
+			s.calling++
 			places := s.places
 			if calls.failed {
 				places = s.retries
@@ -81,9 +82,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls.calling, calls.failed = false, err != nil
+	s.calling--
 	if s.number != number {
 		return
 	}
+	defer s.roundDone(ctx)
 	sentAt, timeKnown := s.consensus.Now(sent)
 	if err != nil {
 		if timeKnown && s.Ended(err) {
@@ -103,6 +106,18 @@
 	s.tally.Receive(name, decodeCounts(answer), sentAt, receivedAt)
 }
 
+// roundDone saves a checkpoint once the last call of a round was answered, so that the counts in it are as new as they can
+// be; the caller must hold s.mu.
+func (s *Service) roundDone(ctx context.Context) {
+	if s.calling > 0 || !s.loaded {
+		return
+	}
+	s.checkpointDue = true
+	if now, known := s.consensus.Now(s.BootTime()); known && !s.saving {
+		s.checkpoint(ctx, now)
+	}
+}
+
 func (s *Service) ask(ctx context.Context, name string, call wire.UsageCall) (wire.UsageCounts, error) {
 	if name == s.Name {
 		return s.answer(call), nil
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -85,6 +85,8 @@
 	live      []string
 	// majorityHeard is when half of the live nodes were last heard, by the boot-time clock.
 	majorityHeard time.Duration
+	// calling is the number of calls in flight.
+	calling int
 	checkpointDue bool
 	saving        bool
 	sending       bool
@@ -191,7 +193,7 @@
 	if s.ticks%ticksPerRound == 0 {
 		s.startRound(ctx, boot)
 	}
-	s.checkpointDue = s.checkpointDue || s.ticks%ticksPerRound == 1
+	s.checkpointDue = s.checkpointDue || s.ticks%ticksPerRound == 1 && s.calling > 0
 	s.ticks++
 	now, timeKnown := s.consensus.Now(boot)
 	if !timeKnown {
@@ -249,7 +251,6 @@
 		}
 	}
 	if s.checkpointDue && !s.saving {
-		s.checkpointDue = false
 		s.checkpoint(ctx, now)
 	}
 }
@@ -268,6 +269,7 @@
 
 // checkpoint saves what is known of the open windows; the caller must hold s.mu.
 func (s *Service) checkpoint(ctx context.Context, now time.Time) {
+	s.checkpointDue = false
 	value, err := s.tally.Checkpoint(now)
 	if err != nil {
 		return
