Duties: save as the holder with a number

The counts of a window rest on what was read when the lease was gained. A save that waited while the lease was lost and gained again could have replaced the counts that another node had reported. SaveAs saves under the holdership alone in which the record was made.

--- a/internal/transport/duties/log.go
+++ b/internal/transport/duties/log.go
@@ -120,10 +120,16 @@
 // Save appends a record as the holder. It returns ErrNotHolder if this node does not hold the lease or was replaced. After
 // other errors the record may still be saved.
 func (s *Service) Save(ctx context.Context, key string, value []byte) error {
+	return s.SaveAs(ctx, 0, key, value)
+}
+
+// SaveAs saves a record like Save, if this node holds the lease with a number; 0 stands for any. A record that rests on
+// what was read in one holdership must not be saved in a later one, which may have read something else.
+func (s *Service) SaveAs(ctx context.Context, number int, key string, value []byte) error {
 	s.log.Lock()
 	defer s.log.Unlock()
 	for range saveTries {
-		at, err := s.saveAt(ctx)
+		at, err := s.saveAt(ctx, number)
 		if err != nil {
 			return err
 		}
@@ -142,10 +148,14 @@
 	return eris.Wrapf(ErrNotHolder, "save %s: the topic changed meanwhile", key)
 }
 
-// saveAt returns the offset at which this node may append as the holder, after a read if one is needed.
-func (s *Service) saveAt(ctx context.Context) (int, error) {
+// saveAt returns the offset at which this node may append as the holder with a number, 0 for any, after a read if one is
+// needed. The number can't change before the append, since s.log is held.
+func (s *Service) saveAt(ctx context.Context, number int) (int, error) {
 	at, needsRead, held := 0, false, false
-	check := func(now duty.Reading) { at, needsRead, held = s.election.SaveAt(now) }
+	check := func(now duty.Reading) {
+		at, needsRead, held = s.election.SaveAt(now)
+		held = held && (number == 0 || number == s.election.Number())
+	}
 	s.update(check)
 	if held && needsRead {
 		if !s.read(ctx) {
--- a/internal/transport/entryvm/usages.go
+++ b/internal/transport/entryvm/usages.go
@@ -48,7 +48,7 @@
 		BootTime:    bootTime,
 		WallTime:    time.Now,
 		Held:        p.Duties.Held,
-		Save:        p.Duties.Save,
+		Save:        p.Duties.SaveAs,
 		Records:     p.Duties.Records,
 		Heard:       p.Duties.Heard,
 		Unreachable: p.Duties.Unreachable,
--- a/internal/transport/usages/model_test.go
+++ b/internal/transport/usages/model_test.go
@@ -115,15 +115,17 @@
 		cancel:  cancel,
 	}
 	n.service = &Service{
-		Name:        name,
-		Boot:        s.random.Uint64() >> 12,
-		Window:      testWindow,
-		Off:         testOff,
-		Late:        testLate,
-		BootTime:    func() time.Duration { return time.Since(n.started) + n.bootAt },
-		WallTime:    func() time.Time { return time.Now().Add(n.wall) },
-		Held:        func() (int, bool) { return s.held(n) },
-		Save:        func(ctx context.Context, key string, value []byte) error { return s.save(ctx, n, key, value) },
+		Name:     name,
+		Boot:     s.random.Uint64() >> 12,
+		Window:   testWindow,
+		Off:      testOff,
+		Late:     testLate,
+		BootTime: func() time.Duration { return time.Since(n.started) + n.bootAt },
+		WallTime: func() time.Time { return time.Now().Add(n.wall) },
+		Held:     func() (int, bool) { return s.held(n) },
+		Save: func(ctx context.Context, number int, key string, value []byte) error {
+			return s.save(ctx, n, number, key, value)
+		},
 		Records:     s.newest,
 		Heard:       func(string, int) {},
 		Unreachable: func(since time.Duration) { s.unreachable(n, since) },
@@ -223,10 +225,10 @@
 }
 
 // save is the holder's conditional append. After an append in doubt the holder reads where the log ends.
-func (s *site) save(ctx context.Context, n *modelNode, key string, value []byte) error {
+func (s *site) save(ctx context.Context, n *modelNode, number int, key string, value []byte) error {
 	s.mu.Lock()
-	number, at, era, down := s.number, s.end, s.store.era, s.storeDown || n.cutOff
-	mine := s.holder == n && time.Now().Before(s.leaseUntil)
+	at, era, down := s.end, s.store.era, s.storeDown || n.cutOff
+	mine := s.holder == n && s.number == number && time.Now().Before(s.leaseUntil)
 	delay := time.Duration(s.random.Int64N(int64(60 * time.Millisecond)))
 	inDoubt, late := s.random.Float64() < s.doubt, s.random.IntN(2) == 0
 	lateBy := time.Duration(s.random.Int64N(int64(4 * time.Second)))
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -23,9 +23,6 @@
 	maxRetries = 4
 	// heardWithin is how long a node counts as heard after its last answer: two rounds, and the time for an answer.
 	heardWithin = 2500 * time.Millisecond
-	// saveTimeout limits a save, so that it ends before this node can lose the duties and hold them again, when its records
-	// may be outdated.
-	saveTimeout = 2 * time.Second
 	// eraBits is the number of low bits of a holder's number that don't belong to the era of the store.
 	eraBits = 40
 )
@@ -47,8 +44,8 @@
 	WallTime func() time.Time
 	// Held returns the holder's number, and whether this node holds the duties now.
 	Held func() (number int, held bool)
-	// Save saves a record as the holder. After an error it may still be saved.
-	Save func(ctx context.Context, key string, value []byte) error
+	// Save saves a record as the holder with a number. After an error it may still be saved.
+	Save func(ctx context.Context, number int, key string, value []byte) error
 	// Records returns the newest records by key, as they were when this node gained the duties.
 	Records func() map[string][]byte
 	// Heard is called with each call of a holder.
@@ -284,9 +281,7 @@
 	s.saving = true
 	number := s.number
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-		defer cancel()
-		err := s.Save(ctx, key, value)
+		err := s.Save(ctx, number, key, value)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.saving = false
