--- a/internal/transport/usages/model_test.go
+++ b/internal/transport/usages/model_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -441,6 +442,7 @@
 		}
 	}
 	time.Sleep(20 * time.Second)
+	synctest.Wait()
 }
 
 // outcome is what the API has of the windows in a span of time.
