--- a/internal/transport/usages/model_test.go
+++ b/internal/transport/usages/model_test.go
@@ -122,8 +122,12 @@
 		Off:      testOff,
 		Late:     testLate,
 		BootTime: func() time.Duration { return time.Since(n.started) + n.bootAt },
-		WallTime: func() time.Time { return time.Now().Add(n.wall) },
-		Held:     func() (int, bool) { return s.held(n) },
+		WallTime: func() time.Time {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return time.Now().Add(n.wall)
+		},
+		Held: func() (int, bool) { return s.held(n) },
 		Save: func(ctx context.Context, number int, key string, value []byte) error {
 			return s.save(ctx, n, number, key, value)
 		},
