--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -188,6 +188,7 @@
 			return platform.DirectoryRoutes(addresses, directoryAnswerTTL)
 		},
 		Duties:       newDuties(platformSettings),
+		UsageReports: newUsageReports(platformSettings.Cloud),
 		DroppedLines: logWriter.Dropped,
 		MemoryLimit:  platformSettings.MemoryLimit,
 		Descriptors:  platformSettings.Descriptors,
@@ -225,6 +226,19 @@
 	}
 }
 
+// newUsageReports describes the usage reports, nil if they are not among the duties.
+func newUsageReports(settings platform.CloudSettings) *entryvm.UsageReports {
+	if !settings.ReportUsage {
+		return nil
+	}
+	return &entryvm.UsageReports{
+		Window:    settings.UsageWindow,
+		Tolerance: settings.UsageTolerance,
+		Delay:     settings.UsageDelay,
+		Report:    platform.OpenCloud(settings.Address).ReportUsage,
+	}
+}
+
 // newDuties returns the service that keeps the lease of the duties, nil if the settings name no duty.
 func newDuties(settings platform.Settings) *duties.Service {
 	if !settings.Cloud.Active() {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -33,6 +33,7 @@
 	"lagoongw/internal/transport/peer"
 	"lagoongw/internal/transport/schedule"
 	"lagoongw/internal/transport/shutdown"
+	"lagoongw/internal/transport/usages"
 )
 
 const (
@@ -91,6 +92,8 @@
 	// which of them streams began.
 	VersionRecord origins.Stored
 	StreamLog     origins.Stored
+	// UsageReports describes the usage reports, nil if there are none.
+	UsageReports *UsageReports
 	// ReadyRoutes builds the HTTP routes of the platform's readiness check, DirectoryRoutes those that tell callers which
 	// entry VMs to connect to.
 	ReadyRoutes     func(ready func() bool) []rest.Route
@@ -121,6 +124,7 @@
 	detours        *detour.Dialer
 	detourServer   *detour.Server
 	capacities     *capacities.Service
+	usages         *usages.Service
 	loadReporter   loadReporter
 	memoryReporter memoryReporter
 	outgoing       outgoing
@@ -152,6 +156,9 @@
 	if p.capacities != nil {
 		group.Go(func() { p.capacities.Run(ctx) })
 	}
+	if p.usages != nil {
+		group.Go(func() { p.usages.Run(ctx) })
+	}
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
 	for _, server := range httpServers {
@@ -216,6 +223,7 @@
 	}
 	p.preparePeers()
 	p.prepareDuties()
+	p.prepareUsages()
 	p.drainer.PollInterval = drainPollInterval
 	p.drainer.InFlight = p.inFlight
 	p.drainer.Announce = p.members.Leave
