Dispatch: nodes that start together divide engines by an extrapolated demand

The division begins after a second again. While less than half of the demand seems to be known, all nodes are taken to need as much as this one.

--- a/internal/coordination/dispatch/split.go
+++ b/internal/coordination/dispatch/split.go
@@ -164,10 +164,9 @@
 }
 
 // resize sets how many engines are reserved for interactive requests, by the demand of all nodes: as many as these
-// requests need, or a proportional share if there are too few engines for both kinds. It reserves none until that demand
-// is known: by the demand of a few nodes too few engines would be reserved, and filled by the requests of all nodes.
+// requests need, or a proportional share if there are too few engines for both kinds.
 func (s *split) resize(demand EngineDemand, engines int, bulkWait time.Duration) {
-	if demand.Interactive == 0 || demand.Bulk == 0 || engines < 2 || s.decayedAt.Sub(s.firstAt) < siteObservation {
+	if demand.Interactive == 0 || demand.Bulk == 0 || engines < 2 || s.decayedAt.Sub(s.firstAt) < minObservation {
 		s.interactiveEngines = 0
 		return
 	}
--- a/internal/coordination/dispatch/view.go
+++ b/internal/coordination/dispatch/view.go
@@ -57,7 +57,7 @@
 	if now.Sub(s.checkedAt) >= splitInterval {
 		s.checkedAt = now
 		before := s.interactiveEngines
-		s.resize(d.totalDemand(pool, scale, now), engines, d.bulkWait(pool, s.interactiveEngines, scale, now))
+		s.resize(d.splitDemand(pool, scale, now), engines, d.bulkWait(pool, s.interactiveEngines, scale, now))
 		if s.interactiveEngines != before && d.OnSplitChange != nil {
 			d.OnSplitChange(pool, s.interactiveEngines, engines)
 		}
