Duties: a topic that does not exist yet counts as empty

Seen in a review: a store may answer 404 for a topic to which nothing was appended. No node ever held the lease then, since duties.read took the answer for a failure and never claimed.

Cause: read did not know catalog.ErrNoTopic, and the store's client returned it before it parsed the era, so that a first lease would have had a number of era 0.

Change: read treats ErrNoTopic as an empty topic, and Newest returns the era of the answer with it.

--- a/internal/transport/duties/log.go
+++ b/internal/transport/duties/log.go
@@ -53,9 +53,13 @@
 	}
 }
 
-// read reads the topic and reports whether it could.
+// read reads the topic and reports whether it could. A store that does not have the topic yet counts as one with an empty
+// topic.
 func (s *Service) read(ctx context.Context) bool {
 	batch, err := s.Log.Newest(ctx)
+	if errors.Is(err, catalog.ErrNoTopic) {
+		batch, err = catalog.Batch{Era: batch.Era}, nil
+	}
 	s.logCall("read", err)
 	if err != nil {
 		return false
--- a/internal/transport/duties/service.go
+++ b/internal/transport/duties/service.go
@@ -27,7 +27,8 @@
 
 // Log is the topic of the store that holds the lease and the holder's other records.
 type Log interface {
-	// Newest returns the newest record of each key.
+	// Newest returns the newest record of each key. If the store does not have the topic, it returns catalog.ErrNoTopic and
+	// a batch with the era.
 	Newest(ctx context.Context) (catalog.Batch, error)
 	// AppendAt appends a record if the topic ends at an offset, and returns the era of the store. It returns ErrConflict if
 	// the topic ends elsewhere and catalog.ErrRefused for a record that the store will never accept; after other errors the
--- a/internal/transport/duties/service_test.go
+++ b/internal/transport/duties/service_test.go
@@ -28,6 +28,8 @@
 	// lost is how many of the next appends are executed without an answer.
 	lost int
 	down bool
+	// noTopic has the store answer that it does not have the topic until something was appended.
+	noTopic bool
 }
 
 var errDown = errors.New("store is down")
@@ -39,6 +41,9 @@
 		return catalog.Batch{}, errDown
 	}
 	l.reads++
+	if l.noTopic && l.end == 0 {
+		return catalog.Batch{Era: l.era}, catalog.ErrNoTopic
+	}
 	batch := catalog.Batch{
 		Next: l.end,
 		Era:  l.era,
@@ -181,6 +186,23 @@
 	})
 }
 
+// A store may not have the topic before the first append. That must count as an empty topic of the store's era: otherwise no
+// node ever holds the lease, or its first number is below those from before a restore.
+func TestTopicWithoutRecordsIsClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := startSite(t, 2)
+		defer s.close()
+		s.log.set(func() { s.log.noTopic, s.log.era = true, 3 })
+		time.Sleep(10 * time.Second)
+		holder := s.holder(t)
+		is.True(holder != nil)
+		number, _ := holder.Held()
+		is.Equal(number, 3<<40|1)
+		is.True(!strings.Contains(s.lines.String(), "call to the store failed"))
+	})
+}
+
 // A node that was replaced must learn it at its next write, before its lease ends, and an append of its own that had no
 // answer must not cost it the lease.
 func TestSaveIsConditional(t *testing.T) {
