Duties: a platform API that answers with an error is reachable

Seen in a review: an answer of 400, 404 or 500 counted as none. Two of them in a row and 3 s cost the holder its lease, and one order that the platform API rejects kept the orders for the other zones from being sent.

Cause: the client of the platform API had one error for all other statuses, which Call and the service of the capacity took for a call without an answer.

Change: duties.ErrRejected (300 to 499) counts as answered, duties.ErrFailed (5xx and other statuses) as turned away, with the back-off of the duties. The planner waits 2, 4, then 8 s with the orders of that kind in that zone, and the service goes on with the others. A failed order may have been executed, so it counts as ordered; a zone whose spot order is rejected counts as having none.

--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -38,7 +38,8 @@
 	// registry does not show the ordered number.
 	orderInterval  = time.Second
 	repeatInterval = 5 * time.Second
-	// minDry and maxDry limit the time before spot upstreams are asked for again in a zone that had none.
+	// minDry and maxDry limit the time before spot upstreams are asked for again in a zone that had none, and the time
+	// between two orders for a subject that are answered with an error.
 	minDry = 2 * time.Second
 	maxDry = 8 * time.Second
 	// maxShortShare limits the upstreams that replace those that were ordered and do not serve, as a share of the base. Where
@@ -102,12 +103,16 @@
 // Outcome is the result of an order.
 type Outcome int
 
-// Outcomes of orders. Unknown means that there was no answer, so that the order may be executed later.
+// Outcomes of orders. Unknown means that there was no answer, so that the order may be executed later. Rejected means that the
+// platform does not execute the order, Failed that it answered with an error and may have executed it; only the orders for the
+// same zone and kind back off after these two.
 const (
 	Accepted Outcome = iota
 	NoneAvailable
 	NotSent
 	Unknown
+	Rejected
+	Failed
 )
 
 // subject is what an order is about, within a pool.
@@ -134,6 +139,10 @@
 	// dryUntil is when spot upstreams may be asked for again, dryFor the time of the last wait.
 	dryUntil time.Time
 	dryFor   time.Duration
+	// retryAt is when the next order may be sent after one that was answered with an error, retryFor the time of the last
+	// wait.
+	retryAt  time.Time
+	retryFor time.Duration
 	// reclaimed reports that the platform took all of them back since the last order. It may bring some again by itself,
 	// which then count as ordered.
 	reclaimed bool
@@ -286,6 +295,12 @@
 	g.dryUntil = now.Add(g.dryFor)
 }
 
+// postpone notes that an order was answered with an error.
+func (g *group) postpone(now time.Time) {
+	g.retryFor = min(max(2*g.retryFor, minDry), maxDry)
+	g.retryAt = now.Add(g.retryFor)
+}
+
 // base returns the number of upstreams that must serve even after the spot upstreams of one zone were lost.
 func (p *Planner) base(now time.Time) int {
 	base := max(p.forecast.upstreams(now, p.Settings), p.Settings.Least)
@@ -310,17 +325,22 @@
 // Answered records the outcome of an order that Plan returned.
 func (p *Planner) Answered(now time.Time, order Order, outcome Outcome) {
 	g := p.group(order.Zone, order.Spot)
-	switch outcome {
-	case NotSent:
+	switch {
+	case outcome == NotSent:
 		return
-	case NoneAvailable:
+	case outcome == NoneAvailable, outcome == Rejected && order.Spot:
 		g.sentAt = now
 		g.dry(now)
 		g.planned = min(g.planned, max(g.ordered, g.present))
 		return
-	case Accepted:
-		g.dryFor = 0
-	case Unknown:
+	case outcome == Rejected:
+		g.sentAt = now
+		g.postpone(now)
+		return
+	case outcome == Failed:
+		g.postpone(now)
+	case outcome == Accepted:
+		g.dryFor, g.retryFor = 0, 0
 	}
 	if fewer := min(g.ordered, g.present) - order.Desired; fewer > 0 {
 		g.expected += fewer
@@ -368,7 +388,7 @@
 	if !g.sentAt.IsZero() && now.Sub(g.sentAt) < orderInterval {
 		return false
 	}
-	if now.Before(g.dryUntil) {
+	if now.Before(g.dryUntil) || now.Before(g.retryAt) {
 		return false
 	}
 	if g.planned != g.ordered || !g.known {
--- a/internal/coordination/duty/pace.go
+++ b/internal/coordination/duty/pace.go
@@ -57,12 +57,12 @@
 	return true
 }
 
-// Answered notes that a call was answered and accepted or refused.
+// Answered notes that a call was answered and accepted, refused or rejected.
 func (p *Pace) Answered() {
 	p.backoff, p.unanswered = 0, 0
 }
 
-// TurnedAway notes that a call that began at a time was answered with a request for fewer calls.
+// TurnedAway notes that a call that began at a time was answered with a request for fewer calls or a failure.
 func (p *Pace) TurnedAway(began, now time.Duration) {
 	p.unanswered = 0
 	p.pause(began, now)
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -41,7 +41,8 @@
 	// Pools returns the pools with scaling and what is known of them.
 	Pools func(now time.Time) []Pool
 	// Order sends an order to the platform, within its limit of calls and the back-off after failures. It returns
-	// duties.ErrRefused, duties.ErrBusy or duties.ErrNotHolder; after any other error the order may still be executed.
+	// duties.ErrRefused, duties.ErrRejected, duties.ErrBusy or duties.ErrNotHolder for an order that is not executed; after any
+	// other error it may be.
 	Order func(ctx context.Context, number int, order capacity.Order) error
 	// Refused is told that the platform refused an order because of its number.
 	Refused func(number int)
@@ -182,7 +183,7 @@
 	state := order.planner.State()
 	s.mu.Unlock()
 	s.log(order, state, err)
-	return outcome == capacity.Accepted || outcome == capacity.NoneAvailable
+	return outcome != capacity.NotSent && outcome != capacity.Unknown
 }
 
 // judge returns the outcome of an order by its error. A refused spot order means that none is available, since a refused
@@ -195,6 +196,10 @@
 		return capacity.NoneAvailable
 	case errors.Is(err, duties.ErrRefused), errors.Is(err, duties.ErrBusy), errors.Is(err, duties.ErrNotHolder):
 		return capacity.NotSent
+	case errors.Is(err, duties.ErrRejected):
+		return capacity.Rejected
+	case errors.Is(err, duties.ErrFailed):
+		return capacity.Failed
 	}
 	return capacity.Unknown
 }
--- a/internal/transport/capacities/service_test.go
+++ b/internal/transport/capacities/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -95,6 +96,35 @@
 	}
 }
 
+// TestAnAnsweredErrorBacksOffOneSubject guards against an order that the platform API rejects or fails at each time, such as
+// one for an unknown zone, and that keeps the orders for other zones from being sent or is itself repeated each second.
+func TestAnAnsweredErrorBacksOffOneSubject(t *testing.T) {
+	for _, answer := range []error{duties.ErrRejected, duties.ErrFailed} {
+		for _, spot := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				count := 0
+				p := &platformStub{answer: func(order capacity.Order) error {
+					if order.Zone == "a" && order.Spot == spot {
+						count++
+						return answer
+					}
+					return nil
+				}}
+				s := newService(p)
+				s.Tick(t.Context(), time.Now())
+				is.Equal(len(p.orders), 12) // both kinds in six zones
+				for range 30 {
+					time.Sleep(time.Second)
+					s.Tick(t.Context(), time.Now())
+				}
+				is.True(count >= 2 && count <= 6) // after 2, 6, 14, 22 and 30 s
+				is.Equal(len(p.refused), 0)
+			})
+		}
+	}
+}
+
 // TestNothingIsOrderedWithoutTheDuty guards against orders of a node that lost the duty while it sent some, and against more
 // of them in a second than allowed.
 func TestNothingIsOrderedWithoutTheDuty(t *testing.T) {
--- a/internal/transport/duties/call.go
+++ b/internal/transport/duties/call.go
@@ -30,9 +30,9 @@
 	err = send(ctx)
 	s.update(func(now duty.Reading) {
 		switch {
-		case err == nil || errors.Is(err, ErrRefused):
+		case err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrRejected):
 			s.pace.Answered()
-		case errors.Is(err, ErrBusy):
+		case errors.Is(err, ErrBusy) || errors.Is(err, ErrFailed):
 			s.pace.TurnedAway(began.Boot, now.Boot)
 		case !errors.Is(ctx.Err(), context.Canceled):
 			s.pace.Unanswered(began.Boot, now.Boot)
--- a/internal/transport/duties/service_test.go
+++ b/internal/transport/duties/service_test.go
@@ -322,6 +322,36 @@
 	})
 }
 
+// A platform API that answers each call with an error is reachable: the holder must keep the lease. Only an API that fails
+// must get fewer calls, since another call may be accepted after one that was rejected.
+func TestAnsweredCallsKeepTheLease(t *testing.T) {
+	for _, c := range []struct {
+		answer error
+		next   error
+	}{
+		{answer: ErrRejected},
+		{answer: ErrFailed, next: ErrBusy},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := startSite(t, 1)
+			defer s.close()
+			time.Sleep(10 * time.Second)
+			node := s.holder(t)
+			number, _ := node.Held()
+			for range 20 {
+				err := node.Call(t.Context(), number, func(context.Context) error { return c.answer })
+				is.Equal(err, c.answer)
+				is.Equal(node.Call(t.Context(), number, func(context.Context) error { return nil }), c.next)
+				time.Sleep(4100 * time.Millisecond)
+			}
+			again, held := node.Held()
+			is.True(held)
+			is.Equal(again, number)
+		})
+	}
+}
+
 // The clocks of the machine must be readable and count from a start in the past.
 func TestClocksOfTheMachine(t *testing.T) {
 	is := is.New(t)
