Capacity: a new holder takes over the orders of the former one

Seen in a review: a new holder cancelled increases that the former holder had ordered a moment before. With 10 spot upstreams present in each of 2 zones, 20 ordered and a base of 14, it sent an order of 14 (TestOrdersOfTheFormerHolderAreTakenOver without the former orders).

Cause: only listed upstreams counted as ordered, and a new upstream is listed once it serves.

Change: the holder saves the ordered numbers under the key capacity through duties.Save, when they change and while the orders are under way, and the next holder takes them over from Records. A zone whose repeated spot order is answered with 409 has lost its upstreams, so its inherited number falls to those present. A lease that is in force again with the same number keeps this node's own numbers: Records holds those from when it was gained.

TestOrdersOfTheFormerHolderAreTakenOver failed before. TestNextHolderKeepsTheOrders and TestLeaseInForceAgainKeepsItsOwnOrders fail without the call of takeOver, TestReclaimedZoneIsNotTakenOver without the fall of the inherited number (25 planned instead of 0). TestTheHolderOrdersUpstreams now also checks that the record reaches the store. All pass now.

--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -89,6 +89,8 @@
 	Demand     Demand
 	KnownShare float64
 	Upstreams  []Upstream
+	// Former holds what was last ordered for the pool before Gained, as far as it is known.
+	Former []Order
 }
 
 // Order states how many upstreams of a kind a pool is to have in an availability zone.
@@ -146,6 +148,8 @@
 	// reclaimed reports that the platform took all of them back since the last order. It may bring some again by itself,
 	// which then count as ordered.
 	reclaimed bool
+	// inherited reports that the ordered number is the former holder's, and that this one has not repeated it yet.
+	inherited bool
 	reason    string
 }
 
@@ -188,7 +192,8 @@
 	return p.due(now)
 }
 
-// reset forgets what was known under an earlier holdership. The upstreams that are present count as ordered.
+// reset forgets what was known under an earlier holdership. The upstreams that are present count as ordered, and more where the
+// former holder ordered more: its orders are in force, and those upstreams may be starting.
 func (p *Planner) reset(now time.Time, input Input) {
 	*p = Planner{
 		Pool:     p.Pool,
@@ -210,6 +215,27 @@
 			p.initial++
 		}
 	}
+	for _, order := range input.Former {
+		if g := p.group(order.Zone, order.Spot); order.Desired > g.ordered {
+			g.planned, g.ordered, g.inherited = order.Desired, order.Desired, true
+		}
+	}
+}
+
+// Ordered returns the numbers of upstreams that were last ordered, by zone and kind. Those taken over count as ordered.
+func (p *Planner) Ordered() []Order {
+	var orders []Order
+	for _, zone := range p.zones() {
+		for _, spot := range []bool{false, true} {
+			orders = append(orders, Order{
+				Pool:    p.Pool,
+				Zone:    zone,
+				Desired: p.group(zone, spot).ordered,
+				Spot:    spot,
+			})
+		}
+	}
+	return orders
 }
 
 // group returns the group of a subject. Every zone has a group of each kind.
@@ -331,6 +357,10 @@
 	case outcome == NoneAvailable, outcome == Rejected && order.Spot:
 		g.sentAt = now
 		g.dry(now)
+		if g.inherited {
+			// The zone has lost its spot upstreams since the former holder's order. Those that still appear count as ordered.
+			g.ordered, g.reclaimed, g.inherited = g.present, true, false
+		}
 		g.planned = min(g.planned, max(g.ordered, g.present))
 		return
 	case outcome == Rejected:
@@ -348,7 +378,8 @@
 	if order.Desired >= g.present {
 		g.expected = 0
 	}
-	g.ordered, g.sentAt, g.known, g.reclaimed = order.Desired, now, outcome == Accepted, false
+	g.ordered, g.sentAt, g.known = order.Desired, now, outcome == Accepted
+	g.reclaimed, g.inherited = false, false
 }
 
 // due returns the orders that are to be sent now, increases first and the largest of them first.
--- a/internal/coordination/capacity/planner_test.go
+++ b/internal/coordination/capacity/planner_test.go
@@ -253,3 +253,63 @@
 		is.True(s.Count(scaling.Every) <= before+before/10)
 	})
 }
+
+// TestOrdersOfTheFormerHolderAreTakenOver guards against a new holder that cancels an increase which its predecessor ordered,
+// because the upstreams are not listed until they have started.
+func TestOrdersOfTheFormerHolderAreTakenOver(t *testing.T) {
+	is := is.New(t)
+	input, former := capacity.Input{KnownShare: 1}, map[string]int{}
+	for _, zone := range []string{"a", "b"} {
+		for i := range 10 {
+			input.Upstreams = append(input.Upstreams, capacity.Upstream{
+				Name: zone + string(rune('0'+i)),
+				Zone: zone,
+				Spot: true,
+			})
+		}
+		former[zone] = 20
+		input.Former = append(input.Former, capacity.Order{
+			Zone:    zone,
+			Spot:    true,
+			Desired: 20,
+		})
+	}
+	p := &capacity.Planner{
+		Pool: "p",
+		Settings: capacity.Settings{
+			Max:         30,
+			Boot:        4 * time.Second,
+			SpotPrice:   0.2,
+			ZonePrices:  map[string]float64{"a": 1, "b": 1},
+			Utilization: 0.5,
+			Least:       14,
+		},
+	}
+	gained := time.Unix(1000, 0)
+	input.Gained = gained
+	for now := gained; now.Sub(gained) < 3*time.Second; now = now.Add(200 * time.Millisecond) {
+		for _, order := range p.Plan(now, input) {
+			is.True(!order.Spot || order.Desired >= former[order.Zone])
+			p.Answered(now, order, capacity.Accepted)
+		}
+	}
+	is.Equal(p.State().Count("a", true).Planned, 20)
+	is.Equal(p.State().Count("b", true).Planned, 20)
+}
+
+// TestReclaimedZoneIsNotTakenOver guards against a new holder that counts on spot upstreams which its predecessor ordered and
+// the platform has taken back since.
+func TestReclaimedZoneIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	s, p := newSite(30)
+	p.Change = func(input *capacity.Input) {
+		input.Former = []capacity.Order{{
+			Zone:    "a",
+			Spot:    true,
+			Desired: 25,
+		}}
+	}
+	s.Reclaim("a")
+	play(s, p, 2, 30, nil)
+	is.Equal(p.State().Count("a", true).Planned, 0)
+}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -26,6 +26,30 @@
 	Stored bool `json:"stored"`
 }
 
+// CapacityOrder is the ordered number of upstreams of a kind in an availability
+// zone.
+type CapacityOrder struct {
+	// Desired is the ordered number.
+	Desired int `json:"desired"`
+
+	// Service is the name of the service.
+	Service string `json:"service"`
+
+	// Spot tells that the upstreams are spot upstreams.
+	Spot bool `json:"spot"`
+
+	// Zone is the name of the availability zone.
+	Zone string `json:"zone"`
+}
+
+// CapacityOrders is the record of the ordered numbers of upstreams in the
+// platform's store.
+type CapacityOrders struct {
+	// Orders holds the number that was last ordered for each service, zone and kind,
+	// without those of 0.
+	Orders []CapacityOrder `json:"orders"`
+}
+
 // Challenge starts the authentication of a peer connection.
 type Challenge struct {
 	// Nonce corresponds to the JSON schema field "nonce".
--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/schedule"
 )
@@ -46,6 +47,10 @@
 	Order func(ctx context.Context, number int, order capacity.Order) error
 	// Refused is told that the platform refused an order because of its number.
 	Refused func(number int)
+	// Save saves a record as the holder, and Records returns those that were saved when this node gained the duty. Both are nil
+	// if ordered numbers are not to be taken over by the next holder.
+	Save    func(ctx context.Context, key string, value []byte) error
+	Records func() map[string][]byte
 	// OrdersPerTick is the largest number of orders in a second, 0 for no limit.
 	OrdersPerTick int
 	// Logger receives the log lines.
@@ -60,6 +65,11 @@
 	// These are used by Run alone.
 	number int
 	gained time.Time
+	// former holds the numbers that were last ordered, by the former holder or under formerNumber, and saved the record
+	// that was last saved.
+	former       []wire.CapacityOrder
+	formerNumber int
+	saved        []byte
 }
 
 // Run decides once a second until the context ends.
@@ -78,6 +88,7 @@
 	if number != s.number || s.gained.IsZero() {
 		s.forget()
 		s.number, s.gained = number, now
+		s.takeOver(number)
 		s.Logger.Info().Str("decision", "capacity").Int("number", number).Msg("this node decides on the number of upstreams")
 	}
 	var orders []planned
@@ -88,7 +99,20 @@
 	}
 	s.prune(listed)
 	slices.SortStableFunc(orders, func(a, b planned) int { return cmp.Compare(b.more, a.more) })
+	if s.OrdersPerTick > 0 {
+		orders = orders[:min(len(orders), s.OrdersPerTick)]
+	}
+	if s.Save == nil {
+		s.send(ctx, orders)
+		return
+	}
+	// The numbers are saved while the orders are under way: a holder that dies then must not leave orders that the next one
+	// does not know of, and a slow store must not delay them.
+	s.note(orders)
+	var group sync.WaitGroup
+	group.Go(func() { s.save(ctx) })
 	s.send(ctx, orders)
+	group.Wait()
 }
 
 // forget drops what is known, as the duty is not held any more.
@@ -128,7 +152,7 @@
 		s.planners[pool.Name] = planner
 	}
 	planner.Settings = pool.Settings
-	pool.Input.Gained = s.gained
+	pool.Input.Gained, pool.Input.Former = s.gained, s.formerOrders(pool.Name)
 	orders := planner.Plan(now, pool.Input)
 	state := planner.State()
 	s.states[pool.Name] = state
@@ -147,9 +171,6 @@
 
 // send sends the orders until the platform asks for fewer calls, or the duty is lost.
 func (s *Service) send(ctx context.Context, orders []planned) {
-	if s.OrdersPerTick > 0 {
-		orders = orders[:min(len(orders), s.OrdersPerTick)]
-	}
 	for batch := range slices.Chunk(orders, parallelOrders) {
 		var group sync.WaitGroup
 		var stop atomic.Bool
--- a/internal/transport/capacities/service_test.go
+++ b/internal/transport/capacities/service_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/duties"
 )
 
@@ -140,3 +141,84 @@
 	is.Equal(len(p.orders), 3)
 	is.Equal(s.State("p").Wanted, 0)
 }
+
+// TestNextHolderKeepsTheOrders guards against a new holder that cancels the increase of the former one a second before, of
+// which no upstream is listed yet, and against a record that is appended to the store each second.
+func TestNextHolderKeepsTheOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &platformStub{answer: func(capacity.Order) error { return nil }}
+		records, saves := map[string][]byte{}, 0
+		first := newService(p)
+		first.Save = func(_ context.Context, key string, value []byte) error {
+			records[key] = value
+			saves++
+			return nil
+		}
+		first.Records = func() map[string][]byte { return nil }
+		first.Tick(t.Context(), time.Now())
+		is.Equal(saves, 1)
+		ordered := map[capacity.Order]int{}
+		subject := func(order capacity.Order) capacity.Order {
+			return capacity.Order{
+				Zone: order.Zone,
+				Spot: order.Spot,
+			}
+		}
+		for _, order := range p.orders {
+			ordered[subject(order)] = order.Desired
+		}
+		for range 3 {
+			time.Sleep(time.Second)
+			first.Tick(t.Context(), time.Now())
+		}
+		is.Equal(saves, 1)
+
+		second := newService(p)
+		pools := second.Pools
+		second.Pools = func(now time.Time) []Pool {
+			rows := pools(now)
+			rows[0].Settings.Least = 10 // the demand is lower than the former holder took it for
+			return rows
+		}
+		second.Held = func() (int, bool) { return 8, true }
+		second.Save = first.Save
+		second.Records = func() map[string][]byte { return records }
+		p.orders = nil
+		for range 3 {
+			second.Tick(t.Context(), time.Now())
+			time.Sleep(time.Second)
+		}
+		for _, order := range p.orders {
+			is.True(order.Desired >= ordered[subject(order)])
+		}
+		is.Equal(saves, 1)
+	})
+}
+
+// TestLeaseInForceAgainKeepsItsOwnOrders guards against a holder that goes back to the numbers from when it gained the lease
+// after the store could not be reached for a while.
+func TestLeaseInForceAgainKeepsItsOwnOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &platformStub{answer: func(capacity.Order) error { return nil }}
+		s := newService(p)
+		s.Save = func(context.Context, string, []byte) error { return errors.New("no answer") }
+		s.Records = func() map[string][]byte {
+			return map[string][]byte{recordKey: []byte(`{"orders":[{"service":"p","zone":"a","spot":true,"desired":25}]}`)}
+		}
+		s.Tick(t.Context(), time.Now())
+		is.Equal(s.State("p").Count("a", true).Planned, 25)
+		s.former = []wire.CapacityOrder{{
+			Service: "p",
+			Zone:    "a",
+			Spot:    true,
+			Desired: 28,
+		}}
+		p.held = false
+		s.Tick(t.Context(), time.Now())
+		p.held = true
+		s.Tick(t.Context(), time.Now())
+		is.Equal(s.State("p").Count("a", true).Planned, 28)
+	})
+}
--- a/internal/transport/entryvm/capacities.go
+++ b/internal/transport/entryvm/capacities.go
@@ -41,6 +41,8 @@
 		Pools:   p.scaledPools,
 		Order:   p.orderUpstreams,
 		Refused: p.Duties.Refused,
+		Save:    p.Duties.Save,
+		Records: p.Duties.Records,
 		Logger:  p.Logger,
 
 		OrdersPerTick: ordersPerTick(p.Duties.CallsPerSecond),
--- a/internal/transport/entryvm/capacities_test.go
+++ b/internal/transport/entryvm/capacities_test.go
@@ -21,8 +21,9 @@
 	"lagoongw/platform"
 )
 
-// startStoreWithLease is a store whose topic of the duties takes appends at its end. Other calls go to another store.
-func startStoreWithLease(t *testing.T, other string) string {
+// startStoreWithLease is a store whose topic of the duties takes appends at its end, and calls saved with each. Other calls go
+// to another store.
+func startStoreWithLease(t *testing.T, other string, saved func(record string)) string {
 	var end atomic.Int64
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{
 		Scheme: "http",
@@ -34,6 +35,8 @@
 		case r.URL.Query().Get("topic") != platform.TopicDuties:
 			proxy.ServeHTTP(w, r)
 		case r.URL.Path == "/log-append":
+			body, _ := io.ReadAll(r.Body)
+			saved(string(body))
 			next := end.Add(1)
 			_, _ = fmt.Fprintf(w, `{"offset":%d,"end_offset":%d}`, next-1, next)
 		default:
@@ -44,7 +47,8 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// TestTheHolderOrdersUpstreams guards against a process that has the duty and orders nothing, or without its name and number.
+// TestTheHolderOrdersUpstreams guards against a process that has the duty and orders nothing, or without its name and number, or
+// that does not save what it orders.
 func TestTheHolderOrdersUpstreams(t *testing.T) {
 	is := is.New(t)
 	type order struct {
@@ -67,7 +71,12 @@
 	t.Cleanup(cloud.Close)
 	scaled := strings.Replace(manifest, `{"name": "s"}`, `{"name": "s", "scaling": {"min": 1, "max": 9, "boot_s": 4, "spot_price": 0.2,
 		"zone_prices": {"a": 1, "b": 1, "c": 1}}}`, 1)
-	store := startStoreWithLease(t, startStoreOf(t, scaled, "127.0.0.1:1"))
+	var saved atomic.Bool
+	store := startStoreWithLease(t, startStoreOf(t, scaled, "127.0.0.1:1"), func(record string) {
+		if strings.Contains(record, `capacity{"orders":[{"desired":`) {
+			saved.Store(true)
+		}
+	})
 	addresses := freeAddresses(t)
 	p := newProcess("vm-1", store, addresses, nil)
 	p.Duties = &duties.Service{
@@ -100,4 +109,9 @@
 	is.True(spot["a"]+spot["b"]+spot["c"]+3-max(spot["a"], spot["b"], spot["c"]) >= 8) // the least number, without any one zone
 	_, metrics, _ := get(t, "http://"+addresses[4]+"/metrics", nil)
 	is.True(strings.Contains(metrics, "lagoongw_capacity_wanted 1")) // 11 or more
+	for deadline := time.Now().Add(waitTimeout); !saved.Load(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the ordered numbers were not saved")
+		}
+	}
 }
