Capacity: a refused spot order leads to one check of the number

Seen in a review: a holder whose number the platform API refuses went on as long as only spot orders were due, since a 409 to a spot order counts as a lack of spot upstreams.

Cause: only a 409 to an order on demand ended the holdership, and nothing had one sent.

Change: after the first 409 to a spot order with a number, one order on demand that repeats the ordered number of that zone goes before further orders, within their limit. A 409 to it ends the holdership. It repeats the ordered rather than the listed number, so that it cancels nothing that is starting. Without an answer it remains due.

--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -61,6 +61,10 @@
 	states   map[string]capacity.State
 	age      time.Duration
 	orders   int64
+	// check is the refused spot order after which the number is to be checked, nil if there is none, and checkedNumber the
+	// number that was checked last.
+	check         *planned
+	checkedNumber int
 
 	// These are used by Run alone.
 	number int
@@ -120,7 +124,7 @@
 	s.number, s.gained = 0, time.Time{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.planners, s.states, s.age = nil, nil, 0
+	s.planners, s.states, s.age, s.check = nil, nil, 0, nil
 }
 
 // prune drops the pools that have no scaling any more.
@@ -138,6 +142,8 @@
 	age     time.Duration
 	// more is the number of upstreams that the order adds.
 	more int
+	// checks tells that the order only checks the number.
+	checks bool
 }
 
 func (s *Service) plan(pool Pool, now time.Time) []planned {
@@ -169,23 +175,44 @@
 	return rows
 }
 
-// send sends the orders until the platform asks for fewer calls, or the duty is lost.
+// send sends the orders until the platform asks for fewer calls, or the duty is lost. The check of the number goes before
+// further orders and counts to their limit.
 func (s *Service) send(ctx context.Context, orders []planned) {
-	for batch := range slices.Chunk(orders, parallelOrders) {
-		var group sync.WaitGroup
-		var stop atomic.Bool
-		for _, order := range batch {
-			group.Go(func() {
-				if !s.sendOne(ctx, order) {
-					stop.Store(true)
-				}
-			})
+	for sent := 0; ; {
+		check, due := s.dueCheck()
+		if due && s.OrdersPerTick > 0 {
+			orders = orders[:max(min(len(orders), s.OrdersPerTick-sent-1), 0)]
+			due = sent < s.OrdersPerTick
 		}
-		group.Wait()
-		if stop.Load() {
+		if due {
+			if !s.sendCheck(ctx, check) {
+				return
+			}
+			sent++
+			continue
+		}
+		batch := orders[:min(len(orders), parallelOrders)]
+		if len(batch) == 0 || !s.sendBatch(ctx, batch) {
 			return
 		}
+		orders = orders[len(batch):]
+		sent += len(batch)
+	}
+}
+
+// sendBatch sends orders at the same time and reports whether further ones may be sent.
+func (s *Service) sendBatch(ctx context.Context, batch []planned) bool {
+	var group sync.WaitGroup
+	var stop atomic.Bool
+	for _, order := range batch {
+		group.Go(func() {
+			if !s.sendOne(ctx, order) {
+				stop.Store(true)
+			}
+		})
 	}
+	group.Wait()
+	return !stop.Load()
 }
 
 // sendOne sends an order and reports whether further ones may be sent.
@@ -201,6 +228,7 @@
 	s.mu.Lock()
 	order.planner.Answered(time.Now(), order.Order, outcome)
 	s.orders++
+	s.noteAnswer(order, err)
 	state := order.planner.State()
 	s.mu.Unlock()
 	s.log(order, state, err)
@@ -208,7 +236,7 @@
 }
 
 // judge returns the outcome of an order by its error. A refused spot order means that none is available, since a refused
-// number is noticed by the next order of another kind or the next renewal of the lease.
+// number is noticed by the check that follows the first such order.
 func judge(err error, spot bool) capacity.Outcome {
 	switch {
 	case err == nil:
