--- a/internal/coordination/duty/election.go
+++ b/internal/coordination/duty/election.go
@@ -169,7 +169,7 @@
 }
 
 // Unreachable notes for how long the platform API can't be reached. Time in which the lease was not in force does not
-// count: a node that was frozen had no chance.
+// count: a node that was frozen could not make any calls.
 func (e *Election) Unreachable(since time.Duration, now Reading) {
 	if e.heldNow(now) && since >= unreachableLimit && now.Boot-e.inForceAt >= unreachableLimit {
 		e.giveUp("the platform API or too many nodes can't be reached", unreachablePause, now)
--- a/internal/coordination/duty/result.go
+++ b/internal/coordination/duty/result.go
@@ -34,7 +34,7 @@
 	return v == other
 }
 
-// leaseChanged notes that a read shows another lease record than the one before. Another node's renewal is as good as its
+// leaseChanged notes that a read shows another lease record than the one before. Another node's renewal counts like its
 // call.
 func (e *Election) leaseChanged(view View, now Reading) {
 	e.seenAt = now.Boot
--- a/internal/transport/duties/log.go
+++ b/internal/transport/duties/log.go
@@ -163,7 +163,7 @@
 	return at, nil
 }
 
-// logCall logs when calls to the store begin to fail and when they go well again.
+// logCall logs when calls to the store begin to fail and when they succeed again.
 func (s *Service) logCall(step string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,5 +176,5 @@
 			Msg("call to the store failed; trying again")
 		return
 	}
-	s.Logger.Info().Str("decision", "duty").Str("step", step+" duties").Str("peer", "store").Msg("call to the store went well again")
+	s.Logger.Info().Str("decision", "duty").Str("step", step+" duties").Str("peer", "store").Msg("call to the store succeeded")
 }
--- a/internal/transport/duties/service.go
+++ b/internal/transport/duties/service.go
@@ -155,8 +155,8 @@
 	s.update(func(now duty.Reading) { s.election.Heard(holder, number, now) })
 }
 
-// Refused notes that the platform API has refused a call with a number because it saw a higher one. The node stops to be
-// the holder with this number.
+// Refused notes that the platform API has refused a call with a number because it saw a higher one. The node is
+// no longer the holder with this number.
 func (s *Service) Refused(number int) {
 	s.update(func(now duty.Reading) {
 		s.status.Refused++
