--- a/internal/transport/capacities/service.go
+++ b/internal/transport/capacities/service.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/capacity"
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/duties"
 	"lagoongw/internal/transport/schedule"
 )
@@ -41,10 +42,15 @@
 	// Pools returns the pools with scaling and what is known of them.
 	Pools func(now time.Time) []Pool
 	// Order sends an order to the platform, within its limit of calls and the back-off after failures. It returns
-	// duties.ErrRefused, duties.ErrBusy or duties.ErrNotHolder; after any other error the order may still be executed.
+	// duties.ErrRefused, duties.ErrRejected, duties.ErrBusy or duties.ErrNotHolder for an order that is not executed; after any
+	// other error it may be.
 	Order func(ctx context.Context, number int, order capacity.Order) error
 	// Refused is told that the platform refused an order because of its number.
 	Refused func(number int)
+	// Save saves a record as the holder, and Records returns those that were saved when this node gained the duty. Both are nil
+	// if ordered numbers are not to be taken over by the next holder.
+	Save    func(ctx context.Context, key string, value []byte) error
+	Records func() map[string][]byte
 	// OrdersPerTick is the largest number of orders in a second, 0 for no limit.
 	OrdersPerTick int
 	// Logger receives the log lines.
@@ -55,10 +61,19 @@
 	states   map[string]capacity.State
 	age      time.Duration
 	orders   int64
+	// check is the refused spot order after which the number is to be checked, nil if there is none, and checkedNumber the
+	// number that was checked last.
+	check         *planned
+	checkedNumber int
 
 	// These are used by Run alone.
 	number int
 	gained time.Time
+	// former holds the numbers that were last ordered, by the former holder or under formerNumber, and saved the record
+	// that was last saved.
+	former       []wire.CapacityOrder
+	formerNumber int
+	saved        []byte
 }
 
 // Run decides once a second until the context ends.
@@ -77,6 +92,7 @@
 	if number != s.number || s.gained.IsZero() {
 		s.forget()
 		s.number, s.gained = number, now
+		s.takeOver(number)
 		s.Logger.Info().Str("decision", "capacity").Int("number", number).Msg("this node decides on the number of upstreams")
 	}
 	var orders []planned
@@ -87,7 +103,20 @@
 	}
 	s.prune(listed)
 	slices.SortStableFunc(orders, func(a, b planned) int { return cmp.Compare(b.more, a.more) })
+	if s.OrdersPerTick > 0 {
+		orders = orders[:min(len(orders), s.OrdersPerTick)]
+	}
+	if s.Save == nil {
+		s.send(ctx, orders)
+		return
+	}
+	// The numbers are saved while the orders are under way: a holder that dies then must not leave orders that the next one
+	// does not know of, and a slow store must not delay them.
+	s.note(orders)
+	var group sync.WaitGroup
+	group.Go(func() { s.save(ctx) })
 	s.send(ctx, orders)
+	group.Wait()
 }
 
 // forget drops what is known, as the duty is not held any more.
@@ -95,7 +124,7 @@
 	s.number, s.gained = 0, time.Time{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.planners, s.states, s.age = nil, nil, 0
+	s.planners, s.states, s.age, s.check = nil, nil, 0, nil
 }
 
 // prune drops the pools that have no scaling any more.
@@ -113,6 +142,8 @@
 	age     time.Duration
 	// more is the number of upstreams that the order adds.
 	more int
+	// checks tells that the order only checks the number.
+	checks bool
 }
 
 func (s *Service) plan(pool Pool, now time.Time) []planned {
@@ -127,7 +158,7 @@
 		s.planners[pool.Name] = planner
 	}
 	planner.Settings = pool.Settings
-	pool.Input.Gained = s.gained
+	pool.Input.Gained, pool.Input.Former = s.gained, s.formerOrders(pool.Name)
 	orders := planner.Plan(now, pool.Input)
 	state := planner.State()
 	s.states[pool.Name] = state
@@ -144,26 +175,44 @@
 	return rows
 }
 
-// send sends the orders until the platform asks for fewer calls, or the duty is lost.
+// send sends the orders until the platform asks for fewer calls, or the duty is lost. The check of the number goes before
+// further orders and counts to their limit.
 func (s *Service) send(ctx context.Context, orders []planned) {
-	if s.OrdersPerTick > 0 {
-		orders = orders[:min(len(orders), s.OrdersPerTick)]
-	}
-	for batch := range slices.Chunk(orders, parallelOrders) {
-		var group sync.WaitGroup
-		var stop atomic.Bool
-		for _, order := range batch {
-			group.Go(func() {
-				if !s.sendOne(ctx, order) {
-					stop.Store(true)
-				}
-			})
+	for sent := 0; ; {
+		check, due := s.dueCheck()
+		if due && s.OrdersPerTick > 0 {
+			orders = orders[:max(min(len(orders), s.OrdersPerTick-sent-1), 0)]
+			due = sent < s.OrdersPerTick
+		}
+		if due {
+			if !s.sendCheck(ctx, check) {
+				return
+			}
+			sent++
+			continue
 		}
-		group.Wait()
-		if stop.Load() {
+		batch := orders[:min(len(orders), parallelOrders)]
+		if len(batch) == 0 || !s.sendBatch(ctx, batch) {
 			return
 		}
+		orders = orders[len(batch):]
+		sent += len(batch)
+	}
+}
+
+// sendBatch sends orders at the same time and reports whether further ones may be sent.
+func (s *Service) sendBatch(ctx context.Context, batch []planned) bool {
+	var group sync.WaitGroup
+	var stop atomic.Bool
+	for _, order := range batch {
+		group.Go(func() {
+			if !s.sendOne(ctx, order) {
+				stop.Store(true)
+			}
+		})
 	}
+	group.Wait()
+	return !stop.Load()
 }
 
 // sendOne sends an order and reports whether further ones may be sent.
@@ -179,14 +228,15 @@
 	s.mu.Lock()
 	order.planner.Answered(time.Now(), order.Order, outcome)
 	s.orders++
+	s.noteAnswer(order, err)
 	state := order.planner.State()
 	s.mu.Unlock()
 	s.log(order, state, err)
-	return outcome == capacity.Accepted || outcome == capacity.NoneAvailable
+	return outcome != capacity.NotSent && outcome != capacity.Unknown
 }
 
 // judge returns the outcome of an order by its error. A refused spot order means that none is available, since a refused
-// number is noticed by the next order of another kind or the next renewal of the lease.
+// number is noticed by the check that follows the first such order.
 func judge(err error, spot bool) capacity.Outcome {
 	switch {
 	case err == nil:
@@ -195,6 +245,10 @@
 		return capacity.NoneAvailable
 	case errors.Is(err, duties.ErrRefused), errors.Is(err, duties.ErrBusy), errors.Is(err, duties.ErrNotHolder):
 		return capacity.NotSent
+	case errors.Is(err, duties.ErrRejected):
+		return capacity.Rejected
+	case errors.Is(err, duties.ErrFailed):
+		return capacity.Failed
 	}
 	return capacity.Unknown
 }
--- a/internal/transport/duties/log.go
+++ b/internal/transport/duties/log.go
@@ -53,9 +53,13 @@
 	}
 }
 
-// read reads the topic and reports whether it could.
+// read reads the topic and reports whether it could. A store that does not have the topic yet counts as one with an empty
+// topic.
 func (s *Service) read(ctx context.Context) bool {
 	batch, err := s.Log.Newest(ctx)
+	if errors.Is(err, catalog.ErrNoTopic) {
+		batch, err = catalog.Batch{Era: batch.Era}, nil
+	}
 	s.logCall("read", err)
 	if err != nil {
 		return false
@@ -169,7 +173,7 @@
 	return at, nil
 }
 
-// logCall logs when calls to the store begin to fail and when they go well again.
+// logCall logs when calls to the store begin to fail and when they succeed again.
 func (s *Service) logCall(step string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,5 +186,5 @@
 			Msg("call to the store failed; trying again")
 		return
 	}
-	s.Logger.Info().Str("decision", "duty").Str("step", step+" duties").Str("peer", "store").Msg("call to the store went well again")
+	s.Logger.Info().Str("decision", "duty").Str("step", step+" duties").Str("peer", "store").Msg("call to the store succeeded")
 }
--- a/internal/transport/duties/service.go
+++ b/internal/transport/duties/service.go
@@ -27,7 +27,8 @@
 
 // Log is the topic of the store that holds the lease and the holder's other records.
 type Log interface {
-	// Newest returns the newest record of each key.
+	// Newest returns the newest record of each key. If the store does not have the topic, it returns catalog.ErrNoTopic and
+	// a batch with the era.
 	Newest(ctx context.Context) (catalog.Batch, error)
 	// AppendAt appends a record if the topic ends at an offset, and returns the era of the store. It returns ErrConflict if
 	// the topic ends elsewhere and catalog.ErrRefused for a record that the store will never accept; after other errors the
@@ -154,8 +155,8 @@
 	s.update(func(now duty.Reading) { s.election.Heard(holder, number, now) })
 }
 
-// Refused notes that the platform API has refused a call with a number because it saw a higher one. The node stops to be
-// the holder with this number.
+// Refused notes that the platform API has refused a call with a number because it saw a higher one. The node is
+// no longer the holder with this number.
 func (s *Service) Refused(number int) {
 	s.update(func(now duty.Reading) {
 		s.status.Refused++
