Origins: a version that the nodes were only told of is not taken for recorded

Seen in a review: a node tells the others of a new version while it appends it to the record. If that node is lost before the store has accepted the entry, all others took the version for recorded for good, no later writer wrote it, and after a loss of all nodes the record named one version alone.

Cause: the record did not keep entries that were told apart from those that the store has accepted.

Change: an entry carries whether the store has accepted it, and the nodes are told a second time after the append. A removal that is not confirmed leaves the entry known, so that the next writer repeats it. Messages of nodes without the flag count as unconfirmed.

Failed before: TestNextWriterRecordsWhatAFormerOneOnlyTold.

--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -26,6 +26,9 @@
 	Complete bool
 	// Gone reports that the entry is removed.
 	Gone bool
+	// Confirmed reports that the store has accepted the entry, or its removal. A version that another node is about to write
+	// may never reach the store if that node is lost.
+	Confirmed bool
 }
 
 // Record decides what is written to the record of the software versions that have served. It is not safe for concurrent use.
@@ -48,7 +51,16 @@
 func (r *Record) Read(entries []Entry, era int) {
 	r.era = max(r.era, era)
 	r.entries = map[string]Entry{}
-	r.put(entries)
+	r.put(Confirmed(entries))
+}
+
+// Confirmed returns entries as the store has accepted them.
+func Confirmed(entries []Entry) []Entry {
+	confirmed := slices.Clone(entries)
+	for i := range confirmed {
+		confirmed[i].Confirmed = true
+	}
+	return confirmed
 }
 
 // Told records entries that another node has written or is about to write.
@@ -83,18 +95,29 @@
 		r.entries = map[string]Entry{}
 	}
 	for _, e := range entries {
-		if e.Gone {
-			delete(r.entries, e.Key)
-		} else {
-			r.entries[e.Key] = e
-		}
+		r.putEntry(e)
+	}
+}
+
+// putEntry merges an entry. One whose removal is not confirmed may still be in the store: it stays known so that it is removed
+// again, and is not relied on. The two messages about an entry may arrive in any order.
+func (r *Record) putEntry(e Entry) {
+	known, found := r.entries[e.Key]
+	switch {
+	case e.Gone && e.Confirmed:
+		delete(r.entries, e.Key)
+	case e.Gone && found:
+		known.Confirmed = false
+		r.entries[e.Key] = known
+	case !e.Gone && (e.Confirmed || !found):
+		r.entries[e.Key] = e
 	}
 }
 
 // BeginEra records the era of the store. Entries of an earlier one may be lacking.
 func (r *Record) BeginEra(era int) { r.era = max(r.era, era) }
 
-// Versions returns the recorded versions by pool.
+// Versions returns the versions by pool that the record holds or may hold.
 func (r *Record) Versions() map[string][]string {
 	byPool := map[string][]string{}
 	for _, e := range r.entries {
@@ -105,10 +128,10 @@
 	return byPool
 }
 
-// Has reports whether a version is in the record.
+// Has reports whether the store has confirmed that a version is in the record.
 func (r *Record) Has(pool, version string) bool {
 	for _, e := range r.entries {
-		if e.Pool == pool && e.Version == version {
+		if e.Pool == pool && e.Version == version && e.Confirmed {
 			return true
 		}
 	}
@@ -116,13 +139,13 @@
 }
 
 // Complete reports whether the record holds all versions of a pool. In a store that was restored from an older copy it does
-// only if an entry of this era says so; else an absent entry means that a version has not served.
+// only if a confirmed entry of this era says so; else an absent entry means that a version has not served.
 func (r *Record) Complete(pool string) bool {
 	if r.era == 0 {
 		return true
 	}
 	for _, e := range r.entries {
-		if e.Pool == pool && e.Era == r.era && e.Complete {
+		if e.Pool == pool && e.Era == r.era && e.Complete && e.Confirmed {
 			return true
 		}
 	}
@@ -169,7 +192,7 @@
 func (r *Record) Remove(pool, version string) {
 	for _, e := range r.entries {
 		if e.Pool == pool && e.Version == version {
-			e.Gone = true
+			e.Gone, e.Confirmed = true, false
 			r.append(e)
 		}
 	}
@@ -208,7 +231,7 @@
 	for _, e := range sent {
 		delete(r.wanted, e.Key)
 	}
-	r.put(sent)
+	r.put(Confirmed(sent))
 }
 
 // Failed records that the store did not answer; the next call is due after a pause.
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -1181,6 +1181,9 @@
 	// Complete reports that the record holds all versions of the pool in that era.
 	Complete bool `json:"complete,omitempty,omitzero"`
 
+	// Confirmed reports that the store has accepted the entry.
+	Confirmed bool `json:"confirmed,omitempty,omitzero"`
+
 	// Era is the era of the store in which the entry was written.
 	Era int `json:"era,omitempty,omitzero"`
 
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -164,12 +164,13 @@
 	params := wire.TellVersions{Entries: make([]wire.VersionEntry, 0, len(entries))}
 	for _, e := range entries {
 		params.Entries = append(params.Entries, wire.VersionEntry{
-			Key:      e.Key,
-			Pool:     e.Pool,
-			Version:  e.Version,
-			Era:      e.Era,
-			Complete: e.Complete,
-			Gone:     e.Gone,
+			Key:       e.Key,
+			Pool:      e.Pool,
+			Version:   e.Version,
+			Era:       e.Era,
+			Complete:  e.Complete,
+			Gone:      e.Gone,
+			Confirmed: e.Confirmed,
 		})
 	}
 	var answer struct{}
@@ -184,12 +185,13 @@
 	var entries []origin.Entry
 	for _, row := range message.Entries {
 		entries = append(entries, origin.Entry{
-			Key:      row.Key,
-			Pool:     row.Pool,
-			Version:  row.Version,
-			Era:      row.Era,
-			Complete: row.Complete,
-			Gone:     row.Gone,
+			Key:       row.Key,
+			Pool:      row.Pool,
+			Version:   row.Version,
+			Era:       row.Era,
+			Complete:  row.Complete,
+			Gone:      row.Gone,
+			Confirmed: row.Confirmed,
 		})
 	}
 	p.origins.ToldVersions(entries)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -272,7 +272,7 @@
 
 func (s *Service) maintainPool(pool string, window time.Duration, listed, recorded []string, now time.Time) {
 	for _, version := range listed {
-		if !slices.Contains(recorded, version) {
+		if !s.record.Has(pool, version) && !s.record.BeingWritten(pool, version, now) {
 			s.record.Want(pool, version)
 		}
 	}
@@ -346,24 +346,18 @@
 }
 
 // appendEntries writes entries to the record and tells all nodes, which then know of a new version before a stream begins
-// there.
+// there. They are told again once the store has accepted the entries.
 func (s *Service) appendEntries(entries []origin.Entry) {
 	ctx := context.Background()
-	var group sync.WaitGroup
-	for _, node := range s.Nodes() {
-		if node.Name != s.Name && s.TellVersions != nil {
-			group.Go(func() {
-				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
-					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
-				}
-			})
-		}
-	}
+	group := s.tellEntries(ctx, entries)
 	records, err := encodeEntries(entries)
 	if err == nil {
 		err = s.VersionRecord.Save(ctx, records)
 	}
 	group.Wait()
+	if err == nil {
+		s.tellEntries(ctx, origin.Confirmed(entries))
+	}
 	s.logAppend(entries, err)
 	now := time.Now()
 	s.mu.Lock()
@@ -378,6 +372,21 @@
 	s.notifyLocked()
 }
 
+// tellEntries tells all other nodes of entries of the record without waiting for them; the group ends with the last answer.
+func (s *Service) tellEntries(ctx context.Context, entries []origin.Entry) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for _, node := range s.Nodes() {
+		if node.Name != s.Name && s.TellVersions != nil {
+			group.Go(func() {
+				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
+					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
+				}
+			})
+		}
+	}
+	return &group
+}
+
 func (s *Service) logAppend(entries []origin.Entry, err error) {
 	for _, e := range entries {
 		entry := s.Logger.Info()
--- /dev/null
+++ b/internal/transport/origins/versions_test.go
@@ -0,0 +1,97 @@
+package origins_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/catalog"
+	"lagoongw/internal/transport/origins"
+)
+
+// recordTopic is a topic that fails on demand.
+type recordTopic struct {
+	mu      sync.Mutex
+	saved   []wire.FeedRecord
+	saveErr error
+	readErr error
+	era     int
+}
+
+func (r *recordTopic) Newest(context.Context) (catalog.Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return catalog.Batch{
+		Records: r.saved,
+		Era:     r.era,
+	}, r.readErr
+}
+
+func (r *recordTopic) Save(_ context.Context, records []wire.FeedRecord) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.saveErr == nil {
+		r.saved = append(r.saved, records...)
+	}
+	return r.saveErr
+}
+
+func (r *recordTopic) holds(version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range r.saved {
+		if strings.Contains(record.Value, version) {
+			return true
+		}
+	}
+	return false
+}
+
+// newNode returns a node named a that lists version v1 of the pool s, with one peer named b, and writes to the store.
+func newNode(record *recordTopic) *origins.Service {
+	return &origins.Service{
+		Name:  "a",
+		Nodes: func() []origin.Node { return []origin.Node{{Name: "a"}, {Name: "b"}} },
+		Versions: func() (map[string][]string, bool) {
+			return map[string][]string{"s": {"v1"}}, true
+		},
+		Timeouts:      func() map[string]time.Duration { return map[string]time.Duration{"s": routeTimeout} },
+		VersionRecord: record,
+		Writer:        func() string { return "a" },
+		AskSighted:    func(context.Context, string, string) (origin.Sighted, error) { return origin.Sighted{}, errLost },
+		Logger:        zerolog.Nop(),
+	}
+}
+
+func tickFor(s *origins.Service, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		s.Tick(time.Now())
+	}
+}
+
+// TestNextWriterRecordsWhatAFormerOneOnlyTold guards against a version that is never recorded, because the node that told the
+// others of it was lost before the store had accepted it.
+func TestNextWriterRecordsWhatAFormerOneOnlyTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		record := &recordTopic{}
+		s := newNode(record)
+		tickFor(s, 250*time.Millisecond)
+		s.ToldVersions([]origin.Entry{{
+			Key:      "of-b",
+			Pool:     "s",
+			Version:  "v1",
+			Complete: true,
+		}})
+		tickFor(s, 5*time.Second)
+		is.True(record.holds("v1"))
+	})
+}
