Origins: a later era of the store revokes what was read of the versions

Seen in a review: a node that found no topic of versions at its start took the record for complete, since no answer had named an era above 0. The store may have been restored from a copy older than the topic; when the list of upstreams named era 1 the answer of the read stayed in force, and take-ups by "one version" relied on it.

Cause: completeness was kept as it was at the time of the read.

Change: it holds only while the node knows of no later era than at the read. The era of the answer "no such topic" counts if it has one. Entries told later don't restore it, as earlier ones may not have arrived; the node's own observation does after the take-up bound.

Measured: go test ./internal/coordination/origin ./internal/transport/origins passes.

Failed before: TestEraThatIsLearnedLaterRevokesWhatWasRead, cases "list says that it was restored" and "told that the record is whole now".

--- a/internal/coordination/origin/record.go
+++ b/internal/coordination/origin/record.go
@@ -117,6 +117,9 @@
 // BeginEra records the era of the store. Entries of an earlier one may be lacking.
 func (r *Record) BeginEra(era int) { r.era = max(r.era, era) }
 
+// Era returns the newest known era of the store.
+func (r *Record) Era() int { return r.era }
+
 // Versions returns the versions by pool that the record holds or may hold.
 func (r *Record) Versions() map[string][]string {
 	byPool := map[string][]string{}
--- a/internal/coordination/origin/sightings.go
+++ b/internal/coordination/origin/sightings.go
@@ -90,7 +90,7 @@
 }
 
 // Cover records that a record of the versions was read, which holds all that have served before; complete reports whether it
-// does for a pool. The read was sent at a time, and the versions count as seen now.
+// does for a pool, which may change after the read. The read was sent at a time, and the versions count as seen now.
 func (s *Sightings) Cover(versions map[string][]string, complete func(pool string) bool, sent, now time.Time) {
 	s.coveredAt, s.covers = sent, complete
 	s.note(versions, true, now)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -330,7 +330,10 @@
 	for pool := range s.bounds() {
 		complete[pool] = s.record.Complete(pool)
 	}
-	s.sightings.Cover(s.record.Versions(), func(pool string) bool { return complete[pool] }, sent, now)
+	// A read in an earlier era, or one of a missing topic that told no era, may lack versions that have served. Entries that the
+	// node is told of later don't change that, since earlier ones may not have reached it.
+	era := s.record.Era()
+	s.sightings.Cover(s.record.Versions(), func(pool string) bool { return complete[pool] && s.record.Era() == era }, sent, now)
 	s.Logger.Info().Str("decision", "versions").Interface("versions", s.record.Versions()).Int("era", batch.Era).
 		Interface("complete", complete).Msg("record of versions read")
 	if len(s.loggedPools(now)) > 0 {
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -71,6 +71,52 @@
 	}
 }
 
+// TestEraThatIsLearnedLaterRevokesWhatWasRead guards against a store without the topic, which says no era: it may have been
+// restored from a copy older than the topic, so that a version that has served is missing.
+func TestEraThatIsLearnedLaterRevokesWhatWasRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		eraOfRead, eraOfList int
+		told                 []origin.Entry
+		known                bool
+	}{
+		"store was never restored":          {known: true},
+		"list says that it was restored":    {eraOfList: 1},
+		"the answer itself says the era":    {eraOfRead: 1},
+		"told that the record is whole now": {eraOfList: 1, told: []origin.Entry{wholeRecord}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newNode(&recordTopic{
+					readErr: catalog.ErrNoTopic,
+					era:     c.eraOfRead,
+				})
+				s.Writer = func() string { return "b" }
+				era := 0
+				s.Era = func() int { return era }
+				s.Refresh = func(context.Context) error {
+					era = c.eraOfList
+					return nil
+				}
+				tickFor(s, time.Second)
+				s.ToldVersions(c.told)
+				_, known := s.FindOnly(t.Context(), "s", routeTimeout)
+				is.Equal(known, c.known)
+			})
+		})
+	}
+}
+
+// wholeRecord is an entry of the first era after a restore whose writer knew all versions.
+var wholeRecord = origin.Entry{
+	Key:       "whole",
+	Pool:      "s",
+	Version:   "v1",
+	Era:       1,
+	Complete:  true,
+	Confirmed: true,
+}
+
 func tickFor(s *origins.Service, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		s.Tick(time.Now())
