Origins: a frozen node no longer delays a version that the store has accepted

Seen in a review: one frozen or just-killed node held a new version back until the peer call to it timed out, or until the limit of 1 s, although the store had accepted the version within milliseconds.

Cause: the append counted as done only after all nodes had answered that they know of the version.

Change: the wait for these answers ends 250 ms after they were asked for. A node that has not answered by then reads the list of upstreams itself before it answers a caller.

Failed before: TestFrozenNodeDoesNotDelayANewVersion.

--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -17,6 +17,9 @@
 	admitTimeout = time.Second
 	// callerTimeout is how long a caller who takes a stream up waits for a read of the store.
 	callerTimeout = 300 * time.Millisecond
+	// tellTimeout is how long a version waits for the other nodes to be told of it. A round trip between regions takes less; a
+	// node that does not answer by then reads the list of upstreams itself before it answers a caller.
+	tellTimeout = 250 * time.Millisecond
 	// refreshInterval is the least time between two reads of the list of upstreams for callers.
 	refreshInterval = 200 * time.Millisecond
 	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
@@ -352,12 +355,16 @@
 // there. They are told again once the store has accepted the entries.
 func (s *Service) appendEntries(entries []origin.Entry) {
 	ctx := context.Background()
-	group := s.tellEntries(ctx, entries)
+	tellsEnd := time.After(tellTimeout)
+	told := s.tellEntries(ctx, entries)
 	records, err := encodeEntries(entries)
 	if err == nil {
 		err = s.VersionRecord.Save(ctx, records)
 	}
-	group.Wait()
+	select {
+	case <-told:
+	case <-tellsEnd:
+	}
 	if err == nil {
 		s.tellEntries(ctx, origin.Confirmed(entries))
 	}
@@ -375,8 +382,9 @@
 	s.notifyLocked()
 }
 
-// tellEntries tells all other nodes of entries of the record without waiting for them; the group ends with the last answer.
-func (s *Service) tellEntries(ctx context.Context, entries []origin.Entry) *sync.WaitGroup {
+// tellEntries tells all other nodes of entries of the record without waiting for them; the channel is closed after the
+// last answer.
+func (s *Service) tellEntries(ctx context.Context, entries []origin.Entry) <-chan struct{} {
 	var group sync.WaitGroup
 	for _, node := range s.Nodes() {
 		if node.Name != s.Name && s.TellVersions != nil {
@@ -387,7 +395,12 @@
 			})
 		}
 	}
-	return &group
+	told := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(told)
+	}()
+	return told
 }
 
 func (s *Service) logAppend(entries []origin.Entry, err error) {
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -117,6 +117,26 @@
 	Confirmed: true,
 }
 
+// TestFrozenNodeDoesNotDelayANewVersion guards against an upstream that is withheld until the call of a frozen node times out
+// although the store has accepted its version.
+func TestFrozenNodeDoesNotDelayANewVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const peerTimeout = 5 * time.Second
+		s := newNode(&recordTopic{})
+		s.TellVersions = func(context.Context, string, []origin.Entry) error {
+			time.Sleep(peerTimeout)
+			return errLost
+		}
+		tickFor(s, 250*time.Millisecond)
+		began := time.Now()
+		s.Admit(t.Context(), map[string][]string{"s": {"v2"}})
+		is.True(s.Recorded("s", "v2"))
+		is.True(time.Since(began) < 400*time.Millisecond)
+		time.Sleep(2 * peerTimeout) // the calls end within the test
+	})
+}
+
 func tickFor(s *origins.Service, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		s.Tick(time.Now())
