Catalog: a refresh of the upstreams for callers is pushed only if something changed

Seen in a review: each read of the list of upstreams for a caller was pushed to every live node. After a loss of all nodes every node reads for its callers, up to 5 times a second, so that the messages of a site of 300 nodes grow with the square of its size.

Cause: a refresh pushed like the regular read that it replaces.

Change: a refresh pushes only records that changed something, or a new era of the store, and no first list. The reader, whose refreshes replace its regular reads, also pushes an unchanged list, at most every 0.75 s, or else the other nodes would take its updates for missing and read themselves. applyRead returns one value more, which one existing test discards.

Measured: go test -count=3 ./internal/transport/catalog passes.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -17,6 +17,10 @@
 // reads.
 const changeHistoryOffsets = 10_000
 
+// refreshPushInterval is the least time between two pushes of a reader's refreshes that changed nothing. It is half of the
+// period of regular reads, so that the other nodes are told as often as before.
+const refreshPushInterval = upstreamsReadPeriod / 2
+
 // follower keeps one topic up to date from the store and from peers.
 type follower struct {
 	source Source
@@ -55,6 +59,8 @@
 	fetches feed.FetchQueue
 	// fromCopy is set when the copy was loaded because the topic could not be read.
 	fromCopy bool
+	// pushedAt is when what was read last was sent to the peers.
+	pushedAt time.Time
 }
 
 // read reads the store once and sends what changed to the peers.
@@ -69,20 +75,46 @@
 	return nil
 }
 
-// refresh reads the store once and sends what changed to the peers. A failure does not count as an outage, since the read is not
-// due.
-func (f *follower) refresh(ctx context.Context) error {
+// refresh reads the store once and sends what changed to the peers, if anything did: many nodes may refresh at the same time,
+// and each push goes to all others. The reader, whose regular reads it replaces, pushes all the same, at most refreshPushInterval
+// apart. A failure does not count as an outage, since the read is not due.
+func (f *follower) refresh(ctx context.Context, isReader bool) error {
 	update, err := f.fetch(ctx, 0)
-	if err == nil {
-		f.accept(ctx, update)
+	if err != nil {
+		return err
 	}
-	return err
+	f.onStoreReachable()
+	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) {
+		pushed, changed := f.applyRead(update, now)
+		if changed || isReader && f.pushIsDue(time.Now()) {
+			f.pushRead(pushed)
+		}
+	})
+	return nil
+}
+
+// pushIsDue reports whether the last push of a read was at least refreshPushInterval ago.
+func (f *follower) pushIsDue(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.pushedAt) >= refreshPushInterval
+}
+
+// pushRead sends an update that was read from the store to the peers.
+func (f *follower) pushRead(update wire.FeedUpdate) {
+	f.mu.Lock()
+	f.pushedAt = time.Now()
+	f.mu.Unlock()
+	f.push(update)
 }
 
 // accept applies an update that was read from the store and sends what changed to the peers.
 func (f *follower) accept(ctx context.Context, update wire.FeedUpdate) {
 	f.onStoreReachable()
-	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) { f.push(f.applyRead(update, now)) })
+	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) {
+		pushed, _ := f.applyRead(update, now)
+		f.pushRead(pushed)
+	})
 }
 
 // readAlone reads the store once for this node alone.
@@ -177,15 +209,17 @@
 
 // applyRead merges an update read from the store and returns the update for the peers: a snapshot if the whole topic
 // was read, else the records that changed something. These include records that this node already had from a peer,
-// since other peers may have missed that peer's update.
-func (f *follower) applyRead(update wire.FeedUpdate, now time.Time) wire.FeedUpdate {
+// since other peers may have missed that peer's update. changed reports whether the update holds such records or, as a
+// snapshot, changed what this node had loaded before.
+func (f *follower) applyRead(update wire.FeedUpdate, now time.Time) (pushed wire.FeedUpdate, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.merge(update, now)
+	loadedBefore := f.topic.Loaded()
+	changed, _ = f.merge(update, now)
 	if update.Whole {
-		return f.topic.Snapshot()
+		return f.topic.Snapshot(), changed && loadedBefore
 	}
-	pushed := update
+	pushed = update
 	pushed.FreshFrom = f.topic.FreshFrom()
 	pushed.Records = nil
 	for _, record := range update.Records {
@@ -193,12 +227,12 @@
 			pushed.Records = append(pushed.Records, record)
 		}
 	}
-	return pushed
+	return pushed, len(pushed.Records) > 0
 }
 
-// merge applies the new records of an update that is current as of now. It reports whether records between the topic's
-// next offset and the update are missing. The caller must hold the lock.
-func (f *follower) merge(update wire.FeedUpdate, now time.Time) (gap bool) {
+// merge applies the new records of an update that is current as of now. It reports whether they changed something or began
+// a new era, and whether records between the topic's next offset and the update are missing. The caller must hold the lock.
+func (f *follower) merge(update wire.FeedUpdate, now time.Time) (changed, gap bool) {
 	eraBefore, loadedBefore := f.topic.Era(), f.topic.Loaded()
 	ignored := f.topic.Ignores(update)
 	newer, gap := f.topic.Apply(update)
@@ -216,7 +250,9 @@
 			f.unsaved[record.Key] = record
 		}
 	}
+	changed = restored
 	for _, record := range f.applyRecords(newer) {
+		changed = true
 		f.unsaved[record.Key] = record
 		f.changes[record.Offset] = true
 	}
@@ -229,7 +265,7 @@
 			delete(f.changes, offset)
 		}
 	}
-	return gap
+	return changed, gap
 }
 
 // forgetTombstones removes the unsaved tombstones that the topic has forgotten. A node that isn't the reader saves none.
@@ -328,7 +364,8 @@
 	defer f.mu.Unlock()
 	// An update shows that the store is reachable, even if this node's own read failed.
 	f.onStoreReachable()
-	return f.merge(update, now)
+	_, gap = f.merge(update, now)
+	return gap
 }
 
 func (f *follower) snapshot() (wire.FeedUpdate, bool) {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -155,9 +155,11 @@
 // UpstreamsEra returns how often the store was restored from an older copy by the newest list of upstreams.
 func (s *Service) UpstreamsEra() int { return s.upstreams.era() }
 
-// RefreshUpstreams reads the upstreams now. For the other nodes, which are told what it returns, it replaces the next regular
-// read.
-func (s *Service) RefreshUpstreams(ctx context.Context) error { return s.upstreams.refresh(ctx) }
+// RefreshUpstreams reads the upstreams now. It replaces the next regular read of this node; the other nodes are told what
+// changed.
+func (s *Service) RefreshUpstreams(ctx context.Context) error {
+	return s.upstreams.refresh(ctx, s.Peers.ReaderRank() == 0)
+}
 
 // UpstreamsRetryIn returns how long this node waits before it reads the upstreams again after a failed read, 0 if it does not.
 func (s *Service) UpstreamsRetryIn() time.Duration { return s.upstreams.retryIn(time.Now()) }
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -90,7 +90,7 @@
 		is.NoErr(other.read(context.Background(), 0))
 		snapshot, _ := other.snapshot()
 		reader.handleUpdate(snapshot)
-		pushed := reader.applyRead(update, time.Now())
+		pushed, _ := reader.applyRead(update, time.Now())
 		is.Equal(pushed.Next, 2)
 		is.Equal(len(pushed.Records), 1)
 	})
