Catalog: a whole list keeps an upstream whose new entry waits for its version

Seen in a review: when the whole list of upstreams was read, because records were deleted, many, or the store was restored, an upstream whose new entry waits for its version to be recorded was removed from the list, with its requests in progress.

Cause: the part of the update that is applied at once lacked the key, and a whole update removes what it lacks.

Change: that part holds the former record of the key, with the lowest offset in a new era, where its own offset means another record.

Measured: go test -count=2 ./internal/transport/catalog ./internal/coordination/feed passes.

Failed before: TestWholeListKeepsUpstreamsWhoseNewEntryWaits, both cases.

--- a/internal/coordination/feed/topic.go
+++ b/internal/coordination/feed/topic.go
@@ -184,6 +184,16 @@
 // Value returns the value of a key, empty if the topic has none.
 func (t *Topic) Value(key string) string { return t.records[key].Value }
 
+// Kept returns the record of a key as an update of the whole topic in an era has to repeat it so that it stays in force; known
+// is false if the topic has none.
+func (t *Topic) Kept(key string, era int) (record wire.FeedRecord, known bool) {
+	record = t.records[key]
+	if era != t.era {
+		record.Offset = restoredOffset // its offset means another record in a new era
+	}
+	return record, record.Value != ""
+}
+
 // forgetTombstones removes the oldest tombstones if there are too many. Updates that end before the newest of them are
 // ignored from then on: they could bring its key back. Where the rank decides, keys are few and none is forgotten.
 func (t *Topic) forgetTombstones() {
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -44,7 +44,8 @@
 }
 
 // divide returns an update without the records of versions that are not recorded, and these versions' upstreams. The update
-// ends before the first such record, so that a peer that misses the later update sees that records are missing.
+// ends before the first such record, so that a peer that misses the later update sees that records are missing. If it holds the
+// whole topic, the former records stay in it: those that it lacks are removed.
 func (f *follower) divide(update wire.FeedUpdate) (known wire.FeedUpdate, rows []wire.Machine) {
 	if f.versions == nil {
 		return update, nil
@@ -59,10 +60,19 @@
 		}
 		rows = append(rows, row)
 		known.Next = min(known.Next, record.Offset)
+		if former, listed := f.kept(record.Key, update.Era); update.Whole && listed {
+			known.Records = append(known.Records, former)
+		}
 	}
 	return known, rows
 }
 
+func (f *follower) kept(key string, era int) (record wire.FeedRecord, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.topic.Kept(key, era)
+}
+
 // held reports whether the version of an upstream's entry must be recorded before the entry is applied. An entry that repeats
 // the one in force need not be looked at.
 func (f *follower) held(record wire.FeedRecord) (row wire.Machine, held bool) {
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -104,3 +104,41 @@
 		}
 	})
 }
+
+// TestWholeListKeepsUpstreamsWhoseNewEntryWaits guards against a listed upstream whose requests in progress are cut off because
+// a read of the whole list, in the same era of the store or a new one, withholds its new entry.
+func TestWholeListKeepsUpstreamsWhoseNewEntryWaits(t *testing.T) {
+	for name, makeWhole := range map[string]func(topic *fakeTopic){
+		"records were deleted": func(topic *fakeTopic) { topic.set(func() { topic.deleted = true }) },
+		"store was restored":   func(topic *fakeTopic) { topic.set(func() { topic.era++ }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := &slowRecord{
+				delay:    3 * time.Second,
+				recorded: map[string]bool{"": true},
+			}
+			runSiteOf(t, func(s *Service) { s.Versions = record }, func(s *site, _, upstreams *fakeTopic) {
+				is := is.New(t)
+				upstreams.put("u3", "ready@1")
+				time.Sleep(upstreamsReadPeriod + pollInterval)
+				upstreams.put("u3", "ready@2/v2")
+				makeWhole(upstreams)
+				time.Sleep(upstreamsReadPeriod + pollInterval)
+				for _, service := range s.services {
+					former, listed := service.Table.Load().Replica("u3")
+					is.True(listed)
+					is.Equal(former.Version(), "")
+				}
+				held, _ := s.services[0].Table.Load().Replica("u3")
+				is.True(held.Leaving())
+				time.Sleep(record.delay + upstreamsReadPeriod)
+				for _, service := range s.services {
+					next, listed := service.Table.Load().Replica("u3")
+					is.True(listed)
+					is.Equal(next.Version(), "v2")
+					is.True(!next.Leaving())
+				}
+			})
+		})
+	}
+}
