Origins: a node that is no longer the one to write drops its pending streams

Seen in a review: a node that stopped being the one that appends streams to the log still appended the streams that waited, into the slot from which the new writer continues, and overwrote its batch.

Cause: the append went on as long as streams waited, without regard to who writes.

Change: a node that does not write drops the streams that wait and forgets the slots in use, both when its role ends and before an append. An append in flight ends. The new writer is told of the streams by the nodes where they began; a node that becomes the writer again appends what it remembers.

Failed before: TestRetiredWriterAppendsNoMore (2 batches instead of 1).

--- a/internal/coordination/origin/log.go
+++ b/internal/coordination/origin/log.go
@@ -1,6 +1,9 @@
 package origin
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// logSlots is the number of keys under which batches of streams are kept in the store. One is written every LogInterval,
@@ -55,6 +58,13 @@
 // Forget makes the slots in use unknown, since another node may write to them.
 func (l *Log) Forget() { l.known = false }
 
+// Retire drops the streams that wait, except those of an append in flight, and makes the slots in use unknown: another node writes
+// to them from now on.
+func (l *Log) Retire() {
+	l.pending = slices.Clone(l.pending[:l.inFlight])
+	l.Forget()
+}
+
 // Known reports whether the slots in use are known.
 func (l *Log) Known() bool { return l.known }
 
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -61,6 +61,7 @@
 	}
 	if !s.isWriter(now) {
 		s.writing = nil
+		s.log.Retire()
 		return
 	}
 	if len(s.writing) == 0 && now.Sub(s.logReadAt) >= logReadInterval {
@@ -98,6 +99,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.isWriter(now) {
+		s.log.Retire()
+		s.logScheduled = false
+		return
+	}
 	if !s.log.Known() {
 		s.startLogRead(now)
 		time.AfterFunc(origin.LogInterval, s.appendLog)
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -161,3 +161,55 @@
 		is.True(record.holds("v1"))
 	})
 }
+
+// TestRetiredWriterAppendsNoMore guards against a node that is no longer the one to write, and whose pending streams overwrite
+// the batches of the new writer, which continues from the same slot.
+func TestRetiredWriterAppendsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &recordTopic{}
+		s := newNode(&recordTopic{})
+		s.Versions = func() (map[string][]string, bool) {
+			return map[string][]string{"s": {"v1", "v2"}}, true
+		}
+		s.Tell = func(context.Context, string, []origin.Report) error { return errLost }
+		s.StreamLog = log
+		writer := "a"
+		s.Writer = func() string { return writer }
+		began := func(id string) {
+			s.Began(id, origin.Origin{
+				Pool:    "s",
+				Version: "v1",
+			})
+		}
+		tickFor(s, 3*time.Second)
+		began("first")
+		tickFor(s, time.Second)
+		is.Equal(log.count(), 1)
+
+		log.fail(errLost)
+		began("second")
+		tickFor(s, time.Second)
+		writer = "b"
+		tickFor(s, 250*time.Millisecond)
+		log.fail(nil)
+		tickFor(s, 5*time.Second)
+		is.Equal(log.count(), 1)
+
+		writer = "a"
+		tickFor(s, 5*time.Second)
+		is.Equal(log.count(), 2) // it appends what it remembers under a slot that it has read anew
+	})
+}
+
+func (r *recordTopic) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saveErr = err
+}
+
+func (r *recordTopic) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.saved)
+}
