Origins: nodes are not ranked where no pool can have take-ups

Seen in a review: each node ranked all nodes 4 times a second to find the one that writes to the store, also on sites without resumable streams, where nothing is written.

Change: the writer is determined only while a pool has resumable routes.

Measured: 20 rankings in 5 s before, none now; go test ./internal/transport/origins passes.

Failed before: TestSitesWithoutTakeUpsRankNoNodes (20 instead of 0).

--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -37,9 +37,13 @@
 }
 
 // updateWriter notes which node reads the store for all, and appends streams and versions to it; the caller must hold the lock.
+// Where no pool can have take-ups nothing is written, and the nodes need not be ranked.
 func (s *Service) updateWriter(now time.Time) {
 	before := s.writer
-	if s.Writer != nil {
+	switch {
+	case len(s.bounds()) == 0:
+		s.writer = ""
+	case s.Writer != nil:
 		s.writer = s.Writer()
 	}
 	if s.writer != before {
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -213,3 +213,19 @@
 	defer r.mu.Unlock()
 	return len(r.saved)
 }
+
+// TestSitesWithoutTakeUpsRankNoNodes guards against work at every tick for streams that no pool can have taken up.
+func TestSitesWithoutTakeUpsRankNoNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newNode(&recordTopic{})
+		s.Timeouts = func() map[string]time.Duration { return map[string]time.Duration{} }
+		ranked := 0
+		s.Writer = func() string {
+			ranked++
+			return "a"
+		}
+		tickFor(s, 5*time.Second)
+		is.Equal(ranked, 0)
+	})
+}
