Catalog: entries are not decoded a second time where no pool can have take-ups

Seen in a review: every changed entry of the registry was decoded once more to look up its version in the record, also on sites without resumable streams, where no version is recorded.

Change: the record says whether any version may have to be recorded. It need not be where the routes are known and none is resumable.

Measured: 2 decodings of an entry before, 1 now, as without a record; go test ./internal/transport/catalog ./internal/transport/origins ./internal/transport/entryvm passes.

Failed before: TestEntriesAreDecodedOnceWithoutTakeUps (2 instead of 1).

--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -10,6 +10,8 @@
 
 // VersionRecord records the software versions of upstreams before these are listed.
 type VersionRecord interface {
+	// Needed reports whether any version may have to be recorded.
+	Needed() bool
 	// Recorded reports whether a version of a pool is recorded, or need not be.
 	Recorded(pool, version string) bool
 	// Listed notes versions by pool that are about to be listed.
@@ -47,7 +49,7 @@
 // ends before the first such record, so that a peer that misses the later update sees that records are missing. If it holds the
 // whole topic, the former records stay in it: those that it lacks are removed.
 func (f *follower) divide(update wire.FeedUpdate) (known wire.FeedUpdate, rows []wire.Machine) {
-	if f.versions == nil {
+	if f.versions == nil || !f.versions.Needed() {
 		return update, nil
 	}
 	known = update
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 )
 
@@ -20,6 +21,8 @@
 	admits   int
 }
 
+func (r *slowRecord) Needed() bool { return true }
+
 func (r *slowRecord) Recorded(_, version string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,3 +145,30 @@
 		})
 	}
 }
+
+// unneededRecord is the record of a site without take-ups.
+type unneededRecord struct{ slowRecord }
+
+func (*unneededRecord) Needed() bool { return false }
+
+func (*unneededRecord) Recorded(string, string) bool { return true }
+
+// TestEntriesAreDecodedOnceWithoutTakeUps guards against a site without take-ups that decodes each entry twice as often as one
+// without a record of versions.
+func TestEntriesAreDecodedOnceWithoutTakeUps(t *testing.T) {
+	is := is.New(t)
+	decoded := func(record VersionRecord) (count int) {
+		topic := newTopic()
+		topic.put("u1", "ready@1/v1")
+		s := newNode(sitePeers{site: newSite()}, newTopic(), topic)
+		s.Versions = record
+		s.DecodeUpstream = func(name string, data []byte) (wire.Machine, error) {
+			count++
+			return decodeState(name, data)
+		}
+		s.Prepare()
+		is.NoErr(s.RefreshUpstreams(t.Context()))
+		return count
+	}
+	is.Equal(decoded(&unneededRecord{}), decoded(nil))
+}
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -38,6 +38,15 @@
 	waitPoll = 50 * time.Millisecond
 )
 
+// Needed reports whether versions may have to be recorded: some pool can have take-ups, or the routes are not known yet.
+func (s *Service) Needed() bool {
+	if s.VersionRecord == nil {
+		return false
+	}
+	bounds := s.bounds()
+	return bounds == nil || len(bounds) > 0
+}
+
 // Recorded reports whether upstreams of a version may be listed without a wait: no stream of the pool can be taken up, or the
 // version is in the record.
 func (s *Service) Recorded(pool, version string) bool {
