--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 )
 
@@ -20,6 +21,8 @@
 	admits   int
 }
 
+func (r *slowRecord) Needed() bool { return true }
+
 func (r *slowRecord) Recorded(_, version string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -104,3 +107,68 @@
 		}
 	})
 }
+
+// TestWholeListKeepsUpstreamsWhoseNewEntryWaits guards against a listed upstream whose requests in progress are cut off because
+// a read of the whole list, in the same era of the store or a new one, withholds its new entry.
+func TestWholeListKeepsUpstreamsWhoseNewEntryWaits(t *testing.T) {
+	for name, makeWhole := range map[string]func(topic *fakeTopic){
+		"records were deleted": func(topic *fakeTopic) { topic.set(func() { topic.deleted = true }) },
+		"store was restored":   func(topic *fakeTopic) { topic.set(func() { topic.era++ }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := &slowRecord{
+				delay:    3 * time.Second,
+				recorded: map[string]bool{"": true},
+			}
+			runSiteOf(t, func(s *Service) { s.Versions = record }, func(s *site, _, upstreams *fakeTopic) {
+				is := is.New(t)
+				upstreams.put("u3", "ready@1")
+				time.Sleep(upstreamsReadPeriod + pollInterval)
+				upstreams.put("u3", "ready@2/v2")
+				makeWhole(upstreams)
+				time.Sleep(upstreamsReadPeriod + pollInterval)
+				for _, service := range s.services {
+					former, listed := service.Table.Load().Replica("u3")
+					is.True(listed)
+					is.Equal(former.Version(), "")
+				}
+				held, _ := s.services[0].Table.Load().Replica("u3")
+				is.True(held.Leaving())
+				time.Sleep(record.delay + upstreamsReadPeriod)
+				for _, service := range s.services {
+					next, listed := service.Table.Load().Replica("u3")
+					is.True(listed)
+					is.Equal(next.Version(), "v2")
+					is.True(!next.Leaving())
+				}
+			})
+		})
+	}
+}
+
+// unneededRecord is the record of a site without take-ups.
+type unneededRecord struct{ slowRecord }
+
+func (*unneededRecord) Needed() bool { return false }
+
+func (*unneededRecord) Recorded(string, string) bool { return true }
+
+// TestEntriesAreDecodedOnceWithoutTakeUps guards against a site without take-ups that decodes each entry twice as often as one
+// without a record of versions.
+func TestEntriesAreDecodedOnceWithoutTakeUps(t *testing.T) {
+	is := is.New(t)
+	decoded := func(record VersionRecord) (count int) {
+		topic := newTopic()
+		topic.put("u1", "ready@1/v1")
+		s := newNode(sitePeers{site: newSite()}, newTopic(), topic)
+		s.Versions = record
+		s.DecodeUpstream = func(name string, data []byte) (wire.Machine, error) {
+			count++
+			return decodeState(name, data)
+		}
+		s.Prepare()
+		is.NoErr(s.RefreshUpstreams(t.Context()))
+		return count
+	}
+	is.Equal(decoded(&unneededRecord{}), decoded(nil))
+}
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -37,9 +37,13 @@
 }
 
 // updateWriter notes which node reads the store for all, and appends streams and versions to it; the caller must hold the lock.
+// Where no pool can have take-ups nothing is written, and the nodes need not be ranked.
 func (s *Service) updateWriter(now time.Time) {
 	before := s.writer
-	if s.Writer != nil {
+	switch {
+	case len(s.bounds()) == 0:
+		s.writer = ""
+	case s.Writer != nil:
 		s.writer = s.Writer()
 	}
 	if s.writer != before {
@@ -61,6 +65,7 @@
 	}
 	if !s.isWriter(now) {
 		s.writing = nil
+		s.log.Retire()
 		return
 	}
 	if len(s.writing) == 0 && now.Sub(s.logReadAt) >= logReadInterval {
@@ -98,6 +103,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.isWriter(now) {
+		s.log.Retire()
+		s.logScheduled = false
+		return
+	}
 	if !s.log.Known() {
 		s.startLogRead(now)
 		time.AfterFunc(origin.LogInterval, s.appendLog)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -21,6 +21,9 @@
 	admitTimeout = time.Second
 	// callerTimeout is how long a caller who takes a stream up waits for a read of the store.
 	callerTimeout = 300 * time.Millisecond
+	// tellTimeout is how long a version waits for the other nodes to be told of it. A round trip between regions takes less; a
+	// node that does not answer by then reads the list of upstreams itself before it answers a caller.
+	tellTimeout = 250 * time.Millisecond
 	// refreshInterval is the least time between two reads of the list of upstreams for callers.
 	refreshInterval = 200 * time.Millisecond
 	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
@@ -34,6 +37,15 @@
 	waitPoll = 50 * time.Millisecond
 )
 
+// Needed reports whether versions may have to be recorded: some pool can have take-ups, or the routes are not known yet.
+func (s *Service) Needed() bool {
+	if s.VersionRecord == nil {
+		return false
+	}
+	bounds := s.bounds()
+	return bounds == nil || len(bounds) > 0
+}
+
 // Recorded reports whether upstreams of a version may be listed without a wait: no stream of the pool can be taken up, or the
 // version is in the record.
 func (s *Service) Recorded(pool, version string) bool {
@@ -292,7 +304,7 @@
 
 func (s *Service) maintainPool(pool string, window time.Duration, listed, recorded []string, now time.Time) {
 	for _, version := range listed {
-		if !slices.Contains(recorded, version) {
+		if !s.record.Has(pool, version) && !s.record.BeingWritten(pool, version, now) {
 			s.record.Want(pool, version)
 		}
 	}
@@ -350,7 +362,10 @@
 	for pool := range s.bounds() {
 		complete[pool] = s.record.Complete(pool)
 	}
-	s.sightings.Cover(s.record.Versions(), func(pool string) bool { return complete[pool] }, sent, now)
+	// A read in an earlier era, or one of a missing topic that told no era, may lack versions that have served. Entries that the
+	// node is told of later don't change that, since earlier ones may not have reached it.
+	era := s.record.Era()
+	s.sightings.Cover(s.record.Versions(), func(pool string) bool { return complete[pool] && s.record.Era() == era }, sent, now)
 	s.Logger.Info().Str("decision", "versions").Interface("versions", s.record.Versions()).Int("era", batch.Era).
 		Interface("complete", complete).Msg("record of versions read")
 	if len(s.loggedPools(now)) > 0 {
@@ -366,24 +381,22 @@
 }
 
 // appendEntries writes entries to the record and tells all nodes, which then know of a new version before a stream begins
-// there.
+// there. They are told again once the store has accepted the entries.
 func (s *Service) appendEntries(entries []origin.Entry) {
 	ctx := context.Background()
-	var group sync.WaitGroup
-	for _, node := range s.Nodes() {
-		if node.Name != s.Name && s.TellVersions != nil {
-			group.Go(func() {
-				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
-					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
-				}
-			})
-		}
-	}
+	tellsEnd := time.After(tellTimeout)
+	told := s.tellEntries(ctx, entries)
 	records, err := encodeEntries(entries)
 	if err == nil {
 		err = s.VersionRecord.Save(ctx, records)
 	}
-	group.Wait()
+	select {
+	case <-told:
+	case <-tellsEnd:
+	}
+	if err == nil {
+		s.tellEntries(ctx, origin.Confirmed(entries))
+	}
 	s.logAppend(entries, err)
 	now := time.Now()
 	s.mu.Lock()
@@ -398,6 +411,27 @@
 	s.notifyLocked()
 }
 
+// tellEntries tells all other nodes of entries of the record without waiting for them; the channel is closed after the
+// last answer.
+func (s *Service) tellEntries(ctx context.Context, entries []origin.Entry) <-chan struct{} {
+	var group sync.WaitGroup
+	for _, node := range s.Nodes() {
+		if node.Name != s.Name && s.TellVersions != nil {
+			group.Go(func() {
+				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
+					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
+				}
+			})
+		}
+	}
+	told := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(told)
+	}()
+	return told
+}
+
 func (s *Service) logAppend(entries []origin.Entry, err error) {
 	for _, e := range entries {
 		entry := s.Logger.Info()
--- /dev/null
+++ b/internal/transport/origins/versions_test.go
@@ -0,0 +1,231 @@
+package origins_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/catalog"
+	"lagoongw/internal/transport/origins"
+)
+
+// recordTopic is a topic that fails on demand.
+type recordTopic struct {
+	mu      sync.Mutex
+	saved   []wire.FeedRecord
+	saveErr error
+	readErr error
+	era     int
+}
+
+func (r *recordTopic) Newest(context.Context) (catalog.Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return catalog.Batch{
+		Records: r.saved,
+		Era:     r.era,
+	}, r.readErr
+}
+
+func (r *recordTopic) Save(_ context.Context, records []wire.FeedRecord) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.saveErr == nil {
+		r.saved = append(r.saved, records...)
+	}
+	return r.saveErr
+}
+
+func (r *recordTopic) holds(version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range r.saved {
+		if strings.Contains(record.Value, version) {
+			return true
+		}
+	}
+	return false
+}
+
+// newNode returns a node named a that lists version v1 of the pool s, with one peer named b, and writes to the store.
+func newNode(record *recordTopic) *origins.Service {
+	return &origins.Service{
+		Name:  "a",
+		Nodes: func() []origin.Node { return []origin.Node{{Name: "a"}, {Name: "b"}} },
+		Versions: func() (map[string][]string, bool) {
+			return map[string][]string{"s": {"v1"}}, true
+		},
+		Timeouts:      func() map[string]time.Duration { return map[string]time.Duration{"s": routeTimeout} },
+		VersionRecord: record,
+		Writer:        func() string { return "a" },
+		AskSighted:    func(context.Context, string, string) (origin.Sighted, error) { return origin.Sighted{}, errLost },
+		Logger:        zerolog.Nop(),
+	}
+}
+
+// TestEraThatIsLearnedLaterRevokesWhatWasRead guards against a store without the topic, which says no era: it may have been
+// restored from a copy older than the topic, so that a version that has served is missing.
+func TestEraThatIsLearnedLaterRevokesWhatWasRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		eraOfRead, eraOfList int
+		told                 []origin.Entry
+		known                bool
+	}{
+		"store was never restored":          {known: true},
+		"list says that it was restored":    {eraOfList: 1},
+		"the answer itself says the era":    {eraOfRead: 1},
+		"told that the record is whole now": {eraOfList: 1, told: []origin.Entry{wholeRecord}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newNode(&recordTopic{
+					readErr: catalog.ErrNoTopic,
+					era:     c.eraOfRead,
+				})
+				s.Writer = func() string { return "b" }
+				era := 0
+				s.Era = func() int { return era }
+				s.Refresh = func(context.Context) error {
+					era = c.eraOfList
+					return nil
+				}
+				tickFor(s, time.Second)
+				s.ToldVersions(c.told)
+				_, known := s.FindOnly(t.Context(), "s", routeTimeout)
+				is.Equal(known, c.known)
+			})
+		})
+	}
+}
+
+// wholeRecord is an entry of the first era after a restore whose writer knew all versions.
+var wholeRecord = origin.Entry{
+	Key:       "whole",
+	Pool:      "s",
+	Version:   "v1",
+	Era:       1,
+	Complete:  true,
+	Confirmed: true,
+}
+
+// TestFrozenNodeDoesNotDelayANewVersion guards against an upstream that is withheld until the call of a frozen node times out
+// although the store has accepted its version.
+func TestFrozenNodeDoesNotDelayANewVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const peerTimeout = 5 * time.Second
+		s := newNode(&recordTopic{})
+		s.TellVersions = func(context.Context, string, []origin.Entry) error {
+			time.Sleep(peerTimeout)
+			return errLost
+		}
+		tickFor(s, 250*time.Millisecond)
+		began := time.Now()
+		s.Admit(t.Context(), map[string][]string{"s": {"v2"}})
+		is.True(s.Recorded("s", "v2"))
+		is.True(time.Since(began) < 400*time.Millisecond)
+		time.Sleep(2 * peerTimeout) // the calls end within the test
+	})
+}
+
+func tickFor(s *origins.Service, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		s.Tick(time.Now())
+	}
+}
+
+// TestNextWriterRecordsWhatAFormerOneOnlyTold guards against a version that is never recorded, because the node that told the
+// others of it was lost before the store had accepted it.
+func TestNextWriterRecordsWhatAFormerOneOnlyTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		record := &recordTopic{}
+		s := newNode(record)
+		tickFor(s, 250*time.Millisecond)
+		s.ToldVersions([]origin.Entry{{
+			Key:      "of-b",
+			Pool:     "s",
+			Version:  "v1",
+			Complete: true,
+		}})
+		tickFor(s, 5*time.Second)
+		is.True(record.holds("v1"))
+	})
+}
+
+// TestRetiredWriterAppendsNoMore guards against a node that is no longer the one to write, and whose pending streams overwrite
+// the batches of the new writer, which continues from the same slot.
+func TestRetiredWriterAppendsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &recordTopic{}
+		s := newNode(&recordTopic{})
+		s.Versions = func() (map[string][]string, bool) {
+			return map[string][]string{"s": {"v1", "v2"}}, true
+		}
+		s.Tell = func(context.Context, string, []origin.Report) error { return errLost }
+		s.StreamLog = log
+		writer := "a"
+		s.Writer = func() string { return writer }
+		began := func(id string) {
+			s.Began(id, origin.Origin{
+				Pool:    "s",
+				Version: "v1",
+			})
+		}
+		tickFor(s, 3*time.Second)
+		began("first")
+		tickFor(s, time.Second)
+		is.Equal(log.count(), 1)
+
+		log.fail(errLost)
+		began("second")
+		tickFor(s, time.Second)
+		writer = "b"
+		tickFor(s, 250*time.Millisecond)
+		log.fail(nil)
+		tickFor(s, 5*time.Second)
+		is.Equal(log.count(), 1)
+
+		writer = "a"
+		tickFor(s, 5*time.Second)
+		is.Equal(log.count(), 2) // it appends what it remembers under a slot that it has read anew
+	})
+}
+
+func (r *recordTopic) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saveErr = err
+}
+
+func (r *recordTopic) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.saved)
+}
+
+// TestSitesWithoutTakeUpsRankNoNodes guards against work at every tick for streams that no pool can have taken up.
+func TestSitesWithoutTakeUpsRankNoNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newNode(&recordTopic{})
+		s.Timeouts = func() map[string]time.Duration { return map[string]time.Duration{} }
+		ranked := 0
+		s.Writer = func() string {
+			ranked++
+			return "a"
+		}
+		tickFor(s, 5*time.Second)
+		is.Equal(ranked, 0)
+	})
+}
