--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -10,11 +10,9 @@
 	// bootReserve is added to the boot time of an upstream for the horizon of the prediction: an order is late by the
 	// second between two decisions, the digests of the demand and the registry.
 	bootReserve = 5 * time.Second
-	// unknownTime is the traffic that must have been seen before the demand counts as known, and unknownShare the share
-	// of the upstreams found at the beginning that is kept until then. If the traffic begins with the work of 50 of 90
-	// engines, half of them leave 4% of it unserved in the first 20 s of the model and two thirds none, at 3% more cost.
-	unknownTime  = 15 * time.Second
-	unknownShare = 2.0 / 3
+	// unknownTime is the traffic that must have been seen before the demand counts as known. Until then as many upstreams are
+	// kept as were found, most of them as spot ones: the first requests find no prompts cached and come all at once.
+	unknownTime = 15 * time.Second
 	// learnTime is how long after the duty was gained nothing is scaled down.
 	learnTime = 3 * time.Second
 	// minKnownShare is the share of the live nodes whose demand must be known to scale down.
@@ -331,7 +329,7 @@
 func (p *Planner) base(now time.Time) int {
 	base := max(p.forecast.upstreams(now, p.Settings), p.Settings.Least)
 	if !p.forecast.known(now) {
-		base = max(base, roundUp(unknownShare*float64(p.initial)))
+		base = max(base, p.initial)
 	}
 	base += min(p.short(now), roundUp(maxShortShare*float64(base)))
 	return min(base, len(p.groups)/2*p.Settings.Max)
