Capacity: holders that follow each other don't add spare upstreams

As many upstreams as were found stay until the demand is known. A new holder found those of the former one with the spare spot upstreams of a zone, and planned spare ones for them again: in the model five changes of the holder in 40 s took 27 upstreams to more than 30. The base is now what the found upstreams are enough for. TestChangesOfTheHolderAddNoUpstreams failed before.

--- a/internal/coordination/capacity/planner.go
+++ b/internal/coordination/capacity/planner.go
@@ -157,8 +157,9 @@
 	Pool     string
 	Settings Settings
 
-	gained    time.Time
-	firstAt   time.Time
+	gained  time.Time
+	firstAt time.Time
+	// initial is the base that the upstreams found at the beginning are enough for.
 	initial   int
 	groups    map[subject]*group
 	seen      map[string]Upstream
@@ -210,7 +211,6 @@
 		if !u.Leaving {
 			g.planned++
 			g.ordered++
-			p.initial++
 		}
 	}
 	for _, order := range input.Former {
@@ -218,6 +218,7 @@
 			g.planned, g.ordered, g.inherited = order.Desired, order.Desired, true
 		}
 	}
+	p.initial = p.found()
 }
 
 // Ordered returns the numbers of upstreams that were last ordered, by zone and kind. Those taken over count as ordered.
@@ -236,6 +237,16 @@
 	return orders
 }
 
+// found returns the base that the planned upstreams are enough for. Spot upstreams show that a holder has planned before, with
+// those of a zone and some on demand to spare, which must not be planned once more.
+func (p *Planner) found() int {
+	planned := func(_ subject, g *group) int { return g.planned }
+	if p.total(true) == 0 {
+		return p.total(false)
+	}
+	return max(p.remaining(planned)-spareOnDemand, 0)
+}
+
 // group returns the group of a subject. Every zone has a group of each kind.
 func (p *Planner) group(zone string, spot bool) *group {
 	if p.groups[subject{zone: zone}] == nil {
--- a/internal/coordination/capacity/planner_test.go
+++ b/internal/coordination/capacity/planner_test.go
@@ -314,3 +314,17 @@
 	play(s, p, 2, 30, nil)
 	is.Equal(p.State().Count("a", true).Planned, 0)
 }
+
+// TestChangesOfTheHolderAddNoUpstreams guards against holders that follow each other and each keep what they found, with the
+// spare spot upstreams of a zone on top.
+func TestChangesOfTheHolderAddNoUpstreams(t *testing.T) {
+	is := is.New(t)
+	s, p := newSite(10)
+	play(s, p, 60, 10, nil)
+	before := s.Count(scaling.Every)
+	for range 5 {
+		p.Change = func(input *capacity.Input) { input.Gained = s.Now().Truncate(8 * time.Second) }
+		play(s, p, 8, 10, nil)
+	}
+	is.True(s.Count(scaling.Every) <= before+before/10)
+}
