--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -714,6 +714,22 @@
 	}
 }
 
+// TestStreamsGoOnInEachRunOfLosses guards against a series of losses of all nodes, while versions come and go, after which many
+// streams are refused, which the sum over all runs hides.
+func TestStreamsGoOnInEachRunOfLosses(t *testing.T) {
+	script := anyFaults([]string{"all nodes are lost", "a version comes", "a version goes"}, 5*time.Second, 1)
+	for seed := range uint64(*seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			m := newModel(seed, "v0")
+			m.named = 10
+			m.play(t, modelLength, script)
+			t.Logf("seed %d: %d of %d streams went on", seed, m.wentOn, m.asked)
+			is.True(m.wentOn*100 >= 90*m.asked)
+		})
+	}
+}
+
 // TestCallsOfTheStore guards against calls that a site with one version does not need, and against versions that are never
 // removed from the record, so that the site pays for two versions for ever.
 func TestCallsOfTheStore(t *testing.T) {
