Review, case 1: streams taken 3 s after SIGTERM are broken off

Cause: a stopping entry VM accepts requests for 0.4 of the grace period, 3.2 s of 8 s, and ends what is left at 7.52 s. The rule excuses only those that were sent in the first 3 s.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,7 +17,9 @@
 // scenario plays a case, with the disruption if trouble is set, and reports whether the rule held.
 type scenario func(j *journal, s *site, trouble bool) (held bool, err error)
 
-var scenarios = map[string]scenario{}
+var scenarios = map[string]scenario{
+	"stop-mid-phase": playStop,
+}
 
 func main() { os.Exit(run()) }
 
