--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 type scenario func(j *journal, s *site, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
+	"foreign-entry":  playForeignEntry,
 	"stop-mid-phase": playStop,
 }
 
