Review, case 4: a stream goes on at another version of the software

Cause: a stream is bound to the version that the list of upstreams names, which is up to 1.5 s old. A replica that has started again under its ID with a new version is taken for the former one until its entry is read.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 var scenarios = map[string]scenario{
 	"foreign-entry":  playForeignEntry,
 	"stop-mid-phase": playStop,
+	"new-version":    playNewVersion,
 }
 
 func main() { os.Exit(run()) }
