Review, case 5: extra bytes without an ID make an order run twice

Cause: the gateway takes an answer that says "not run" and names no request for the refusal of the present one, and sends that to another replica.

Adds the case: replicas that send additional bytes, late.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,6 +19,7 @@
 
 var scenarios = map[string]scenario{
 	"foreign-entry":  playForeignEntry,
+	"extra-bytes":    playExtra,
 	"stop-mid-phase": playStop,
 	"new-version":    playNewVersion,
 }
