Origins: wait for the calls in flight at the end of a process

Cause: the service that keeps the origins of streams started its appends, reads and calls to peers with timers and goroutines that nothing waited for. A node that was stopped went on appending to the log of streams, and a failed append scheduled the next one for ever.

The same cause elsewhere: checks of upstreams that may have crashed, waits for versions to be recorded, saves and reports of usage, and calls to peers of an entry VM's process, all started with contexts that never end.

Change: schedule.Tasks runs such work, starts no more once it is stopped, waits for what is in flight and cancels it when the time is up. The process stops these tasks after its listeners, within 3% of the grace period. Connects through other nodes stay as they are: each ends within half a second and writes nothing.

TestStopLeavesNoAppendInFlight shows that no append is in flight after Stop and none begins later; the former service had no way to stop.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -11,6 +11,7 @@
 
 	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/schedule"
 )
 
 // changeHistoryOffsets is the number of newest offsets for which follower.changes is kept; far fewer lie between two
@@ -39,6 +40,8 @@
 	versions VersionRecord
 	decode   func(name string, data []byte) (wire.Machine, error)
 	withhold func(rows []wire.Machine)
+	// tasks runs the waits for versions to be recorded.
+	tasks *schedule.Tasks
 
 	mu           sync.Mutex
 	topic        feed.Topic
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -96,6 +96,7 @@
 	upstreamsLoaded atomic.Bool
 	// seedsAsked is set once the peers in the settings have answered or failed to.
 	seedsAsked atomic.Bool
+	tasks      schedule.Tasks
 }
 
 // Prepare initializes the service so that it can handle updates of peers; it must be called before Run.
@@ -125,6 +126,7 @@
 		onStoreUnreachable: func() {},
 		push:               s.Peers.Push,
 		logger:             s.Logger,
+		tasks:              &s.tasks,
 		topic:              feed.Topic{Name: topic},
 		readSchedule:       feed.ReadSchedule{Period: upstreamsReadPeriod},
 	}
@@ -172,6 +174,7 @@
 	group.Go(func() { s.followRoutes(ctx) })
 	group.Go(func() { s.followUpstreams(ctx) })
 	group.Wait()
+	s.tasks.Stop(ctx)
 }
 
 // loadFromSeeds loads the topics from a peer, unless the store answers sooner. A store that was restored from an older
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -39,10 +39,10 @@
 	}
 	apply(known, now)
 	f.withhold(rows)
-	go func() {
+	f.tasks.Go(func(ctx context.Context) {
 		f.versions.Admit(ctx, versions)
 		apply(update, f.currentAt())
-	}()
+	})
 }
 
 // divide returns an update without the records of versions that are not recorded, and these versions' upstreams. The update
--- a/internal/transport/entryvm/loads.go
+++ b/internal/transport/entryvm/loads.go
@@ -63,7 +63,7 @@
 	}
 	relay := l.relayOf(live, l.process.AvailabilityZone, now)
 	if relay.Name != l.process.Name && l.due(&l.lastOwnReport, relayReportInterval, now) {
-		go l.reportToRelay(relay)
+		l.process.tasks.Go(func(ctx context.Context) { l.reportToRelay(ctx, relay) })
 	}
 	if l.isRelay(relay, now) && l.due(&l.lastZoneReport, relayReportInterval, now) {
 		l.reportToOtherZones(live, now)
@@ -122,9 +122,9 @@
 }
 
 // reportToRelay sends this node's load to the relay and applies the site's total from its answer.
-func (l *loadReporter) reportToRelay(relay wire.Member) {
+func (l *loadReporter) reportToRelay(ctx context.Context, relay wire.Member) {
 	p := l.process
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var answer wire.LoadDigest
 	own := p.dispatcher.Advertise(time.Now())
--- a/internal/transport/entryvm/outgoing.go
+++ b/internal/transport/entryvm/outgoing.go
@@ -115,29 +115,31 @@
 		o.mu.Unlock()
 		if start {
 			o.calls.Add(1)
-			go o.run(row, lane, next)
+			if !o.process.tasks.Go(func(ctx context.Context) { o.run(ctx, row, lane, next) }) {
+				o.calls.Add(-1)
+			}
 		}
 	}
 }
 
 // run sends a message and those that wait behind it.
-func (o *outgoing) run(row wire.Member, lane outbox.Lane, m message) {
+func (o *outgoing) run(ctx context.Context, row wire.Member, lane outbox.Lane, m message) {
 	defer o.calls.Add(-1)
 	for more := true; more; {
-		o.call(row, m)
+		o.call(ctx, row, m)
 		o.mu.Lock()
 		m, more = o.outbox.Done(lane)
 		o.mu.Unlock()
 	}
 }
 
-func (o *outgoing) call(row wire.Member, m message) {
+func (o *outgoing) call(ctx context.Context, row wire.Member, m message) {
 	params, err := m.params()
 	if err != nil {
 		o.process.Logger.Error().Err(err).Str("step", m.method).Msg("message not sent")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), m.timeout())
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
 	var answer struct{}
 	if err := o.process.client.Call(ctx, row.Address, m.method, params, &answer); err != nil {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -126,9 +126,9 @@
 		sender, known := p.members.Lookup(update.Sender)
 		switch {
 		case known && update.Omitted:
-			go p.Catalog.CatchUp(context.Background(), sender.Address, update.Topic)
+			p.tasks.Go(func(ctx context.Context) { p.Catalog.CatchUp(ctx, sender.Address, update.Topic) })
 		case known:
-			go p.Catalog.Refetch(context.Background(), sender.Address, update.Topic)
+			p.tasks.Go(func(ctx context.Context) { p.Catalog.Refetch(ctx, sender.Address, update.Topic) })
 		}
 	}
 	return struct{}{}, nil
@@ -165,7 +165,7 @@
 // node's; the digest's Revision is the version.
 func (p *Process) fetchNewerRoutes(digest wire.Digest) {
 	if digest.Revision > p.Catalog.RoutesVersion() {
-		go p.Catalog.FetchNewerRoutes(context.Background(), digest.From.Address, digest.Revision)
+		p.tasks.Go(func(ctx context.Context) { p.Catalog.FetchNewerRoutes(ctx, digest.From.Address, digest.Revision) })
 	}
 }
 
@@ -182,10 +182,10 @@
 
 // tellPeer calls a method of a member whose answer is empty, without waiting for it.
 func (p *Process) tellPeer(name, method string, params any) {
-	go func() {
+	p.tasks.Go(func(ctx context.Context) {
 		var answer struct{}
-		if err := p.callPeer(context.Background(), name, method, params, &answer); err != nil {
+		if err := p.callPeer(ctx, name, method, params, &answer); err != nil {
 			p.Logger.Debug().Err(err).Str("step", method).Str("peer", name).Msg("peer call failed")
 		}
-	}()
+	})
 }
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -52,6 +52,8 @@
 	// drainTimeoutShare is the share of the grace period after which requests in flight are aborted, before the platform
 	// kills the process.
 	drainTimeoutShare = 0.94
+	// stopShare is the share of the grace period for which the calls in flight of background work are waited for after that.
+	stopShare = 0.03
 	// idleCheckInterval is the time between two checks for idle connections to upstreams.
 	idleCheckInterval = time.Second
 	// firstIncarnation is the incarnation of a node at every start; the membership protocol raises it when a member
@@ -134,6 +136,7 @@
 	budgetsMu      sync.Mutex
 	budgets        map[string]*retry.WindowBudget
 	drainer        shutdown.Drainer
+	tasks          schedule.Tasks
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
@@ -164,6 +167,7 @@
 	for _, server := range httpServers {
 		_ = server.Close()
 	}
+	p.stopTasks(ctx)
 	cancel()
 	_ = p.peerListener.Close()
 	p.client.Close()
@@ -173,6 +177,22 @@
 	return nil
 }
 
+// stopTasks waits for the calls in flight of background work, and cancels those that take longer than the process has left.
+func (p *Process) stopTasks(ctx context.Context) {
+	left := time.Duration(stopShare * float64(p.tunables.Load().GracePeriod))
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, stop := range []func(context.Context){
+		p.origins.Stop,
+		p.gateway.Stop,
+		p.tasks.Stop,
+	} {
+		group.Go(func() { stop(ctx) })
+	}
+	group.Wait()
+}
+
 // Prepare initializes the process; Run, Drain and Reconfigure may be called in any order after it.
 func (p *Process) Prepare() {
 	p.table = replica.NewTable()
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -17,6 +17,7 @@
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/quarantine"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -118,11 +119,11 @@
 		request: s.assignment.Suspect(request),
 		whole:   whole,
 	})
-	if first {
-		go func() {
-			defer close(check.done)
-			x.server.checkCrash(s.upstream, now)
-		}()
+	if first && !x.server.tasks.Go(func(ctx context.Context) {
+		defer close(check.done)
+		x.server.checkCrash(ctx, s.upstream, now)
+	}) {
+		close(check.done)
 	}
 	unanswered := s.response == nil
 	if whole || !x.probe && (!x.route.Repeatable() || !unanswered && !x.server.Dispatcher.Suspected(request)) {
@@ -146,10 +147,10 @@
 
 // checkCrash tells the dispatcher of a crash if the upstream refuses connections, of another node as well. If it accepts one, answers that may have
 // come to their end did.
-func (s *Server) checkCrash(upstream *replica.Replica, at time.Time) {
-	time.Sleep(crashCheckDelay)
+func (s *Server) checkCrash(ctx context.Context, upstream *replica.Replica, at time.Time) {
+	schedule.Pause(ctx, crashCheckDelay)
 	suspects := s.crashes.take(upstream)
-	err := s.Connections.Probe(context.Background(), upstream.Address())
+	err := s.Connections.Probe(ctx, upstream.Address())
 	var crashed []dispatch.Request
 	for _, suspect := range suspects {
 		crashed = append(crashed, suspect.request)
@@ -160,7 +161,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) || upstream.Leaving() {
 		return
 	}
-	if s.ConfirmDown != nil && !s.ConfirmDown(context.Background(), upstream.Address()) {
+	if s.ConfirmDown != nil && !s.ConfirmDown(ctx, upstream.Address()) {
 		return
 	}
 	s.Dispatcher.Crashed(upstream, crashed, at, time.Now())
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -17,6 +17,7 @@
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 	"lagoongw/internal/transport/connection"
+	"lagoongw/internal/transport/schedule"
 )
 
 // slowReaderWait is how long after the deadline the rest of an answer is still written. A caller that has not read it by
@@ -64,11 +65,16 @@
 
 	inFlight atomic.Int64
 	crashes  crashChecks
+	tasks    schedule.Tasks
 }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// Stop ends the checks of upstreams that go on in the background. It waits for those in flight, and cancels them once the context
+// ends.
+func (s *Server) Stop(ctx context.Context) { s.tasks.Stop(ctx) }
+
 // ServeHTTP forwards one request and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -216,6 +216,7 @@
 		_ = g.server.Close()
 		time.Sleep(time.Second) // checks of upstreams that have broken off an answer end
 		pool.CloseIdle(time.Now().Add(time.Hour))
+		g.origins.Stop(context.Background())
 		time.Sleep(time.Minute)
 	})
 	return g
--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -276,6 +276,7 @@
 
 // run follows the list of upstreams until the node is lost.
 func (n *modelNode) run(ctx context.Context) {
+	defer n.service.Stop(context.Background())
 	for tick := 0; ctx.Err() == nil; tick++ {
 		period, lost := fallbackPeriod, false
 		if n.reader() == n.name {
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -53,6 +53,7 @@
 	// Logger receives the log lines.
 	Logger zerolog.Logger
 
+	tasks     schedule.Tasks
 	mu        sync.Mutex
 	registry  origin.Registry
 	announcer origin.Announcer
@@ -150,8 +151,8 @@
 
 func (s *Service) tell(due map[string][]origin.Report) {
 	for node, reports := range due {
-		go func() {
-			err := s.Tell(context.Background(), node, reports)
+		s.tasks.Go(func(ctx context.Context) {
+			err := s.Tell(ctx, node, reports)
 			if err != nil {
 				s.Logger.Debug().Err(err).Str("step", "tell origins").Str("peer", node).Int("streams", len(reports)).
 					Msg("peer call failed; telling it again later")
@@ -162,10 +163,14 @@
 			next := s.announcer.Due(now)
 			s.mu.Unlock()
 			s.tell(next)
-		}()
+		})
 	}
 }
 
+// Stop ends the work that goes on in the background: it starts no more calls, waits for those in flight, and cancels them once
+// the context ends.
+func (s *Service) Stop(ctx context.Context) { s.tasks.Stop(ctx) }
+
 // Told records the reports of another node.
 func (s *Service) Told(reports []origin.Report) {
 	now := time.Now()
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -93,13 +93,12 @@
 // scheduleLog makes the streams that wait be appended once it is time; the caller must hold the lock.
 func (s *Service) scheduleLog(now time.Time) {
 	if s.log.Pending() > 0 && !s.logScheduled {
-		s.logScheduled = true
-		time.AfterFunc(s.log.DueAt().Sub(now), s.appendLog)
+		s.logScheduled = s.tasks.After(s.log.DueAt().Sub(now), s.appendLog)
 	}
 }
 
 // appendLog appends the streams that wait to the log, and again later if it can't be done now.
-func (s *Service) appendLog() {
+func (s *Service) appendLog(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,18 +109,18 @@
 	}
 	if !s.log.Known() {
 		s.startLogRead(now)
-		time.AfterFunc(origin.LogInterval, s.appendLog)
+		s.tasks.After(origin.LogInterval, s.appendLog)
 		return
 	}
 	if batch, slot, due := s.log.Due(now); due {
-		s.appendBatch(batch, slot)
+		s.appendBatch(ctx, batch, slot)
 	}
 	s.logScheduled = false
 	s.scheduleLog(time.Now())
 }
 
 // appendBatch appends a batch to the log, with the lock released meanwhile; the caller must hold it.
-func (s *Service) appendBatch(batch []origin.Report, slot int) {
+func (s *Service) appendBatch(ctx context.Context, batch []origin.Report, slot int) {
 	value, err := encodeStreams(batch)
 	emptied := s.log.Excess(len(value))
 	records := []wire.FeedRecord{{
@@ -133,7 +132,7 @@
 	}
 	if err == nil {
 		s.mu.Unlock()
-		err = s.StreamLog.Save(context.Background(), records)
+		err = s.StreamLog.Save(ctx, records)
 		s.mu.Lock()
 	}
 	s.log.Done(err == nil, len(value), emptied, time.Now())
@@ -148,13 +147,12 @@
 	if s.readingLog || now.Sub(s.logAskedAt) < logReadInterval {
 		return
 	}
-	s.readingLog = true
+	s.readingLog = s.tasks.Go(func(ctx context.Context) { s.readLog(ctx, now) })
 	s.logAskedAt = now
-	go s.readLog(now)
 }
 
-func (s *Service) readLog(sent time.Time) {
-	batch, err := s.StreamLog.Newest(context.Background())
+func (s *Service) readLog(ctx context.Context, sent time.Time) {
+	batch, err := s.StreamLog.Newest(ctx)
 	var log storedLog
 	if err == nil || errors.Is(err, catalog.ErrNoTopic) {
 		log, err = decodeLog(batch.Records)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -139,10 +139,9 @@
 	if s.refreshing || now.Sub(s.refreshAskedAt) < refreshInterval {
 		return
 	}
-	s.refreshing = true
 	s.refreshAskedAt = now
-	go func() {
-		err := s.Refresh(context.Background())
+	s.refreshing = s.tasks.Go(func(ctx context.Context) {
+		err := s.Refresh(ctx)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.refreshing = false
@@ -150,7 +149,7 @@
 			s.refreshedAt = now
 		}
 		s.notifyLocked()
-	}()
+	})
 }
 
 // RetryAfter returns when a caller may come back whose stream has no known origin: once this node has read what it lacks, or
@@ -332,12 +331,11 @@
 	if s.readingRecord || !s.record.MayCall(now) {
 		return
 	}
-	s.readingRecord = true
-	go s.readRecord(now)
+	s.readingRecord = s.tasks.Go(func(ctx context.Context) { s.readRecord(ctx, now) })
 }
 
-func (s *Service) readRecord(sent time.Time) {
-	batch, err := s.VersionRecord.Newest(context.Background())
+func (s *Service) readRecord(ctx context.Context, sent time.Time) {
+	batch, err := s.VersionRecord.Newest(ctx)
 	var entries []origin.Entry
 	if err == nil || errors.Is(err, catalog.ErrNoTopic) {
 		entries, err = decodeEntries(batch.Records)
@@ -376,16 +374,15 @@
 // startAppend appends the entries that are due; the caller must hold the lock.
 func (s *Service) startAppend(now time.Time) {
 	if due := s.record.Due(now); len(due) > 0 {
-		go s.appendEntries(due)
+		s.tasks.Go(func(ctx context.Context) { s.appendEntries(ctx, due) })
 	}
 }
 
 // appendEntries writes entries to the record and tells all nodes, which then know of a new version before a stream begins
 // there. They are told again once the store has accepted the entries.
-func (s *Service) appendEntries(entries []origin.Entry) {
-	ctx := context.Background()
+func (s *Service) appendEntries(ctx context.Context, entries []origin.Entry) {
 	tellsEnd := time.After(tellTimeout)
-	told := s.tellEntries(ctx, entries)
+	told := s.tellEntries(entries)
 	records, err := encodeEntries(entries)
 	if err == nil {
 		err = s.VersionRecord.Save(ctx, records)
@@ -395,7 +392,7 @@
 	case <-tellsEnd:
 	}
 	if err == nil {
-		s.tellEntries(ctx, origin.Confirmed(entries))
+		s.tellEntries(origin.Confirmed(entries))
 	}
 	s.logAppend(entries, err)
 	now := time.Now()
@@ -413,15 +410,21 @@
 
 // tellEntries tells all other nodes of entries of the record without waiting for them; the channel is closed after the
 // last answer.
-func (s *Service) tellEntries(ctx context.Context, entries []origin.Entry) <-chan struct{} {
+func (s *Service) tellEntries(entries []origin.Entry) <-chan struct{} {
 	var group sync.WaitGroup
 	for _, node := range s.Nodes() {
-		if node.Name != s.Name && s.TellVersions != nil {
-			group.Go(func() {
-				if err := s.TellVersions(ctx, node.Name, entries); err != nil {
-					s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
-				}
-			})
+		if node.Name == s.Name || s.TellVersions == nil {
+			continue
+		}
+		group.Add(1)
+		started := s.tasks.Go(func(ctx context.Context) {
+			defer group.Done()
+			if err := s.TellVersions(ctx, node.Name, entries); err != nil {
+				s.Logger.Debug().Err(err).Str("step", "tell versions").Str("peer", node.Name).Msg("peer call failed")
+			}
+		})
+		if !started {
+			group.Done()
 		}
 	}
 	told := make(chan struct{})
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/catalog"
 	"lagoongw/internal/transport/origins"
+	"lagoongw/internal/transport/schedule"
 )
 
 // recordTopic is a topic that fails on demand.
@@ -229,3 +231,62 @@
 		is.Equal(ranked, 0)
 	})
 }
+
+// slowTopic is a topic whose appends take a while.
+type slowTopic struct {
+	recordTopic
+	delay    time.Duration
+	inFlight atomic.Int32
+}
+
+func (s *slowTopic) Save(ctx context.Context, records []wire.FeedRecord) error {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	schedule.Pause(ctx, s.delay)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return s.recordTopic.Save(ctx, records)
+}
+
+// TestStopLeavesNoAppendInFlight guards against appends to the log of streams that nobody waits for when the process ends, and
+// that go on or begin afterwards.
+func TestStopLeavesNoAppendInFlight(t *testing.T) {
+	for name, delay := range map[string]time.Duration{
+		"the store answers": 20 * time.Millisecond,
+		"the store hangs":   time.Hour,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := &slowTopic{delay: delay}
+				s := newNode(&recordTopic{})
+				s.StreamLog = log
+				s.Versions = func() (map[string][]string, bool) {
+					return map[string][]string{"s": {"v1", "v2"}}, true
+				}
+				s.Tell = func(context.Context, string, []origin.Report) error { return errLost }
+				s.TellVersions = func(context.Context, string, []origin.Entry) error { return errLost }
+				tickFor(s, 3*time.Second)
+				s.Began("r1", origin.Origin{
+					Pool:    "s",
+					Version: "v1",
+				})
+				for log.inFlight.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				s.Stop(ctx)
+				is.Equal(log.inFlight.Load(), int32(0))
+				is.Equal(log.holds("v1"), delay < time.Hour)
+				s.Began("r2", origin.Origin{
+					Pool:    "s",
+					Version: "v2",
+				})
+				time.Sleep(time.Minute)
+				is.True(!log.holds("v2"))
+			})
+		})
+	}
+}
--- a/internal/transport/schedule/doc.go
+++ b/internal/transport/schedule/doc.go
@@ -1,2 +1,2 @@
-// Package schedule runs work periodically and pauses, both until a context ends.
+// Package schedule runs work periodically, after a pause or in the background, until a context ends or the work is stopped.
 package schedule
--- a/internal/transport/usages/collect.go
+++ b/internal/transport/usages/collect.go
@@ -38,7 +38,7 @@
 			if calls.failed {
 				places = s.retries
 			}
-			go s.collect(ctx, node.Name, calls, places)
+			s.tasks.Go(func(context.Context) { s.collect(ctx, node.Name, calls, places) })
 		}
 	}
 }
--- a/internal/transport/usages/service.go
+++ b/internal/transport/usages/service.go
@@ -68,6 +68,7 @@
 	// places holds an element for each call in flight to a node that answered the last one, and retries for the others.
 	places  chan struct{}
 	retries chan struct{}
+	tasks   schedule.Tasks
 
 	mu sync.Mutex
 	// seenNumber is the highest number of a holder that has called.
@@ -169,6 +170,7 @@
 // Run performs the duty whenever this node holds it, until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	schedule.Every(ctx, tickInterval, func(time.Time) { s.Tick(ctx) })
+	s.tasks.Stop(ctx)
 }
 
 // Tick does what is due; it is to be called every 250 ms. It starts calls and doesn't wait for them.
@@ -280,7 +282,7 @@
 func (s *Service) save(ctx context.Context, key string, value []byte, saved func()) {
 	s.saving = true
 	number := s.number
-	go func() {
+	s.tasks.Go(func(context.Context) {
 		err := s.Save(ctx, number, key, value)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -293,7 +295,7 @@
 		if current, held := s.Held(); held && current == number && s.number == number && saved != nil {
 			saved()
 		}
-	}()
+	})
 }
 
 // send reports a window, unless another report is in flight; the caller must hold s.mu.
@@ -304,7 +306,7 @@
 	s.sending = true
 	s.tally.Sending(action.Window)
 	number := s.number
-	go func() {
+	s.tasks.Go(func(context.Context) {
 		err := s.Report(ctx, number, action.Window, action.Counts)
 		now, _ := s.now()
 		s.mu.Lock()
@@ -325,7 +327,7 @@
 		entry.Str("decision", "usage").Int("number", number).Int("window", action.Window).
 			Int("teams", len(action.Counts)).Int("requests", requests).Bool("repeated", action.Repeated).
 			Bool("accepted", err == nil).Msg("window sent")
-	}()
+	})
 }
 
 // now returns the true time by the holder's estimate, and whether it is known.
