Commands: a lost log reader or a hang-up does not cut requests

Callers saw: all connections of a node were closed at once when the program that read its log ended, or, with `serve`, when its terminal hung up.

Cause: a write to a standard output that nobody reads raises SIGPIPE, which ends a Go program that does not handle it. `serve` had no handler of SIGHUP, whose default ends a process, and `gateway` installed its own only after it had read its settings.

Change: SIGPIPE is caught, so that such a write fails instead; `serve` starts its drain on SIGHUP as on SIGTERM; `gateway` handles SIGHUP from the start of the command on.

--- a/internal/transport/command/cmd_gateway.go
+++ b/internal/transport/command/cmd_gateway.go
@@ -84,6 +84,9 @@
 // runGateway runs the gateway until it is drained. The first signal, which ends ctx, starts the drain; further ones are
 // ignored, so that no request in flight is aborted.
 func runGateway(ctx context.Context, settings *gatewaySettings) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ignoreFurtherSignals()
 	if err := settings.validate(); err != nil {
 		return err
 	}
@@ -92,9 +95,6 @@
 		return err
 	}
 	limitGoMemory(platformSettings.MemoryLimit)
-	ignoreFurtherSignals()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logWriter := logwriter.New(os.Stdout, platformSettings.MemoryLimit)
 	defer logWriter.Close()
--- a/internal/transport/command/cmd_serve.go
+++ b/internal/transport/command/cmd_serve.go
@@ -5,6 +5,8 @@
 	"expvar"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -33,6 +35,8 @@
 	if err := settings.validate(); err != nil {
 		return err
 	}
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	ignoreFurtherSignals()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logWriter := logwriter.New(log, 0)
@@ -40,7 +44,10 @@
 	n := newNode(settings, logWriter)
 	expvar.Publish(programName, expvar.Func(n.Vars))
 	go func() {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-hangUp:
+		}
 		n.Drain()
 	}()
 	return n.Run(context.WithoutCancel(ctx))
--- a/internal/transport/command/command.go
+++ b/internal/transport/command/command.go
@@ -98,9 +98,10 @@
 	return exitFailed
 }
 
-// ignoreFurtherSignals prevents a second SIGINT or SIGTERM from ending the process while it drains.
+// ignoreFurtherSignals keeps a process running that drains at its first SIGINT or SIGTERM: a second one does not end it, nor does
+// a write to a standard output that nobody reads any more, which fails instead.
 func ignoreFurtherSignals() {
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGINT, syscall.SIGTERM, syscall.SIGPIPE)
 }
 
 // findSubcommand returns the subcommand that args begin with, and the remaining arguments. Names of two words are
