Drain: accept only what can be finished, and answer what is left

Cause: a leaving node accepted requests for a share of the grace period (0.4, 3.2 s of 8 s), whatever time was left for their answers, and closed the connections of all that was in flight at the end. Ruled out: requests that crossed the signal (the log shows the drain 3 s earlier), the directory and the upstreams.

At the end every request in flight is answered by what has become of it (503 if it was not sent, 502 if it may have run); only answers that have begun are broken off. The HTTP listeners are shut down, not closed, so that last bytes are sent.

--- a/internal/coordination/drain/machine.go
+++ b/internal/coordination/drain/machine.go
@@ -5,8 +5,8 @@
 // Phase is a step of a node's drain.
 type Phase int
 
-// The phases of a drain, in order: a node serves, then leaves but still accepts requests, then refuses new ones, and
-// finally has finished.
+// The phases of a drain, in order: a node serves, then leaves but still accepts requests, then refuses those that it may not
+// finish, and finally has finished.
 const (
 	Serving Phase = iota
 	Leaving
@@ -21,8 +21,8 @@
 
 // StateMachine advances a node's drain from Serving to Finished; it is not safe for concurrent use.
 type StateMachine struct {
-	// RefuseAfter is the time from the start of the drain for which the node still accepts requests. It must exceed the
-	// time for which callers may cache the addresses of entry VMs.
+	// RefuseAfter is the time from the start of the drain for which the node still accepts all requests: while callers use the
+	// addresses of entry VMs that they have cached.
 	RefuseAfter time.Duration
 	// Timeout is the time from the start of the drain after which the node finishes even with requests in flight; zero
 	// means none.
@@ -35,6 +35,20 @@
 // Phase returns the current phase.
 func (m *StateMachine) Phase() Phase { return m.phase }
 
+// Accepts reports whether the node accepts a request now whose answer is due by a deadline. From RefuseAfter on these are
+// the ones that will have ended before the drain times out; without a timeout the drain would never end, and there are none.
+func (m *StateMachine) Accepts(now, deadline time.Time) bool {
+	switch {
+	case m.phase == Serving:
+		return true
+	case m.phase == Finished:
+		return false
+	case now.Sub(m.startedAt) < m.RefuseAfter:
+		return true
+	}
+	return m.Timeout > 0 && deadline.Before(m.startedAt.Add(m.Timeout))
+}
+
 // Begin starts the drain; further calls do nothing.
 func (m *StateMachine) Begin(now time.Time) {
 	if m.phase == Serving {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -46,14 +46,6 @@
 	writeTimeout      = time.Minute
 	peerIdleTimeout   = 30 * time.Second
 	drainPollInterval = 50 * time.Millisecond
-	// refuseAfterShare is the share of the grace period in which a leaving node still accepts requests: longer than most
-	// callers cache the directory's answer.
-	refuseAfterShare = 0.4
-	// drainTimeoutShare is the share of the grace period after which requests in flight are aborted, before the platform
-	// kills the process.
-	drainTimeoutShare = 0.94
-	// stopShare is the share of the grace period for which the calls in flight of background work are waited for after that.
-	stopShare = 0.03
 	// idleCheckInterval is the time between two checks for idle connections to upstreams.
 	idleCheckInterval = time.Second
 	// firstIncarnation is the incarnation of a node at every start; the membership protocol raises it when a member
@@ -164,10 +156,7 @@
 	}
 	p.Logger.Info().Str("address", p.Listen.Callers).Msg("serving")
 	p.drainer.Run(ctx)
-	for _, server := range httpServers {
-		_ = server.Close()
-	}
-	p.stopTasks(ctx)
+	p.finish(ctx, httpServers)
 	cancel()
 	_ = p.peerListener.Close()
 	p.client.Close()
@@ -177,12 +166,20 @@
 	return nil
 }
 
-// stopTasks waits for the calls in flight of background work, and cancels those that take longer than the process has left.
-func (p *Process) stopTasks(ctx context.Context) {
-	left := time.Duration(stopShare * float64(p.tunables.Load().GracePeriod))
-	ctx, cancel := context.WithTimeout(ctx, left)
+// finish ends the requests that are still in flight, closes the listeners for HTTP and stops the background work. It waits until
+// the answers are sent and the calls have ended, for as long as the grace period allows.
+func (p *Process) finish(ctx context.Context, httpServers []*http.Server) {
+	p.gateway.EndRequests()
+	ctx, cancel := context.WithTimeout(ctx, share(p.tunables.Load().GracePeriod, stopShare))
 	defer cancel()
 	var group sync.WaitGroup
+	for _, server := range httpServers {
+		group.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
+		})
+	}
 	for _, stop := range []func(context.Context){
 		p.origins.Stop,
 		p.gateway.Stop,
@@ -236,6 +233,7 @@
 		AskHolder:   p.askHolder,
 		TellHolder:  p.tellHolder,
 		Phase:       p.Phase,
+		Accepts:     p.drainer.Accepts,
 		Memory:      p.memoryBudget,
 		Crowded:     p.callers.crowded,
 		Metrics:     p.metrics(),
--- a/internal/transport/entryvm/tunables.go
+++ b/internal/transport/entryvm/tunables.go
@@ -21,8 +21,5 @@
 func (p *Process) Reconfigure(tunables Tunables) {
 	p.tunables.Store(&tunables)
 	p.members.SetContacts(tunables.Seeds)
-	p.drainer.SetTimeouts(
-		time.Duration(refuseAfterShare*float64(tunables.GracePeriod)),
-		time.Duration(drainTimeoutShare*float64(tunables.GracePeriod)),
-	)
+	p.setDrainTimeouts(tunables.GracePeriod)
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -27,6 +27,7 @@
 	errStreamStalled   = errors.New("no event for too long")
 	errCallerLeft      = errors.New("caller left")
 	errAtLimit         = errors.New("upstream is at the limit that it has named")
+	errStopping        = errors.New("this entry VM is stopping")
 )
 
 // exchange is the state of one caller's request until its final answer.
@@ -101,6 +102,10 @@
 func (x *exchange) run() {
 	defer x.endProbe()
 	for {
+		if x.stopped() {
+			x.finishWithout(*x.noUpstream(errStopping.Error()))
+			return
+		}
 		chosen, refusal := x.choose()
 		if refusal != nil {
 			x.finishWithout(*refusal)
@@ -130,9 +135,12 @@
 
 // callerLeft reports whether the caller disconnected, as opposed to the deadline passing.
 func (x *exchange) callerLeft() bool {
-	return errors.Is(x.ctx.Err(), context.Canceled)
+	return errors.Is(x.ctx.Err(), context.Canceled) && !x.stopped()
 }
 
+// stopped reports whether the request is to end because this node stops.
+func (x *exchange) stopped() bool { return errors.Is(context.Cause(x.ctx), errStopping) }
+
 // maxTries limits the upstreams that are chosen for one request. Unlike the limits of attempt.StateMachine it includes
 // those that refuse the connection. It is high, since a quarter of the largest pools may be down at once and a refused
 // connection takes only one round trip.
@@ -248,7 +256,7 @@
 func (x *exchange) recordUnreachable(upstream *replica.Replica, err error) {
 	var unreachable *connection.UnreachableError
 	switch {
-	case x.callerLeft():
+	case x.callerLeft(), x.stopped():
 	case errors.As(err, &unreachable) && !unreachable.Confirmed:
 		x.server.Dispatcher.UnreachableFromHere(upstream, time.Now())
 	default:
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,9 @@
 	TellHolder func(permit dispatch.Permit, refused bool)
 	// Phase returns the phase of this node's drain.
 	Phase func() drain.Phase
+	// Accepts, if set, reports whether this node accepts a request now whose answer is due by a deadline; by default it
+	// accepts none once it refuses requests.
+	Accepts func(deadline time.Time) bool
 	// Memory limits what is held for callers and upstreams.
 	Memory *memory.Budget
 	// Crowded, if set, reports whether callers' connections are to be closed after their answer, since too many are open.
@@ -66,6 +70,10 @@
 	inFlight atomic.Int64
 	crashes  crashChecks
 	tasks    schedule.Tasks
+	endOnce  sync.Once
+	// ending ends when the requests in flight are to be ended.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // InFlight returns the number of requests that are being served.
@@ -75,6 +83,19 @@
 // ends.
 func (s *Server) Stop(ctx context.Context) { s.tasks.Stop(ctx) }
 
+// EndRequests ends the requests in flight: each is answered now by what has become of it, or its answer is broken off if a part
+// of it was sent.
+func (s *Server) EndRequests() {
+	s.endRequests()
+	s.end()
+}
+
+// endRequests returns a context that ends when the requests in flight are to be ended.
+func (s *Server) endRequests() context.Context {
+	s.endOnce.Do(func() { s.ending, s.end = context.WithCancel(context.Background()) })
+	return s.ending
+}
+
 // ServeHTTP forwards one request and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
@@ -123,6 +144,13 @@
 	x.run()
 }
 
+func (s *Server) accepts(deadline time.Time) bool {
+	if s.Accepts == nil {
+		return s.Phase() < drain.Refusing
+	}
+	return s.Accepts(deadline)
+}
+
 func (s *Server) crowded() bool { return s.Crowded != nil && s.Crowded() }
 
 // requestTarget returns the path and query as the caller wrote them.
@@ -205,10 +233,9 @@
 	return nil
 }
 
-// refuseWhileDraining refuses a request that might not finish before this node stops; other nodes can serve it at once.
-// In drain.Leaving, the first phase of a drain, requests are still accepted.
+// refuseWhileDraining refuses a request that may not end before this node stops; other nodes can serve it at once.
 func (x *exchange) refuseWhileDraining(*http.Request) *localAnswer {
-	if x.server.Phase() < drain.Refusing {
+	if x.server.accepts(x.started.Add(x.timeout())) {
 		return nil
 	}
 	return &localAnswer{
@@ -221,7 +248,14 @@
 // begin sets the deadline from the caller's timeout and the route's, and prepares the attempts.
 func (x *exchange) begin(ctx context.Context) {
 	x.deadline = x.started.Add(x.timeout())
-	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	stopWatching := context.AfterFunc(x.server.endRequests(), func() { cancelCause(errStopping) })
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	x.ctx, x.cancel = ctx, func() {
+		stopWatching()
+		cancel()
+		cancelCause(nil)
+	}
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(slowReaderWait))
 	x.setPool(x.route.PoolFor(x.call.ID))
 	x.attempts.Repeatable = x.route.Repeatable()
--- a/internal/transport/shutdown/drainer.go
+++ b/internal/transport/shutdown/drainer.go
@@ -29,8 +29,9 @@
 	machine drain.StateMachine
 }
 
-// SetTimeouts sets two times from the start of the drain: from refuseAfter on, new requests are refused; after timeout
-// the drain finishes with requests still in flight, 0 for never.
+// SetTimeouts sets two times from the start of the drain: from refuseAfter on, new requests are refused that may not end
+// before timeout, after which the drain finishes with requests still in flight. A timeout of 0 means never; all new requests
+// are refused then.
 func (d *Drainer) SetTimeouts(refuseAfter, timeout time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,6 +63,13 @@
 	return d.machine.Phase()
 }
 
+// Accepts reports whether the node accepts a request now whose answer is due by a deadline.
+func (d *Drainer) Accepts(deadline time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Accepts(time.Now(), deadline)
+}
+
 // Run advances the drain, once started, until it has finished or the context ends.
 func (d *Drainer) Run(ctx context.Context) {
 	ticker := time.NewTicker(d.PollInterval)
