--- a/internal/transport/schedule/tasks_test.go
+++ b/internal/transport/schedule/tasks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,24 +15,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var tasks Tasks
-		ended, late := 0, 0
+		var ended, late atomic.Int32
 		tasks.Go(func(context.Context) {
 			time.Sleep(time.Second)
-			ended++
-			tasks.Go(func(context.Context) { late++ })
+			ended.Add(1)
+			tasks.Go(func(context.Context) { late.Add(1) })
 		})
 		tasks.After(time.Millisecond, func(ctx context.Context) {
 			Pause(ctx, time.Hour)
-			ended++
+			ended.Add(1)
 		})
-		tasks.After(time.Hour, func(context.Context) { late++ })
+		tasks.After(time.Hour, func(context.Context) { late.Add(1) })
 		time.Sleep(2 * time.Millisecond)
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		tasks.Stop(ctx)
-		is.Equal(ended, 2)
-		is.Equal(late, 0)
+		is.Equal(ended.Load(), int32(2))
+		is.Equal(late.Load(), int32(0))
 		is.Equal(time.Since(began), 3*time.Second) // the work that waits is cancelled then
 		is.True(!tasks.Go(func(context.Context) {}))
 		tasks.Stop(t.Context()) // a second call has nothing to wait for
