--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -19,6 +19,9 @@
 // ErrNoTopic is returned when the store does not have a topic, because nothing was appended to it yet.
 var ErrNoTopic = eris.New("store has no such topic")
 
+// ErrUnreadable is returned by Source.Read if one of the records can't be decoded. Source.Newest leaves such a record out.
+var ErrUnreadable = eris.New("record can't be decoded")
+
 // Batch is the result of one read of a topic.
 type Batch struct {
 	Records []wire.FeedRecord
