Serve: a row that can't be decoded does not stop the list of VMs

Cause: the list of VMs was decoded as a whole, so that one row with a number beyond 64 bits, or of another type, dropped all of it, silently, each second.

Change: rows are decoded one by one. Those that can't be, that have no name, an address with a port out of range or slots out of range, are left out.

TestOddRowsDoNotStopTheListOfVMs failed before.

--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -98,11 +99,34 @@
 	return answer, err
 }
 
-// Machines returns the platform's list of VMs.
+// maxSlots is beyond the slots of any upstream, so that what is computed with them can't overflow.
+const maxSlots = 1 << 16
+
+// Machines returns the platform's list of VMs, without the rows that can't be decoded or used.
 func (c *Client) Machines(ctx context.Context) ([]wire.Machine, error) {
-	var answer wire.MachineList
-	err := c.get(ctx, "/vms", c.CallTimeout, &answer)
-	return answer.Machines, err
+	var answer struct {
+		Machines []json.RawMessage `json:"machines"`
+	}
+	if err := c.get(ctx, "/vms", c.CallTimeout, &answer); err != nil {
+		return nil, err
+	}
+	var machines []wire.Machine
+	for _, row := range answer.Machines {
+		var machine wire.Machine
+		if json.Unmarshal(row, &machine) == nil && usable(machine) {
+			machines = append(machines, machine)
+		}
+	}
+	return machines, nil
+}
+
+func usable(machine wire.Machine) bool {
+	_, port, err := net.SplitHostPort(machine.Address)
+	if err != nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0 && machine.Name != "" && machine.Slots >= 0 && machine.Slots <= maxSlots
 }
 
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration, into any) error {
--- a/internal/transport/platform/client_test.go
+++ b/internal/transport/platform/client_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -173,3 +176,35 @@
 	_, err = client.Read(t.Context(), stream, 0, 0)
 	is.NoErr(err)
 }
+
+// TestOddRowsDoNotStopTheListOfVMs guards against one row that can't be decoded or used, after which nodes no longer follow the
+// list.
+func TestOddRowsDoNotStopTheListOfVMs(t *testing.T) {
+	is := is.New(t)
+	good := `{"name":"e1","kind":"engine","address":"10.0.0.1:80","availability-zone":"a","region":"r","state":"ready","slots":4}`
+	rows := []string{
+		`{"name":"e2","address":"10.0.0.2:80","slots":1e400}`,
+		`{"name":"e3","address":"10.0.0.3:80","slots":9223372036854775807}`,
+		`{"name":"e4","address":"10.0.0.4:80","slots":-1}`,
+		`{"name":"e5","address":"10.0.0.5:65536"}`,
+		`{"name":"e6","address":"10.0.0.6:0"}`,
+		`{"name":"e7","address":"10.0.0.7:80","boot":` + strings.Repeat("[", 5_000) + strings.Repeat("]", 5_000) + `}`,
+		`{"name":7,"address":"10.0.0.8:80"}`,
+		`{"address":"10.0.0.9:80"}`,
+		`null`,
+		good,
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"machines":[`+strings.Join(rows, ",")+`]}`)
+	}))
+	t.Cleanup(server.Close)
+	c := &Client{
+		BaseURL:     server.URL,
+		CallTimeout: time.Minute,
+	}
+	c.Open()
+	machines, err := c.Machines(t.Context())
+	is.NoErr(err)
+	is.Equal(len(machines), 1)
+	is.Equal(machines[0].Name, "e1")
+}
