Catalog: odd entries of other writers are cut short on every way

What was found: no such entry ended a process here, before or after (deep nesting is an error of the decoder at 10,000 levels).

What can't be decoded is cut to a short description where it is read: from the store, from peers (also of builds that send it whole) and from the copy. A record without a key makes a node read the newest records instead of failing each read.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -192,17 +192,17 @@
 		batch, err := f.source.Read(ctx, update.From, wait)
 		switch {
 		case err == nil && batch.Era == era && !batch.More:
-			update.Records, update.Next = batch.Records, batch.Next
+			update.Records, update.Next = f.readable(batch.Records), batch.Next
 			return update, nil
-		case err != nil && !errors.Is(err, ErrRecordsDeleted):
+		case err != nil && !errors.Is(err, ErrRecordsDeleted) && !errors.Is(err, ErrUnreadable):
 			return update, err
 		}
-		f.logger.Warn().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.From).Int("era", era).
-			Msg("records were deleted or are many, or the store was restored; reading the newest records")
+		f.logger.Warn().Err(err).Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.From).Int("era", era).
+			Msg("records were deleted, are many or can't be decoded, or the store was restored; reading the newest records")
 	}
 	batch, err := f.source.Newest(ctx)
 	update.Whole = true
-	update.Records, update.Next, update.Era = batch.Records, batch.Next, batch.Era
+	update.Records, update.Next, update.Era = f.readable(batch.Records), batch.Next, batch.Era
 	if batch.Era != era {
 		// Any record that the store has by now may come from the copy that it was restored from.
 		update.FreshFrom = batch.Next
@@ -350,14 +350,16 @@
 		return
 	}
 	f.fromCopy = true
-	f.applyRecords(batch.Records)
-	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(batch.Records)).
+	records := f.readable(batch.Records)
+	f.applyRecords(records)
+	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).
 		Msg("topic loaded from the copy")
 }
 
 // handleUpdate merges a peer's update; gap reports that records are missing and the whole topic must be fetched from
 // that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
+	update.Records = f.readable(update.Records)
 	return f.applyUpdate(update, time.Now())
 }
 
--- a/internal/transport/entryvm/process_test.go
+++ b/internal/transport/entryvm/process_test.go
@@ -40,23 +40,25 @@
 	return startStoreOf(t, manifest, upstream)
 }
 
-// startStoreOf is startStore with a manifest.
-func startStoreOf(t *testing.T, manifest, upstream string) string {
+// startStoreOf is startStore with a manifest, and with further entries of upstreams.
+func startStoreOf(t *testing.T, manifest, upstream string, others ...string) string {
 	entry := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","version":"v1","born":1}`, upstream)
-	records := map[string][2]string{
-		platform.TopicOperator:  {platform.ManifestKey, manifest},
-		platform.TopicUpstreams: {"i-1", entry},
+	records := map[string][][2]string{
+		platform.TopicOperator:  {{platform.ManifestKey, manifest}},
+		platform.TopicUpstreams: {{"i-1", entry}},
+	}
+	for i, other := range others {
+		records[platform.TopicUpstreams] = append(records[platform.TopicUpstreams], [2]string{fmt.Sprint("other-", i), other})
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/log-newest":
-			record, found := records[r.URL.Query().Get("topic")]
 			var items []map[string]any
-			if found {
+			for offset, record := range records[r.URL.Query().Get("topic")] {
 				items = append(items, map[string]any{
 					"key":    record[0],
 					"value":  base64.StdEncoding.EncodeToString([]byte(record[1])),
-					"offset": 0,
+					"offset": offset,
 				})
 			}
 			_ = json.NewEncoder(w).Encode(map[string]any{
