Gateway: a copy of an earlier refusal is no answer to a later request

Cause: a refusal was believed without the ID of its request, on any connection; and a request that its caller sent again under the same ID could go out on the connection on which it had been refused, where a copy with its ID looks like a new refusal. Copies that name another request were recognized before.

Change: a refusal without an ID counts only as the first answer on its connection.

--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -26,6 +26,7 @@
 	errMismatchedAnswer = errors.New("answer belongs to another request")
 	errAnswerTooLong    = errors.New("answer is longer than this entry VM can hold")
 	errRefused          = errors.New("upstream refused the request: it is leaving or full")
+	errDoubtfulRefusal  = errors.New("upstream refused a request that may be another one")
 )
 
 // sendWithRetries sends the request until an upstream answers or mayRetry allows no further attempt.
@@ -133,8 +134,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.spendLinkBudget(chosen, len(j.body))
-	if s.refusedByUpstream(chosen, response) {
-		return upstreamAnswer{}, false, errRefused
+	if err := s.refusal(j, chosen, response); err != nil {
+		return upstreamAnswer{}, errors.Is(err, errDoubtfulRefusal), err
 	}
 	body, err := s.readAnswer(j, response.Body)
 	if errors.Is(err, errAnswerTooLong) {
@@ -227,13 +228,20 @@
 	return true
 }
 
-// refusedByUpstream reports whether the upstream states that it did not run the request. It also marks the upstream as
-// leaving if a header of the response says so.
-func (s *Server) refusedByUpstream(chosen *replica.Replica, response *http.Response) bool {
+// refusal returns errRefused if the upstream states that it did not run the request, and errDoubtfulRefusal if that may be said
+// of another request. It also marks the upstream as leaving if a header of the response says so.
+func (s *Server) refusal(j *job, chosen *replica.Replica, response *upstream.Response) error {
 	if response.Header.Get(upstream.HeaderLeaving) != "" {
 		s.MarkLeaving(chosen.Name(), "refusal")
 	}
-	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(upstream.HeaderNotRun) != ""
+	switch {
+	case response.Refuses(j.id):
+		return errRefused
+	case response.Refusal():
+		s.recordMismatch(j, chosen)
+		return errDoubtfulRefusal
+	}
+	return nil
 }
 
 // recordMismatch counts and logs an answer that belongs to another request.
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -90,8 +90,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.spendLinkBudget(chosen, len(j.body))
-	if s.refusedByUpstream(chosen, response) {
-		return false, errRefused
+	if err := s.refusal(j, chosen, response); err != nil {
+		return errors.Is(err, errDoubtfulRefusal), err
 	}
 	if response.StatusCode != http.StatusOK {
 		chosen.RecordFailure()
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -144,6 +144,13 @@
 // Net returns the network connection, which must only be used to learn about it.
 func (r *Response) Net() net.Conn { return r.conn.net }
 
+// First reports whether this is the first answer on its connection, so that it can't be a copy of an earlier one.
+func (r *Response) First() bool { return r.conn.answers == 0 }
+
+// RecordRefusal records that the answer refuses a request. The connection is not used for that request again, and is closed once
+// it has carried many refusals.
+func (r *Response) RecordRefusal(requestID string) { r.conn.refusals.add(requestID) }
+
 // SetReadDeadline sets the time after which reads of the body fail.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.net.SetReadDeadline(t) }
 
@@ -157,11 +164,12 @@
 // if it announced none. A connection that can't carry another request is closed.
 func (r *Response) Release(p *Pool, idle time.Duration) {
 	stopped := r.stopWatching()
+	r.conn.answers++
 	if p.OnAnswer != nil {
 		p.OnAnswer(r.conn.address, r.conn.net)
 	}
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	if !stopped || r.Close || unframed || !r.requestSent() {
+	if !stopped || r.Close || unframed || !r.requestSent() || r.conn.refusals.full() {
 		r.conn.Close()
 		return
 	}
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -73,6 +73,9 @@
 	reader *bufio.Reader
 	// address is the address of the upstream.
 	address string
+	// answers counts the whole answers that have come, and refusals holds the refused requests.
+	answers  int
+	refusals refusals
 	// idleUntil is when an idle connection is given up.
 	idleUntil time.Time
 	// place is the connection's place in the order of the pool's idle connections.
@@ -93,14 +96,15 @@
 // Counts returns how many connections were opened, and how often an idle one was reused.
 func (p *Pool) Counts() (opened, reused int64) { return p.opened.Load(), p.reused.Load() }
 
-// Get returns an idle connection that is open and has no unread bytes, or opens a new one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns an idle connection for a request that is open, has no unread bytes and on which the request was not refused
+// before, or opens a new one.
+func (p *Pool) Get(ctx context.Context, address, requestID string) (*Conn, error) {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return p.connect(ctx, address)
 		}
-		if time.Now().Before(c.idleUntil) && p.usable(c) && c.reusable() {
+		if time.Now().Before(c.idleUntil) && p.usable(c) && c.reusable() && !c.refusals.has(requestID) {
 			p.reused.Add(1)
 			return c, nil
 		}
--- a/internal/transport/connection/pool_test.go
+++ b/internal/transport/connection/pool_test.go
@@ -57,7 +57,7 @@
 
 func exchange(t *testing.T, p *Pool, address, method string) (body string, sent bool, err error) {
 	t.Helper()
-	c, err := p.Get(t.Context(), address)
+	c, err := p.Get(t.Context(), address, "id")
 	if err != nil {
 		return "", false, err
 	}
@@ -196,7 +196,7 @@
 		}
 	}()
 	p := NewPool()
-	c, err := p.Get(t.Context(), listener.Addr().String())
+	c, err := p.Get(t.Context(), listener.Addr().String(), "id")
 	is.NoErr(err)
 	response, _, err := c.Send(t.Context(), Request{
 		Method: http.MethodPost,
@@ -215,7 +215,7 @@
 	address, arrivals := upstream(t, func(int, int) (string, bool) { select {} })
 	p := NewPool()
 	ctx, cancel := context.WithCancel(t.Context())
-	c, err := p.Get(ctx, address)
+	c, err := p.Get(ctx, address, "id")
 	is.NoErr(err)
 	go func() {
 		<-arrivals
@@ -246,7 +246,7 @@
 	open := make([]*Conn, 5)
 	for range 2 { // the count must be right after connections were reused and closed
 		for i := range open {
-			c, err := p.Get(t.Context(), string(rune('a'+i)))
+			c, err := p.Get(t.Context(), string(rune('a'+i)), "id")
 			is.NoErr(err)
 			open[i] = c
 		}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -202,7 +202,7 @@
 	upstream := choice.Replica
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	conn, err := x.server.Connections.Get(ctx, upstream.Address())
+	conn, err := x.server.Connections.Get(ctx, upstream.Address(), x.call.ID)
 	if err != nil {
 		x.recordUnreachable(upstream, err)
 		return attempt.Unsent, err
@@ -285,17 +285,23 @@
 	return at
 }
 
-// receive checks the header of an answer and reads the body as the route's kind requires. An answer must name the ID of
-// the request; only a refusal may omit it.
+// belongsToRequest reports whether an answer is that to the request. It must name the ID of the request; only a refusal may omit
+// it, as the first answer on its connection: a later one may be a copy of the refusal of another request.
+func (x *exchange) belongsToRequest(s *upstreamSend) bool {
+	return s.reply.ID == x.call.ID || s.reply.ID == "" && s.reply.NotRun && s.response.First()
+}
+
+// receive checks the header of an answer and reads the body as the route's kind requires.
 func (x *exchange) receive(s *upstreamSend) (attempt.Result, error) {
 	s.reply = x.server.Codec.DecodeReply(s.response.Response)
-	if s.reply.ID != x.call.ID && (s.reply.ID != "" || !s.reply.NotRun) {
+	if !x.belongsToRequest(s) {
 		s.response.Discard()
 		x.server.Dispatcher.Failed(s.upstream, time.Now())
 		return attempt.Lost, errOtherRequest
 	}
 	x.heedUpstream(s)
 	if s.reply.NotRun {
+		s.response.RecordRefusal(x.call.ID)
 		return attempt.NotRun, x.recordRefusal(s)
 	}
 	s.assignment.Answering(time.Now())
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -99,11 +99,33 @@
 	})
 }
 
+// Response is the answer to a call.
+type Response struct {
+	*http.Response
+	// Reused reports whether its connection has carried another call before.
+	Reused bool
+}
+
+// Refusal reports whether the upstream states that it did not run a request.
+func (r *Response) Refusal() bool {
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(HeaderNotRun) != ""
+}
+
+// Refuses reports whether the upstream states that it did not run the request with an ID. A refusal that names no request
+// counts only on a new connection: on a reused one it may be a copy of an earlier one.
+func (r *Response) Refuses(requestID string) bool {
+	named := r.Header.Get(HeaderRequestID)
+	return r.Refusal() && (named == requestID || named == "" && !r.Reused)
+}
+
 // Do sends a call and returns the response, whose body the caller must close, or a *SendError.
-func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
-	var connected atomic.Bool
+func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	request, err := newRequest(ctx, call)
 	if err != nil {
@@ -120,7 +142,10 @@
 			Cause:    eris.Wrapf(err, "send to upstream %s", call.Address),
 		}
 	}
-	return response, nil
+	return &Response{
+		Response: response,
+		Reused:   reused.Load(),
+	}, nil
 }
 
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -211,3 +211,37 @@
 	is.True(errors.As(err, &sendErr))
 	is.True(sendErr.MaybeRan)
 }
+
+// TestRefusalOnAReusedConnectionMustNameTheRequest guards against a copy of an earlier refusal that is taken for the answer to
+// the next call on its connection.
+func TestRefusalOnAReusedConnectionMustNameTheRequest(t *testing.T) {
+	is := is.New(t)
+	address, _ := startServer(t, func(_ int, conn net.Conn, request *http.Request) {
+		named := ""
+		if request.Header.Get(HeaderAttempt) == "named" {
+			named = HeaderRequestID + ": " + request.Header.Get(HeaderRequestID) + "\r\n"
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\n"+HeaderNotRun+": 1\r\n"+named+"Content-Length: 0\r\n\r\n")
+	})
+	client := &Client{}
+	client.Init()
+	for i, c := range []struct {
+		attempt string
+		refuses bool
+	}{
+		{attempt: "unnamed", refuses: true}, // on a new connection
+		{attempt: "named", refuses: true},
+		{attempt: "unnamed", refuses: false},
+	} {
+		call := newAtMostOnceCall(address, http.MethodGet)
+		call.Attempt, call.AtMostOnce = c.attempt, false
+		response, err := client.Do(t.Context(), call)
+		is.NoErr(err)
+		is.Equal(response.Reused, i > 0)
+		is.True(response.Refusal())
+		is.Equal(response.Refuses(call.RequestID), c.refuses)
+		is.True(!response.Refuses("another"+call.RequestID) || !response.Reused)
+		_, _ = io.Copy(io.Discard, response.Body)
+		is.NoErr(response.Body.Close())
+	}
+}
--- a/test/standin/engine.go
+++ b/test/standin/engine.go
@@ -103,6 +103,7 @@
 	if e.Active(FaultLeaving) {
 		w.Header().Set("Leaving", "1")
 		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
--- a/test/standin/fault.go
+++ b/test/standin/fault.go
@@ -113,6 +113,7 @@
 	}
 	if _, refuse := f.Take(FaultRefuse); refuse {
 		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return false
 	}
