Origins: a node out of step reads the record of versions before it decides

Report of other operators: during a release one machine was out of step for a few seconds, cut off from the others, while replicas of a new software version joined. Streams that had begun there through other machines broke, were taken up at that machine and went on at another version (ORDER).

Shown: a node that can't ask the others decides by the versions that it has seen and by its list, read after the caller came. A version that came while it was out of step, and whose upstreams had left again, is in neither: nobody could tell it, and a list read anew shows only those that serve now.

Change: where the node knows no other node, knows of one that is not live, or one that it asked did not answer, it reads the record of the versions from the store as well, unless a read was sent within the last second, and counts what that holds. If the record can't be read in time, the take-up gets 503. A node in touch with the others needs no further read: TestCallsOfTheStore is unchanged. A machine that stood still is in touch when it goes on, and asks the others.

TestNodeOutOfStepLearnsOfVersionsThatCameAndWent failed before in the four cases of a node out of step; the model check of take-ups passes.

--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"lagoongw/internal/coordination/membership"
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
@@ -23,6 +24,7 @@
 	return &origins.Service{
 		Name:       p.Name,
 		Nodes:      p.originNodes,
+		AllLive:    p.allNodesLive,
 		Tell:       p.tellOrigins,
 		Ask:        p.askOrigin,
 		AskSighted: p.askVersions,
@@ -60,6 +62,16 @@
 	return rendezvous.Rank(readersKey, names)[0]
 }
 
+// allNodesLive reports whether all known nodes that have not left are live.
+func (p *Process) allNodesLive() bool {
+	for _, row := range p.members.Members() {
+		if state := membership.State(row.State); state != membership.Alive && state != membership.Left {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Process) originNodes() []origin.Node {
 	var nodes []origin.Node
 	for _, row := range p.members.Live() {
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -25,6 +25,8 @@
 	Name string
 	// Nodes returns the live nodes, including this one.
 	Nodes func() []origin.Node
+	// AllLive, if set, reports whether all nodes that this one knows of and that have not left are live.
+	AllLive func() bool
 	// Tell sends reports to another node.
 	Tell func(ctx context.Context, node string, reports []origin.Report) error
 	// Ask asks another node for what it knows of a stream.
@@ -66,8 +68,8 @@
 	// was sent, refreshAskedAt when the last one was.
 	refreshing                  bool
 	refreshedAt, refreshAskedAt time.Time
-	// recordReadAt is when the record was last read.
-	recordReadAt time.Time
+	// recordReadAt is when the record was last read, and recordSentAt when that read was sent.
+	recordReadAt, recordSentAt time.Time
 	// readingRecord and readingLog are set while a read of the topic is in flight.
 	readingRecord, readingLog bool
 	// logged holds the streams of the log; logReadAt is when the read that returned them was sent, logAskedAt when the last one
@@ -278,28 +280,38 @@
 			deadline: now.Add(callerTimeout),
 		}, bound)
 	}
-	return s.onlyVersion(ctx, pool, ago)
+	return s.findOnlySeen(ctx, pool, ago)
 }
 
 // findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. They are known
 // once the record was read, and the list of upstreams since the caller came: another node may have listed a new version before
 // this one, which is told of it unless a link is broken.
 func (s *Service) findOnly(ctx context.Context, search *search, bound time.Duration) (o origin.Origin, known bool) {
-	if s.VersionRecord != nil && !s.awaitVersions(ctx, search) {
+	if s.VersionRecord == nil {
+		return s.findOnlySeen(ctx, search.pool, bound)
+	}
+	if !s.awaitVersions(ctx, search) {
 		return origin.Origin{}, false
 	}
-	return s.onlyVersion(ctx, search.pool, bound)
+	all, inTouch := s.askSighted(ctx, search.pool)
+	if !inTouch {
+		recorded, known := s.awaitRecord(ctx, search)
+		if !known {
+			return origin.Origin{}, false
+		}
+		all = append(all, recorded)
+	}
+	return onlyOrigin(search.pool, all, bound)
 }
 
-// onlyVersion asks other nodes for the versions that they have seen, and returns the origin of a stream if it is the only one.
-func (s *Service) onlyVersion(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
-	all := []origin.Sighted{s.Sighted(pool)}
-	answers, count := fanOut(s, origin.NewID(pool), func(node string) (origin.Sighted, error) {
-		return s.AskSighted(ctx, node, pool)
-	})
-	for range count {
-		all = append(all, <-answers)
-	}
+// findOnlySeen returns the origin of a stream that began in a pool up to a time ago, if no other version has served there since by
+// what this node and the others have seen.
+func (s *Service) findOnlySeen(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
+	all, _ := s.askSighted(ctx, pool)
+	return onlyOrigin(pool, all, ago)
+}
+
+func onlyOrigin(pool string, all []origin.Sighted, ago time.Duration) (o origin.Origin, known bool) {
 	version, known := origin.OnlyVersion(all, ago)
 	return origin.Origin{
 		Pool:    pool,
@@ -307,6 +319,44 @@
 	}, known
 }
 
+// askSighted returns the versions of a pool that this node and the others have seen, and whether this node is in touch with the
+// others: it knows of some, all of them are live, and those that were asked have answered. One that is not may have missed
+// that a version came.
+func (s *Service) askSighted(ctx context.Context, pool string) (all []origin.Sighted, inTouch bool) {
+	type answer struct {
+		sighted origin.Sighted
+		failed  bool
+	}
+	all = []origin.Sighted{s.Sighted(pool)}
+	answers, count := fanOut(s, origin.NewID(pool), func(node string) (answer, error) {
+		sighted, err := s.AskSighted(ctx, node, pool)
+		return answer{
+			sighted: sighted,
+			failed:  err != nil,
+		}, nil
+	})
+	inTouch = count > 0 && (s.AllLive == nil || s.AllLive())
+	for range count {
+		a := <-answers
+		all = append(all, a.sighted)
+		inTouch = inTouch && !a.failed
+	}
+	return all, inTouch
+}
+
+// awaitRecord returns the versions of the caller's pool in the record, once that was read since shortly before the caller came.
+func (s *Service) awaitRecord(ctx context.Context, search *search) (recorded origin.Sighted, known bool) {
+	known = s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
+		if search.came.Sub(s.recordSentAt) < recordAge {
+			recorded.Versions = s.record.Versions()[search.pool]
+			return true
+		}
+		s.startRecordRead(now)
+		return false
+	})
+	return recorded, known
+}
+
 // fanOut calls ask for the other nodes that may know a stream, and returns the channel of their answers and their number.
 // The answer of a node that can't be asked is zero.
 func fanOut[A any](s *Service, id origin.ID, ask func(node string) (A, error)) (answers <-chan A, count int) {
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -33,6 +33,9 @@
 	// removalReadAge is the age up to which a read of the record serves for removals: nodes that started together have each
 	// written entries for a version, of which they told no other.
 	removalReadAge = 2 * time.Second
+	// recordAge is the age up to which a read of the record serves a caller. An upstream whose version came later is listed for
+	// longer than that, and the list is read after the caller came.
+	recordAge = time.Second
 	// waitPoll is the time between two checks of a wait; calls that failed are repeated at one of them.
 	waitPoll = 50 * time.Millisecond
 )
@@ -351,7 +354,7 @@
 		return
 	}
 	s.record.Read(entries, batch.Era)
-	s.recordReadAt = now
+	s.recordReadAt, s.recordSentAt = now, sent
 	if s.sightings.Covered() {
 		s.sightings.Learn(s.record.Versions(), now)
 		return // the others are known from this node's observation
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -290,3 +290,61 @@
 		})
 	}
 }
+
+// TestNodeOutOfStepLearnsOfVersionsThatCameAndWent guards against a stream that goes on at another version: it began at one whose
+// upstreams came while this node was out of step, and have left since, so that no list shows them.
+func TestNodeOutOfStepLearnsOfVersionsThatCameAndWent(t *testing.T) {
+	for name, c := range map[string]struct {
+		outOfStep func(s *origins.Service)
+		// recorded is the version that the others recorded meanwhile, empty for none.
+		recorded string
+		readErr  error
+		known    bool
+	}{
+		"cut off from the others": {outOfStep: func(*origins.Service) {}, recorded: "v2"},
+		"the only node that it knows": {
+			outOfStep: func(s *origins.Service) { s.Nodes = func() []origin.Node { return []origin.Node{{Name: "a"}} } },
+			recorded:  "v2",
+		},
+		"on the smaller side of a cut": {
+			outOfStep: func(s *origins.Service) {
+				s.AllLive = func() bool { return false }
+				s.AskSighted = sightedV1
+			},
+			recorded: "v2",
+		},
+		"record can't be read":     {outOfStep: func(*origins.Service) {}, readErr: errLost},
+		"no other version came":    {outOfStep: func(*origins.Service) {}, known: true},
+		"in touch with the others": {outOfStep: func(s *origins.Service) { s.AskSighted = sightedV1 }, readErr: errLost, known: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				topic := &recordTopic{}
+				s := newNode(topic)
+				s.Refresh = func(context.Context) error { return nil } // its list is current, and shows v1 alone
+				c.outOfStep(s)
+				tickFor(s, 40*time.Second)
+				if c.recorded != "" {
+					is.NoErr(topic.Save(t.Context(), []wire.FeedRecord{{Key: "k2", Value: `{"pool":"s","version":"` + c.recorded + `"}`}}))
+				}
+				topic.mu.Lock()
+				topic.readErr = c.readErr
+				topic.mu.Unlock()
+				for range 3 {
+					found, known := s.FindOnly(t.Context(), "s", routeTimeout)
+					is.Equal(known, c.known)
+					is.True(!known || found.Version == "v1")
+					time.Sleep(time.Second)
+				}
+			})
+		})
+	}
+}
+
+func sightedV1(context.Context, string, string) (origin.Sighted, error) {
+	return origin.Sighted{
+		Versions: []string{"v1"},
+		Observed: time.Minute,
+	}, nil
+}
