Gateway: a stream goes on only where the version is confirmed

Cause: the version of an upstream was that of the list, up to 1.5 s old, and nothing tied it to the process that answers.

Change: a stream goes on over a connection only if the list was read since that connection was opened, and still shows the version; no connection outlives a restart. The read takes the place of the next regular one, at most each 0.2 s by a node, and is not needed for connections older than the last read. Where upstreams name the version of their weights, it is sent with the request (they refuse others), and an answer with another one is dropped. A stream that began on a new connection is checked once the list has been read: if its upstream had started again, it is broken off rather than continued, and its origin is made ambiguous, so that nobody takes it up. No message between nodes and no record in the store has changed.

--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -154,6 +154,9 @@
 // UpstreamsAge returns the time since the list of upstreams was last known to be up to date.
 func (s *Service) UpstreamsAge() time.Duration { return s.upstreams.age(time.Now()) }
 
+// UpstreamsReadAt returns when the list of upstreams was last known to be up to date.
+func (s *Service) UpstreamsReadAt() time.Time { return s.upstreams.currentAt() }
+
 // UpstreamsEra returns how often the store was restored from an older copy by the newest list of upstreams.
 func (s *Service) UpstreamsEra() int { return s.upstreams.era() }
 
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -72,7 +72,8 @@
 	source *limitedSource
 	reader *bufio.Reader
 	// address is the address of the upstream.
-	address string
+	address  string
+	openedAt time.Time
 	// answers counts the whole answers that have come, and refusals holds the refused requests.
 	answers  int
 	refusals refusals
@@ -134,6 +135,7 @@
 	if dial == nil {
 		dial = p.DialDirect
 	}
+	opening := time.Now()
 	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to upstream %s", address)
@@ -141,10 +143,11 @@
 	p.opened.Add(1)
 	source := &limitedSource{Conn: raw}
 	return &Conn{
-		net:     raw,
-		source:  source,
-		reader:  bufio.NewReaderSize(source, readBufferBytes),
-		address: address,
+		net:      raw,
+		source:   source,
+		reader:   bufio.NewReaderSize(source, readBufferBytes),
+		address:  address,
+		openedAt: opening,
 	}, nil
 }
 
@@ -253,6 +256,9 @@
 	}
 }
 
+// OpenedAt returns when the connection began to be opened.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -43,6 +43,7 @@
 		AskRecord:     p.askRecord,
 		Refresh:       p.Catalog.RefreshUpstreams,
 		RefreshIn:     p.Catalog.UpstreamsRetryIn,
+		ListReadAt:    p.Catalog.UpstreamsReadAt,
 		Logger:        p.Logger,
 	}
 }
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -230,6 +230,8 @@
 		ConfirmDown: p.detours.ConfirmDown,
 		TellPause:   p.tellPause,
 		Origins:     p.origins,
+		AwaitList:   p.origins.AwaitList,
+		ListReadAt:  p.Catalog.UpstreamsReadAt,
 		AskHolder:   p.askHolder,
 		TellHolder:  p.tellHolder,
 		Phase:       p.Phase,
--- a/internal/transport/gateway/call.go
+++ b/internal/transport/gateway/call.go
@@ -40,6 +40,8 @@
 	Engine bool
 	// ResumeAfter is the ID of the last event that the caller has received, empty for none.
 	ResumeAfter string
+	// Weights is the version of the weights that an upstream must have to run the request, empty for any.
+	Weights string
 }
 
 // Reply is what the header of an upstream's answer says.
@@ -62,6 +64,8 @@
 	Brittle float64
 	// Load is the load that the upstream tells, without a time; its Slots are 0 if it tells none.
 	Load ratelimit.ServerLoad
+	// Weights is the version of the weights that the upstream runs the request with, empty if it does not say.
+	Weights string
 }
 
 // Codec translates between HTTP messages and the types of this package.
@@ -72,4 +76,6 @@
 	Encode(call *Call, send SendParams) http.Header
 	// DecodeReply reads the header of an upstream's answer.
 	DecodeReply(r *http.Response) Reply
+	// DecodeWeights returns the version of the weights from the last of the events on that name a change of it, empty if none does.
+	DecodeWeights(events []byte) string
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"lagoongw/internal/coordination/attempt"
@@ -26,6 +27,7 @@
 	errErrorNotHeld    = errors.New("upstream's error was too long to hold")
 	errStreamStalled   = errors.New("no event for too long")
 	errCallerLeft      = errors.New("caller left")
+	errOtherVersion    = errors.New("upstream has another version than the one that began the stream")
 	errAtLimit         = errors.New("upstream is at the limit that it has named")
 	errStopping        = errors.New("this entry VM is stopping")
 )
@@ -56,6 +58,10 @@
 	team     string
 	// origin is where the stream that the request goes on with began, nil before the first event of a new one.
 	origin *origin.Origin
+	// weights is the version of the weights that the last event was made with, empty if unknown.
+	weights string
+	// beginning is the send that brought the first event, nil before that.
+	beginning *upstreamSend
 	// priorityLevel is 0 for the most urgent requests.
 	priorityLevel int
 	attempts      attempt.StateMachine
@@ -88,8 +94,12 @@
 
 // upstreamSend is one send of the request to an upstream.
 type upstreamSend struct {
-	upstream   *replica.Replica
-	started    time.Time
+	upstream *replica.Replica
+	started  time.Time
+	// connectedAt is when the connection was opened.
+	connectedAt time.Time
+	// confirmed reports that a list of upstreams that was read since then shows the upstream as it was chosen.
+	confirmed  atomic.Bool
 	assignment *dispatch.Assignment
 	response   *connection.Response
 	reply      Reply
@@ -207,6 +217,10 @@
 		x.recordUnreachable(upstream, err)
 		return attempt.Unsent, err
 	}
+	if !x.confirmVersion(ctx, upstream, conn.OpenedAt()) {
+		x.server.Connections.Put(conn, 0)
+		return attempt.Unsent, errOtherVersion
+	}
 	permit := x.takePermit(ctx, upstream)
 	if !permit.Granted {
 		x.server.Connections.Put(conn, 0)
@@ -219,9 +233,10 @@
 		return attempt.Unsent, context.DeadlineExceeded
 	}
 	s := &upstreamSend{
-		upstream: upstream,
-		started:  time.Now(),
-		cost:     choice.Cost,
+		upstream:    upstream,
+		started:     time.Now(),
+		connectedAt: conn.OpenedAt(),
+		cost:        choice.Cost,
 	}
 	s.assignment = x.server.Dispatcher.Begin(upstream, x.dispatchRequest(), choice, s.started)
 	defer func() { s.assignment.End(time.Now()) }()
@@ -236,6 +251,7 @@
 			PriorityLevel: x.priorityLevel,
 			Engine:        x.toEngine,
 			ResumeAfter:   x.resumeAfter(),
+			Weights:       x.weights,
 		}),
 		Body:           x.body,
 		HeaderDeadline: x.headerDeadline(s.cost),
@@ -300,6 +316,10 @@
 		return attempt.Lost, errOtherRequest
 	}
 	x.heedUpstream(s)
+	if x.otherWeights(s) {
+		s.response.Discard()
+		return attempt.Lost, errOtherVersion
+	}
 	if s.reply.NotRun {
 		s.response.RecordRefusal(x.call.ID)
 		return attempt.NotRun, x.recordRefusal(s)
@@ -346,12 +366,13 @@
 }
 
 // recordRefusal tells the dispatcher that the upstream did not run the request, and ends the answer. Status 421 means
-// that another upstream has taken over the address.
+// that another upstream has taken over the address, or that this one has other weights than those that the request needs.
 func (x *exchange) recordRefusal(s *upstreamSend) error {
-	if s.response.StatusCode == http.StatusMisdirectedRequest {
-		x.server.Dispatcher.Unreachable(s.upstream, time.Now())
-	} else {
+	switch {
+	case s.response.StatusCode != http.StatusMisdirectedRequest:
 		x.server.Dispatcher.Refused(s.upstream, time.Now())
+	case x.weights == "" || s.reply.Instance != s.upstream.Name():
+		x.server.Dispatcher.Unreachable(s.upstream, time.Now())
 	}
 	return x.skipBody(s)
 }
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -117,8 +117,9 @@
 		t.Fatal(err)
 	}
 	g := &testGateway{
-		scripts: scripts,
-		dials:   map[string]int{},
+		scripts:   scripts,
+		dials:     map[string]int{},
+		upstreams: replica.NewTable(),
 		origins: &origins.Service{
 			Nodes: func() []origin.Node { return nil },
 			Versions: func() (map[string][]string, bool) {
@@ -126,7 +127,7 @@
 			},
 		},
 	}
-	upstreams := replica.NewTable()
+	upstreams := g.upstreams
 	var rows []wire.Machine
 	for name := range scripts {
 		row := wire.Machine{
--- a/internal/transport/gateway/origin.go
+++ b/internal/transport/gateway/origin.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/origin"
-	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
 )
 
@@ -96,17 +95,22 @@
 }
 
 // recordOrigin records that the first event of the stream has come from an upstream, at whose version it goes on.
-func (x *exchange) recordOrigin(upstream *replica.Replica) {
+func (x *exchange) recordOrigin(s *upstreamSend) {
 	if x.progress.events > 0 {
 		return
 	}
+	if x.origin == nil {
+		s.confirmed.Store(x.server.ListReadAt != nil && s.connectedAt.Before(x.server.ListReadAt().Add(-listAge)))
+		x.beginning = s
+	}
 	if x.origin == nil {
 		x.origin = &origin.Origin{
 			Pool:    x.pool,
-			Version: upstream.Version(),
+			Version: s.upstream.Version(),
 		}
 	}
 	if x.route.Resumable() {
 		x.server.Origins.Began(x.call.ID, *x.origin)
+		x.server.checkOrigin(x.call.ID, *x.origin, x.beginning)
 	}
 }
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -46,6 +46,10 @@
 	RetryBudget func(pool string) *retry.WindowBudget
 	// Origins keeps where streams began.
 	Origins Origins
+	// AwaitList, if set, waits for the list of upstreams to be read since a time, and reports whether it was.
+	AwaitList func(ctx context.Context, since time.Time) bool
+	// ListReadAt, if set, returns when the list of upstreams was last known to be current.
+	ListReadAt func() time.Time
 	// Usage, if set, counts the requests that began to run.
 	Usage Usage
 	// AskHolder asks another node for a send to an upstream that has named a limit; it may be nil if there is no other node.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -142,7 +142,8 @@
 		x.progress.headWritten = true
 		x.attempts.MarkStreaming()
 	}
-	x.recordOrigin(s.upstream)
+	x.noteWeights(s, events)
+	x.recordOrigin(s)
 	if x.progress.events == 0 {
 		x.progress.firstEventAt = now
 		x.server.Metrics.observeFirstEvent(x.route, x.priorityLevel, now.Sub(x.started))
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -48,6 +48,8 @@
 	// Refresh, if set, reads the list of upstreams now, and RefreshIn returns how long that is not to be done after a failure.
 	Refresh   func(ctx context.Context) error
 	RefreshIn func() time.Duration
+	// ListReadAt, if set, returns when the list of upstreams was last known to be current.
+	ListReadAt func() time.Time
 	// AskRecord, if set, has another node record versions by pool.
 	AskRecord func(ctx context.Context, node string, versions map[string][]string) error
 	// TellVersions, if set, tells another node of entries that this one writes to the record of the versions.
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -24,6 +24,8 @@
 	// tellTimeout is how long a version waits for the other nodes to be told of it. A round trip between regions takes less; a
 	// node that does not answer by then reads the list of upstreams itself before it answers a caller.
 	tellTimeout = 250 * time.Millisecond
+	// maxReadDelay is the time from a read of the list by a peer until this node knows of it.
+	maxReadDelay = time.Second
 	// refreshInterval is the least time between two reads of the list of upstreams for callers.
 	refreshInterval = 200 * time.Millisecond
 	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
@@ -137,6 +139,21 @@
 	return true
 }
 
+// AwaitList waits for the list of upstreams to be read since a time, by this node for its callers or by ListReadAt, and reports
+// whether it was within the time that a caller waits.
+func (s *Service) AwaitList(ctx context.Context, since time.Time) bool {
+	if s.Refresh == nil || s.ListReadAt != nil && s.ListReadAt().After(since.Add(maxReadDelay)) {
+		return true
+	}
+	return s.await(ctx, callerTimeout, func(now time.Time) bool {
+		if !s.refreshedAt.Before(since) {
+			return true
+		}
+		s.startRefresh(now)
+		return false
+	})
+}
+
 // startRefresh reads the list of upstreams unless that is being done, or was too short ago; the caller must hold the lock.
 func (s *Service) startRefresh(now time.Time) {
 	if s.refreshing || now.Sub(s.refreshAskedAt) < refreshInterval {
