Gateway: the test of revoked origins has an upstream to go on at

Without one the take-up was refused in any case. It fails now without the check of the origin (200 instead of 503, run on a scratch copy of the code).

--- a/internal/transport/gateway/restart_test.go
+++ b/internal/transport/gateway/restart_test.go
@@ -152,23 +152,29 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				g := newTestGateway(t, map[string]script{"u1": eventStream(0)})
+				g := newTestGateway(t, map[string]script{
+					"u1": eventStream(0),
+					"u2": eventStream(0),
+				})
 				var readAt atomic.Pointer[time.Time]
 				read := func(at time.Time) { readAt.Store(&at) }
 				read(time.Now())
 				g.gateway.ListReadAt = func() time.Time { return *readAt.Load() }
 				g.call(t.Context(), "/resumable/x", "{}", nil)
 				if c.restarts {
-					g.upstreams.Update([]wire.Machine{{
-						Name:    "u1",
-						Kind:    replica.KindService,
-						Pool:    "s",
-						Address: "u1",
-						Region:  "near",
-						Slots:   8,
-						Boot:    2,
-						Version: "v2",
-					}})
+					row := func(name, version string, boot int) wire.Machine {
+						return wire.Machine{
+							Name:    name,
+							Kind:    replica.KindService,
+							Pool:    "s",
+							Address: name,
+							Region:  "near",
+							Slots:   8,
+							Boot:    boot,
+							Version: version,
+						}
+					}
+					g.upstreams.Update([]wire.Machine{row("u1", "v2", 2), row("u2", defaultVersion, 0)})
 				}
 				read(time.Now().Add(2 * time.Second))
 				time.Sleep(time.Second)
