Origins: nodes log their own streams until one has been the writer for a second

Cause: one node appends the streams of all, and begins once it has been the one to do so for a second. In that second nobody logged any.

Change: until some node has been the writer for that long, each node appends its own streams 50 ms after the first, under keys of its own beyond the slots of the log, so that none overwrites another's. With more known nodes the interval grows. A build that does not know the keys reads them as further batches of the log; what it writes is unchanged.

TestStreamsOfTheFirstSecondAreLogged failed before.

--- /dev/null
+++ b/internal/coordination/origin/early.go
@@ -0,0 +1,86 @@
+package origin
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// earlyDelay is the time from a stream's beginning until it may be appended early: several that begin together go into
+	// one batch.
+	earlyDelay = 50 * time.Millisecond
+	// earlyInterval is the least time between two early batches of a node that knows of up to earlyNodes others. With more
+	// it grows, so that all nodes together leave the store to other writes.
+	earlyInterval = 100 * time.Millisecond
+	earlyNodes    = 8
+	// earlyKeys is the number of keys that a node writes in turn, and earlyGroups that of the groups of keys that nodes are
+	// spread over by their names.
+	earlyKeys   = 8
+	earlyGroups = 1 << 20
+)
+
+// EarlyLog decides on the appends of a node's own streams while no node has been the writer of the log for long enough to append
+// the streams of all. They go to keys beyond the slots of the log, so that nodes don't overwrite each other's. It is not safe for
+// concurrent use.
+type EarlyLog struct {
+	// Node is the name of the node.
+	Node string
+
+	pending  []Report
+	inFlight int
+	written  int
+	dueAt    time.Time
+}
+
+// Add adds a stream that has just begun.
+func (l *EarlyLog) Add(report Report, now time.Time) {
+	if len(l.pending) >= maxPendingStreams {
+		return
+	}
+	if len(l.pending) == 0 && l.dueAt.Before(now.Add(earlyDelay)) {
+		l.dueAt = now.Add(earlyDelay)
+	}
+	l.pending = append(l.pending, report)
+}
+
+// Retire drops the streams that wait, except those of an append in flight: the writer appends them.
+func (l *EarlyLog) Retire() { l.pending = slices.Clone(l.pending[:l.inFlight]) }
+
+// Waiting reports whether streams wait that are not being appended, and until when.
+func (l *EarlyLog) Waiting() (until time.Time, waiting bool) {
+	return l.dueAt, l.inFlight == 0 && len(l.pending) > 0
+}
+
+// Due returns the streams of the next batch and the key to write it to, if one is due now. Done must be called after it.
+func (l *EarlyLog) Due(now time.Time) (batch []Report, key int, due bool) {
+	if until, waiting := l.Waiting(); !waiting || now.Before(until) {
+		return nil, 0, false
+	}
+	l.inFlight = len(l.pending)
+	return l.pending[:l.inFlight:l.inFlight], l.key(), true
+}
+
+// key returns the key of the next batch: one of the node's own keys in turn.
+func (l *EarlyLog) key() int {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(l.Node))
+	group := int(hash.Sum64() % earlyGroups)
+	return logSlots + group*earlyKeys + l.written%earlyKeys
+}
+
+// Done records whether the batch was appended, while the given number of nodes is known. One that was not is due again.
+func (l *EarlyLog) Done(appended bool, nodes int, now time.Time) {
+	if !appended {
+		l.inFlight = 0
+		l.dueAt = now.Add(logRetryDelay)
+		return
+	}
+	l.pending = slices.Clone(l.pending[l.inFlight:])
+	l.inFlight = 0
+	l.written++
+	l.dueAt = now.Add(earlyInterval * time.Duration(max(nodes, earlyNodes)) / earlyNodes)
+}
+
+// IsEarly reports whether a key of the log is one of those beyond its slots.
+func IsEarly(key int) bool { return key >= logSlots }
--- a/internal/coordination/origin/log_test.go
+++ b/internal/coordination/origin/log_test.go
@@ -96,3 +96,32 @@
 	is.True(r.BeingWritten("engines", "v2", start.Add(time.Second)))
 	is.True(!r.BeingWritten("engines", "v2", start.Add(time.Second+toldTime)))
 }
+
+// TestEarlyBatchesAreFewAndApart guards against nodes that start together and overwrite each other's streams, and against more
+// appends than the store takes of them all.
+func TestEarlyBatchesAreFewAndApart(t *testing.T) {
+	is := is.New(t)
+	keys := map[int]string{}
+	for node := range 300 {
+		l := EarlyLog{Node: fmt.Sprint("front-", node)}
+		now, appends := start, 0
+		for i := range 100 { // one stream each 10 ms
+			l.Add(report(NewID(fmt.Sprint(i)), first, 0), now)
+			if batch, key, due := l.Due(now); due {
+				appends++
+				is.True(IsEarly(key))
+				is.True(len(batch) > 0)
+				other, used := keys[key]
+				is.True(!used || other == l.Node)
+				keys[key] = l.Node
+				l.Done(i > 20, 300, now)
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		is.True(appends >= 1)
+		is.True(appends <= 3) // 300 nodes know of each other after the first
+		l.Retire()
+		_, waiting := l.Waiting()
+		is.True(!waiting)
+	}
+}
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -81,6 +81,11 @@
 	// writer is the node that writes to the two topics, by what this node knows, and writerSince since when it is.
 	writer      string
 	writerSince time.Time
+	// early decides on the appends of this node's own streams, of which one is scheduled or in flight if earlyScheduled is set.
+	// earlyKeys holds the keys of such batches, of all nodes, in the log as it was read.
+	early          origin.EarlyLog
+	earlyScheduled bool
+	earlyKeys      []int
 	// writing holds the pools whose streams this node appends to the log; logScheduled is set while an append is scheduled or
 	// in flight.
 	writing      []string
@@ -97,6 +102,7 @@
 	}
 	s.mu.Lock()
 	s.registry.Record(report, now)
+	s.logOwn(report, now)
 	s.logStreams([]origin.Report{report})
 	s.announcer.Self = s.Name
 	s.announcer.SetNodes(s.Nodes())
--- a/internal/transport/origins/stored.go
+++ b/internal/transport/origins/stored.go
@@ -105,6 +105,8 @@
 	// sizes holds the sizes of the batches by slot, and last is the slot that was written last, -1 if none was.
 	sizes map[int]int
 	last  int
+	// early holds the keys of the batches that nodes wrote of their own streams.
+	early []int
 }
 
 func decodeLog(records []wire.FeedRecord) (storedLog, error) {
@@ -119,13 +121,16 @@
 		if err != nil {
 			return log, eris.Wrapf(err, "decode key %q of streams", record.Key)
 		}
-		if record.Offset > newest {
+		if record.Offset > newest && !origin.IsEarly(slot) {
 			newest, log.last = record.Offset, slot
 		}
 		if record.Value == "" {
 			continue
 		}
 		log.sizes[slot] = len(record.Value)
+		if origin.IsEarly(slot) {
+			log.early = append(log.early, slot)
+		}
 		var batch []storedStreams
 		if err := json.Unmarshal([]byte(record.Value), &batch); err != nil {
 			return log, eris.Wrapf(err, "decode streams under the key %q", record.Key)
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -71,6 +71,7 @@
 	if len(s.writing) == 0 && now.Sub(s.logReadAt) >= logReadInterval {
 		s.log.Forget() // another node may have written since
 	}
+	s.emptyEarly(now)
 	before := s.writing
 	s.writing = pools
 	for _, pool := range pools {
@@ -166,6 +167,7 @@
 		return
 	}
 	s.logged, s.logReadAt = log.streams, sent
+	s.earlyKeys = log.early
 	if !s.log.Known() {
 		s.log.Continue(log.sizes, log.last)
 	}
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -348,3 +349,46 @@
 		Observed: time.Minute,
 	}, nil
 }
+
+// TestStreamsOfTheFirstSecondAreLogged guards against streams that nobody has logged when all nodes are lost again about a second
+// after their return, since no node has been the one to log for long enough, and against their batches staying for ever.
+func TestStreamsOfTheFirstSecondAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, record := &recordTopic{}, &recordTopic{saved: []wire.FeedRecord{
+			{Key: "k1", Value: `{"pool":"s","version":"v1"}`},
+			{Key: "k2", Value: `{"pool":"s","version":"v2"}`},
+		}}
+		started := func() *origins.Service {
+			s := newNode(record)
+			s.StreamLog = log
+			s.Tell = func(context.Context, string, []origin.Report) error { return errLost }
+			s.Ask = func(context.Context, string, origin.ID) (origin.Answer, error) { return origin.Answer{}, errLost }
+			s.Versions = func() (map[string][]string, bool) { return map[string][]string{"s": {"v1", "v2"}}, true }
+			return s
+		}
+		s := started()
+		tickFor(s, 250*time.Millisecond)
+		s.Began("r1", origin.Origin{
+			Pool:    "s",
+			Version: "v1",
+		})
+		time.Sleep(150 * time.Millisecond) // all nodes are lost
+		again := started()
+		tickFor(again, 250*time.Millisecond)
+		found, known := again.Find(t.Context(), "r1", "s")
+		is.True(known)
+		is.Equal(found.Version, "v1")
+		tickFor(again, origin.DefaultWindow+10*time.Second)
+		again.Stop(t.Context())
+		emptied := 0
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		for _, saved := range log.saved {
+			if number, err := strconv.Atoi(saved.Key); err == nil && origin.IsEarly(number) && saved.Value == "" {
+				emptied++
+			}
+		}
+		is.Equal(emptied, 1)
+	})
+}
