Catalog: failing fetches do not put off the read of the store

Cause: after a fetch that failed the next peer that had told of newer routes was asked, and the store was read only after the last one. On a large site, or while peers go on telling, there is always another one. The guess that newer word cancels the fetch under way is not right: it waits; what ends a fetch is a silence of the peer.

Change: after two failed fetches in a row the store is read.

TestFailingFetchesDoNotPutOffTheRead failed before (no routes after 1.6 s, the store not read at all).

--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -92,6 +92,33 @@
 	})
 }
 
+// TestFailingFetchesDoNotPutOffTheRead guards against a node that never reads the store, and keeps its old routes for seconds,
+// while one peer after another tells of newer ones and can't supply them.
+func TestFailingFetchesDoNotPutOffTheRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peers := &countingPeers{
+			sitePeers: sitePeers{site: newSite()},
+			delay:     500 * time.Millisecond,
+			err:       errStoreUnavailable,
+		}
+		routes := newTopic()
+		routes.put("config", "3")
+		service := newNode(peers, routes, newTopic())
+		service.Prepare()
+		for peer := range 40 {
+			go service.FetchNewerRoutes(t.Context(), strconv.Itoa(peer), 3)
+			time.Sleep(100 * time.Millisecond)
+			if peer == 15 {
+				is.Equal(service.RoutesVersion(), 3)
+			}
+		}
+		time.Sleep(time.Second)
+		is.Equal(peers.calls, 2)
+		is.Equal(routes.callCount(), 1)
+	})
+}
+
 // TestNodeThatLagsReadsOnlyTheNewestVersion checks that many versions which come at once are not read one by one.
 func TestNodeThatLagsReadsOnlyTheNewestVersion(t *testing.T) {
 	is := is.New(t)
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -305,26 +305,33 @@
 	})
 }
 
+// fetchesBeforeRead is the number of fetches in a row that fail before the store is read, though another peer was named.
+const fetchesBeforeRead = 2
+
 // fetchFrom fetches a topic from a peer, and from another one that was named meanwhile, one at a time. If the last one
-// can't supply it, the store is read.
+// can't supply it, or several in a row, the store is read: on a large site there is always another peer.
 func (s *Service) fetchFrom(ctx context.Context, f *follower, target feed.Target) {
 	if f == nil || !f.requestFetch(target) {
 		return
 	}
-	var err error
+	failures := 0
 	for more := true; more; target, more = f.endFetch() {
 		if target.Version > 0 && s.hasVersion(target.Version) {
 			continue
 		}
-		var update wire.FeedUpdate
-		if update, err = s.Peers.Fetch(ctx, target.Address, f.topic.Name); err == nil {
+		update, err := s.Peers.Fetch(ctx, target.Address, f.topic.Name)
+		if err == nil {
 			s.HandleUpdate(update)
+			failures = 0
 			continue
 		}
 		s.Logger.Warn().Err(err).Str("step", "fetch "+f.topic.Name).Str("peer", target.Address).
 			Msg("peer call failed; reading the store unless another peer is named")
+		if failures++; failures%fetchesBeforeRead == 0 {
+			_ = f.catchUp(ctx)
+		}
 	}
-	if err != nil {
+	if failures%fetchesBeforeRead > 0 {
 		_ = f.catchUp(ctx)
 	}
 }
