Entry VM: a fetch that a silence cut off waits longer the next time

Cause: the time of a transfer grows after one that was cut off by its limit, but not after one that was cut off by a silence, or while connecting (0.5 s). A busy peer that takes a second to begin its answer was asked over and over.

Change: the silence that is allowed grows with the limit, after either of the two, and holds for connecting as well.

TestTransferAfterALongSilenceArrivesInTheEnd failed before.

--- a/internal/transport/entryvm/fetch_time.go
+++ b/internal/transport/entryvm/fetch_time.go
@@ -20,7 +20,12 @@
 	return cmp.Or(f.limits[topic], maxFetchTime)
 }
 
-// ended records whether a transfer was cut off by its limit.
+// silence returns how long a peer may send nothing in the next transfer of a topic; it grows with the limit.
+func (f *fetchTimes) silence(topic string) time.Duration {
+	return fetchSilence * (f.limit(topic) / maxFetchTime)
+}
+
+// ended records whether a transfer was cut off by its limit or by a silence.
 func (f *fetchTimes) ended(topic string, cutOff bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/entryvm/fetch_time_test.go
+++ b/internal/transport/entryvm/fetch_time_test.go
@@ -26,7 +26,9 @@
 		f.ended(catalog.TopicRoutes, true)
 	}
 	is.Equal(f.limit(catalog.TopicRoutes), longestFetchTime)
+	is.True(f.silence(catalog.TopicRoutes) > 2*fetchSilence)
 	is.Equal(f.limit(catalog.TopicUpstreams), maxFetchTime)
+	is.Equal(f.silence(catalog.TopicUpstreams), fetchSilence)
 	f.ended(catalog.TopicRoutes, false)
 	is.Equal(f.limit(catalog.TopicRoutes), maxFetchTime)
 }
@@ -72,6 +74,41 @@
 	is.True(fetched)
 }
 
+// TestTransferAfterALongSilenceArrivesInTheEnd guards against a node whose transfers are all cut off since a busy peer takes
+// longer to begin its answer than it may be silent.
+func TestTransferAfterALongSilenceArrivesInTheEnd(t *testing.T) {
+	is := is.New(t)
+	secret := []byte("a secret of sixteen")
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &peer.Server{
+		Secret:      secret,
+		IdleTimeout: time.Minute,
+		Logger:      zerolog.Nop(),
+		Handlers: map[string]peer.Handler{
+			peer.MethodFeedFetch: func(context.Context, json.RawMessage) (any, error) {
+				time.Sleep(fetchSilence + fetchSilence/4)
+				return wire.FeedUpdate{Topic: catalog.TopicRoutes}, nil
+			},
+		},
+	}
+	go func() { _ = server.Run(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	p := &Process{client: &peer.Client{Secret: secret}}
+	t.Cleanup(p.client.Close)
+	fetched := false
+	for range 5 {
+		_, err := p.fetch(t.Context(), listener.Addr().String(), catalog.TopicRoutes)
+		if fetched = err == nil; fetched {
+			break
+		}
+	}
+	is.True(fetched)
+}
+
 // slowListener accepts connections that write large messages in pieces.
 type slowListener struct{ net.Listener }
 
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -108,11 +108,13 @@
 }
 
 func (p *Process) fetch(ctx context.Context, address, topic string) (wire.FeedUpdate, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.fetchTimes.limit(topic))
+	limited, cancel := context.WithTimeout(ctx, p.fetchTimes.limit(topic))
 	defer cancel()
 	var update wire.FeedUpdate
-	err := p.client.Download(ctx, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update, fetchSilence)
-	p.fetchTimes.ended(topic, err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded))
+	err := p.client.Download(limited, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update,
+		p.fetchTimes.silence(topic))
+	cutOff := errors.Is(limited.Err(), context.DeadlineExceeded) || errors.Is(err, context.Canceled) && ctx.Err() == nil
+	p.fetchTimes.ended(topic, err != nil && cutOff)
 	return update, err
 }
 
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -87,7 +87,7 @@
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(c.dialTimeout(), cancel)
+	silent := time.AfterFunc(max(c.dialTimeout(), silence), cancel)
 	defer silent.Stop()
 	rpc, err := c.dial(ctx, address, func() { silent.Reset(silence) })
 	if err != nil {
