Test: processes are replaced one by one by another build, and back

Three real processes with a store and upstreams of two versions serve orders and streams on kept connections, while each is stopped and started again with another build, in both directions.

--- /dev/null
+++ b/test/upgrade/upgrade_test.go
@@ -0,0 +1,245 @@
+package upgrade
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/platform"
+)
+
+const (
+	nodeCount  = 3
+	peerPort   = "17946"
+	poolModels = "models"
+	poolOrders = "orders"
+	manifest   = `{"version": 1, "routes": [
+		{"name": "order", "host": "h", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": 3000, "service": "orders", "max_attempts": 1, "public": true},
+		{"name": "quote", "host": "h", "path_prefix": "/quote/", "kind": "stream", "timeout_ms": 15000, "target_gap_ms": 500,
+		 "target_latency_ms": 1500, "service": "models", "max_attempts": 2, "public": true, "resumable": true}],
+		"services": [{"name": "orders"}, {"name": "models"}]}`
+)
+
+// formerVariable names the program of a former build; without it all processes are of this one.
+const formerVariable = "LAGOONGW_FORMER"
+
+// site is three entry VMs, their upstreams and their callers.
+type site struct {
+	upstreams *upstreams
+	nodes     []*node
+	client    *http.Client
+
+	mu                           sync.Mutex
+	nextID                       int
+	orders, served, lost, refuse int
+	streams, whole, takenUp      int
+	faults                       []string
+}
+
+func (s *site) id(kind string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return fmt.Sprint(kind, "-", s.nextID)
+}
+
+func (s *site) fault(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, fmt.Sprintf(format, args...))
+}
+
+// send sends a request to a node on a connection that is kept.
+func (s *site) send(t *testing.T, n *node, path, id string, headers map[string]string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.callers+path, strings.NewReader("{}"))
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil // it is sent once
+	r.Host = "h"
+	r.Header.Set("X-Lagoongw-Attempt-Id", id)
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	return s.client.Do(r)
+}
+
+// order sends an order, which must run once at most, and not at all if it is refused.
+func (s *site) order(t *testing.T, n *node) {
+	id := s.id("order")
+	response, err := s.send(t, n, "/order/x", id, nil)
+	status := 0
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		status = response.StatusCode
+	}
+	time.Sleep(2 * eventPause) // one that runs on is counted
+	runs := s.upstreams.runsOf(id)
+	switch {
+	case runs > 1:
+		s.fault("%s ran %d times", id, runs)
+	case runs > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+		s.fault("%s was refused with %d and ran", id, status)
+	case runs > 0 && err != nil:
+		s.fault("%s ran, and its connection ended without an answer: %v", id, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders++
+	if status == http.StatusOK {
+		s.served++
+	}
+}
+
+// stream reads a stream, takes it up at other nodes when it ends early, and checks that all events come once, in order, and from
+// one version.
+func (s *site) stream(t *testing.T, random *rand.Rand) {
+	last, version, first := 0, "", ""
+	for try := range 4 {
+		id := s.id("stream")
+		headers := map[string]string{}
+		if last > 0 {
+			headers["Last-Event-Id"], headers["Resumes"] = fmt.Sprint(last), first
+		} else {
+			first = id
+		}
+		response, err := s.send(t, s.nodes[random.IntN(nodeCount)], "/quote/x", id, headers)
+		if err == nil && response.StatusCode == http.StatusOK {
+			s.readEvents(id, response.Body, &last, &version)
+		}
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if last == eventsOfStream {
+			break
+		}
+		if try == 0 {
+			s.mu.Lock()
+			s.takenUp++
+			s.mu.Unlock()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams++
+	if last == eventsOfStream {
+		s.whole++
+	}
+}
+
+func (s *site) readEvents(id string, body io.Reader, last *int, version *string) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		var event int
+		if n, _ := fmt.Sscanf(lines.Text(), "id: %d", &event); n == 1 {
+			if event != *last+1 {
+				s.fault("%s: event %d after %d", id, event, *last)
+			}
+			*last = event
+		}
+		if made, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			if *version != "" && made != *version {
+				s.fault("%s: event %d of %s after one of %s", id, *last, made, *version)
+			}
+			*version = made
+		}
+	}
+}
+
+// build returns the path of the program of this build.
+func build(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "lagoongw")
+	command := exec.CommandContext(t.Context(), "go", "build", "-tags=nolab", "-o", path, "lagoongw")
+	if out, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("build the program: %v\n%s", err, out)
+	}
+	return path
+}
+
+// TestProcessesAreReplacedOneByOne guards against requests that are lost, run twice or run after a refusal, and streams that are
+// joined from two versions, while the entry VMs of a site are replaced one after the other by another build and back, so that
+// both read each other's messages and records.
+func TestProcessesAreReplacedOneByOne(t *testing.T) {
+	is := is.New(t)
+	current := build(t)
+	former := current
+	if path := os.Getenv(formerVariable); path != "" {
+		former = path
+	}
+	s := &site{
+		upstreams: &upstreams{
+			store: &store{topics: map[string][]record{}},
+			runs:  map[string]int{},
+		},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
+	}
+	s.upstreams.store.put(platform.TopicOperator, platform.ManifestKey, manifest)
+	server := httptest.NewServer(s.upstreams.store)
+	t.Cleanup(server.Close)
+	for i, version := range []string{"v1", "v2", "v1", "v2"} {
+		s.upstreams.start(t, fmt.Sprint("model-", i), poolModels, version)
+	}
+	for i := range 2 {
+		s.upstreams.start(t, fmt.Sprint("desk-", i), poolOrders, "v1")
+	}
+	var ips, seeds []string
+	for i := range nodeCount {
+		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()>>8%100, os.Getpid()%256, 1+i))
+		seeds = append(seeds, ips[i]+":"+peerPort)
+	}
+	for i, ip := range ips {
+		s.nodes = append(s.nodes, newNode(t, fmt.Sprint("vm-", i), ip, strings.TrimPrefix(server.URL, "http://"), seeds))
+	}
+	for _, n := range s.nodes {
+		n.start(former)
+	}
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 6 {
+		random := rand.New(rand.NewPCG(uint64(i), 43))
+		group.Go(func() { untilDone(done, func() { s.order(t, s.nodes[random.IntN(nodeCount)]) }) })
+		group.Go(func() { untilDone(done, func() { s.stream(t, random) }) })
+	}
+	for _, program := range []string{current, former, current} {
+		for _, n := range s.nodes {
+			time.Sleep(time.Second)
+			n.stop()
+			n.start(program)
+		}
+	}
+	time.Sleep(time.Second)
+	close(done)
+	group.Wait()
+	t.Logf("%d of %d orders served, %d of %d streams whole, %d of them taken up", s.served, s.orders, s.whole, s.streams, s.takenUp)
+	for _, fault := range s.faults {
+		t.Error(fault)
+	}
+	is.True(s.served*10 >= s.orders*9)
+	is.True(s.whole*10 >= s.streams*9)
+}
+
+func untilDone(done <-chan struct{}, run func()) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			run()
+		}
+	}
+}
