--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -135,7 +135,7 @@
 	if call.AtMostOnce {
 		service = c.noKeepAlive
 	}
-	response, err := service.DoRequest(request)
+	response, err := service.DoRequest(request) //nolint:bodyclose // the caller closes it
 	if err != nil {
 		return nil, &SendError{
 			MaybeRan: connected.Load(),
--- a/test/upgrade/upgrade_test.go
+++ b/test/upgrade/upgrade_test.go
@@ -41,11 +41,11 @@
 	nodes     []*node
 	client    *http.Client
 
-	mu                           sync.Mutex
-	nextID                       int
-	orders, served, lost, refuse int
-	streams, whole, takenUp      int
-	faults                       []string
+	mu                      sync.Mutex
+	nextID                  int
+	orders, served          int
+	streams, whole, takenUp int
+	faults                  []string
 }
 
 func (s *site) id(kind string) string {
