Origins: the early batches of a process do not overwrite those of the one before

The keys of early batches followed from the node's name, so that a process that started again wrote over the streams of the one before, which were just being taken up.

Each process draws its keys at random now. It empties them itself after two minutes; those of processes that are gone are left to the writer, as before.

TestStreamsOfTheFirstSecondAreLogged plays a second start now, which failed before.

--- a/internal/coordination/origin/early.go
+++ b/internal/coordination/origin/early.go
@@ -1,7 +1,7 @@
 package origin
 
 import (
-	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -14,18 +14,20 @@
 	// it grows, so that all nodes together leave the store to other writes.
 	earlyInterval = 100 * time.Millisecond
 	earlyNodes    = 8
-	// earlyKeys is the number of keys that a node writes in turn, and earlyGroups that of the groups of keys that nodes are
-	// spread over by their names.
+	// earlyKeys is the number of keys that a process writes in turn, and earlyGroups that of the groups of keys, of which each
+	// process draws one.
 	earlyKeys   = 8
-	earlyGroups = 1 << 20
+	earlyGroups = 1 << 40
 )
 
 // EarlyLog decides on the appends of a node's own streams while no node has been the writer of the log for long enough to append
 // the streams of all. They go to keys beyond the slots of the log, so that nodes don't overwrite each other's. It is not safe for
 // concurrent use.
 type EarlyLog struct {
-	// Node is the name of the node.
-	Node string
+	// group is the group of keys of this process, which no former one of its node has written to, and drawn is set once it is
+	// known.
+	group int64
+	drawn bool
 
 	pending  []Report
 	inFlight int
@@ -61,12 +63,20 @@
 	return l.pending[:l.inFlight:l.inFlight], l.key(), true
 }
 
-// key returns the key of the next batch: one of the node's own keys in turn.
+// key returns the key of the next batch: one of the process's own keys in turn.
 func (l *EarlyLog) key() int {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(l.Node))
-	group := int(hash.Sum64() % earlyGroups)
-	return logSlots + group*earlyKeys + l.written%earlyKeys
+	if !l.drawn {
+		l.group, l.drawn = rand.Int64N(earlyGroups), true
+	}
+	return logSlots + int(l.group)*earlyKeys + l.written%earlyKeys
+}
+
+// Written returns the keys that this process has written to.
+func (l *EarlyLog) Written() (keys []int) {
+	for i := range min(l.written, earlyKeys) {
+		keys = append(keys, logSlots+int(l.group)*earlyKeys+i)
+	}
+	return keys
 }
 
 // Done records whether the batch was appended, while the given number of nodes is known. One that was not is due again.
--- a/internal/coordination/origin/log_test.go
+++ b/internal/coordination/origin/log_test.go
@@ -101,9 +101,9 @@
 // appends than the store takes of them all.
 func TestEarlyBatchesAreFewAndApart(t *testing.T) {
 	is := is.New(t)
-	keys := map[int]string{}
+	keys := map[int]int{}
 	for node := range 300 {
-		l := EarlyLog{Node: fmt.Sprint("front-", node)}
+		var l EarlyLog
 		now, appends := start, 0
 		for i := range 100 { // one stream each 10 ms
 			l.Add(report(NewID(fmt.Sprint(i)), first, 0), now)
@@ -112,12 +112,15 @@
 				is.True(IsEarly(key))
 				is.True(len(batch) > 0)
 				other, used := keys[key]
-				is.True(!used || other == l.Node)
-				keys[key] = l.Node
+				is.True(!used || other == node)
+				keys[key] = node
 				l.Done(i > 20, 300, now)
 			}
 			now = now.Add(10 * time.Millisecond)
 		}
+		for _, key := range l.Written() {
+			is.Equal(keys[key], node)
+		}
 		is.True(appends >= 1)
 		is.True(appends <= 3) // 300 nodes know of each other after the first
 		l.Retire()
--- a/internal/transport/origins/early.go
+++ b/internal/transport/origins/early.go
@@ -15,7 +15,6 @@
 	if s.writerSettled(now) || !s.isLogged(report.Origin.Pool, now) {
 		return
 	}
-	s.early.Node = s.Name
 	s.early.Add(report, now)
 	s.scheduleEarly(now)
 }
@@ -66,7 +65,9 @@
 		}})
 		s.mu.Lock()
 	}
-	if err != nil {
+	if err == nil {
+		s.earlyAt = time.Now()
+	} else {
 		s.Logger.Warn().Err(err).Str("step", "write streams").Str("peer", "store").Int("streams", len(batch)).
 			Msg("origins of this node's streams not written; will retry")
 	}
@@ -75,17 +76,23 @@
 	s.scheduleEarly(now)
 }
 
-// emptyEarly removes the batches of nodes that wrote their own streams, once those can no longer be taken up; the caller must hold
-// the lock.
+// emptyEarly removes the batches that this process wrote of its own streams and, if it is the writer, those that it has read, once
+// their streams can no longer be taken up; the caller must hold the lock.
 func (s *Service) emptyEarly(now time.Time) {
-	if len(s.earlyKeys) == 0 || now.Sub(s.logReadAt) < origin.DefaultWindow {
+	var keys []int
+	if !s.earlyAt.IsZero() && now.Sub(s.earlyAt) >= origin.DefaultWindow {
+		keys, s.earlyAt = s.early.Written(), time.Time{}
+	}
+	if s.isWriter(now) && now.Sub(s.logReadAt) >= origin.DefaultWindow {
+		keys, s.earlyKeys = append(keys, s.earlyKeys...), nil
+	}
+	if len(keys) == 0 {
 		return
 	}
 	var records []wire.FeedRecord
-	for _, key := range s.earlyKeys {
+	for _, key := range keys {
 		records = append(records, wire.FeedRecord{Key: strconv.Itoa(key)})
 	}
-	s.earlyKeys = nil
 	s.tasks.Go(func(ctx context.Context) {
 		if err := s.StreamLog.Save(ctx, records); err != nil {
 			s.Logger.Warn().Err(err).Str("step", "empty streams").Str("peer", "store").Int("keys", len(records)).
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -85,7 +85,9 @@
 	// earlyKeys holds the keys of such batches, of all nodes, in the log as it was read.
 	early          origin.EarlyLog
 	earlyScheduled bool
-	earlyKeys      []int
+	// earlyAt is when the last such append succeeded, zero once its batches were removed.
+	earlyAt   time.Time
+	earlyKeys []int
 	// writing holds the pools whose streams this node appends to the log; logScheduled is set while an append is scheduled or
 	// in flight.
 	writing      []string
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -60,6 +60,7 @@
 func (s *Service) updateLog(now time.Time) {
 	pools := s.loggedPools(now)
 	s.announcer.SetWriter(s.writer, pools)
+	s.emptyEarly(now)
 	if now.Sub(s.logReadAt) >= origin.DefaultWindow {
 		s.logged = nil
 	}
@@ -71,7 +72,6 @@
 	if len(s.writing) == 0 && now.Sub(s.logReadAt) >= logReadInterval {
 		s.log.Forget() // another node may have written since
 	}
-	s.emptyEarly(now)
 	before := s.writing
 	s.writing = pools
 	for _, pool := range pools {
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -373,13 +373,23 @@
 			Pool:    "s",
 			Version: "v1",
 		})
-		time.Sleep(150 * time.Millisecond) // all nodes are lost
+		time.Sleep(150 * time.Millisecond) // all nodes are lost, and once more after the next start
+		between := started()
+		tickFor(between, 250*time.Millisecond)
+		between.Began("r2", origin.Origin{
+			Pool:    "s",
+			Version: "v2",
+		})
+		time.Sleep(150 * time.Millisecond)
 		again := started()
 		tickFor(again, 250*time.Millisecond)
-		found, known := again.Find(t.Context(), "r1", "s")
-		is.True(known)
-		is.Equal(found.Version, "v1")
+		for id, version := range map[string]string{"r1": "v1", "r2": "v2"} {
+			found, known := again.Find(t.Context(), id, "s")
+			is.True(known)
+			is.Equal(found.Version, version)
+		}
 		tickFor(again, origin.DefaultWindow+10*time.Second)
+		between.Stop(t.Context())
 		again.Stop(t.Context())
 		emptied := 0
 		log.mu.Lock()
@@ -389,6 +399,6 @@
 				emptied++
 			}
 		}
-		is.Equal(emptied, 1)
+		is.Equal(emptied, 2)
 	})
 }
