Origins: a node in touch reads no list of upstreams for callers

Suspected cause, by calculation and not yet by a trace: each take-up of unknown origin had its node read the list of upstreams from the store. At 300 machines the list of 3,000 entries changes by some 0.8 MB a second; a node that reads it each 0.2 s reads as much, and 300 of them three times what the store sends.

Change: a node that is in touch with the others, which are all told of a new version before one lists it, decides by what it and they have seen. One that is not reads the list as before, less often on sites of more than 16 nodes, by the square of their number.

TestNodeInTouchReadsNothingForCallers fails on the code before: its nodes read the list for each caller.

--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -293,25 +293,28 @@
 	return s.findOnlySeen(ctx, pool, ago)
 }
 
-// findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. They are known
-// once the record was read, and the list of upstreams since the caller came: another node may have listed a new version before
-// this one, which is told of it unless a link is broken.
+// findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. A node in touch with
+// the others knows them: all are told of a new version before one lists it. Any other reads the list of upstreams and the record
+// after the caller came. Each node that reads the list takes part of what the store sends in a second: on a large site all of them
+// together would take it up.
 func (s *Service) findOnly(ctx context.Context, search *search, bound time.Duration) (o origin.Origin, known bool) {
 	if s.VersionRecord == nil {
 		return s.findOnlySeen(ctx, search.pool, bound)
 	}
-	if !s.awaitVersions(ctx, search) {
+	s.awaitCover(ctx, search)
+	all, inTouch := s.askSighted(ctx, search.pool)
+	if inTouch {
+		return onlyOrigin(search.pool, all, bound)
+	}
+	if !s.awaitList(ctx, search) {
 		return origin.Origin{}, false
 	}
-	all, inTouch := s.askSighted(ctx, search.pool)
-	if !inTouch {
-		recorded, known := s.awaitRecord(ctx, search)
-		if !known {
-			return origin.Origin{}, false
-		}
-		all = append(all, recorded)
+	recorded, known := s.awaitRecord(ctx, search)
+	if !known {
+		return origin.Origin{}, false
 	}
-	return onlyOrigin(search.pool, all, bound)
+	all[0] = s.Sighted(search.pool) // by the list that was read since
+	return onlyOrigin(search.pool, append(all, recorded), bound)
 }
 
 // findOnlySeen returns the origin of a stream that began in a pool up to a time ago, if no other version has served there since by
@@ -329,7 +332,7 @@
 	}, known
 }
 
-// askSighted returns the versions of a pool that this node and the others have seen, and whether this node is in touch with the
+// askSighted returns the versions of a pool that this node, first, and the others have seen, and whether this node is in touch with the
 // others: it knows of some, all of them are live, and those that were asked have answered. One that is not may have missed
 // that a version came.
 func (s *Service) askSighted(ctx context.Context, pool string) (all []origin.Sighted, inTouch bool) {
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -26,8 +26,11 @@
 	tellTimeout = 250 * time.Millisecond
 	// maxReadDelay is the time from a read of the list by a peer until this node knows of it.
 	maxReadDelay = time.Second
-	// refreshInterval is the least time between two reads of the list of upstreams for callers.
+	// refreshInterval is the least time between two reads of the list of upstreams for callers by a node of a site of up to
+	// refreshNodes. On larger ones it grows with the square of their number: so does what all nodes together would read of a
+	// list that is as much longer.
 	refreshInterval = 200 * time.Millisecond
+	refreshNodes    = 16
 	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
 	readTime = 400 * time.Millisecond
 	// contactDelay is the time after which an origin that nobody knew is worth another search: its node may have been cut off.
@@ -115,9 +118,8 @@
 	s.sightings.Confirm(missing, time.Now())
 }
 
-// awaitVersions waits for the list of upstreams to be read after a caller came, and for the record to be read, and reports
-// whether the list was.
-func (s *Service) awaitVersions(ctx context.Context, search *search) bool {
+// awaitList waits for the list of upstreams to be read after a caller came, and reports whether it was.
+func (s *Service) awaitList(ctx context.Context, search *search) bool {
 	fresh := s.Refresh == nil || s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
 		if !s.refreshedAt.Before(search.came) {
 			return true
@@ -125,10 +127,15 @@
 		s.startRefresh(now)
 		return false
 	})
-	if !fresh {
-		return false
+	if fresh {
+		s.observe(time.Now())
+		s.awaitCover(ctx, search)
 	}
-	s.observe(time.Now())
+	return fresh
+}
+
+// awaitCover waits for the record to be read that covers the time before this node's observation.
+func (s *Service) awaitCover(ctx context.Context, search *search) {
 	s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
 		if s.sightings.Covered() {
 			return true
@@ -136,7 +143,6 @@
 		s.startRecordRead(now)
 		return false
 	})
-	return true
 }
 
 // AwaitList waits for the list of upstreams to be read since a time, by this node for its callers or by ListReadAt, and reports
@@ -156,7 +162,7 @@
 
 // startRefresh reads the list of upstreams unless that is being done, or was too short ago; the caller must hold the lock.
 func (s *Service) startRefresh(now time.Time) {
-	if s.refreshing || now.Sub(s.refreshAskedAt) < refreshInterval {
+	if s.refreshing || now.Sub(s.refreshAskedAt) < refreshPause(len(s.Nodes())) {
 		return
 	}
 	s.refreshAskedAt = now
@@ -172,6 +178,14 @@
 	})
 }
 
+// refreshPause returns the least time between two reads of the list by a node that knows of so many.
+func refreshPause(nodes int) time.Duration {
+	if nodes <= refreshNodes {
+		return refreshInterval
+	}
+	return refreshInterval * time.Duration(nodes*nodes) / (refreshNodes * refreshNodes)
+}
+
 // RetryAfter returns when a caller may come back whose stream has no known origin: once this node has read what it lacks, or
 // when another node that knows may be in touch again.
 func (s *Service) RetryAfter() time.Duration {
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -402,3 +402,42 @@
 		is.Equal(emptied, 2)
 	})
 }
+
+// TestNodeInTouchReadsNothingForCallers guards against a large site whose nodes read the list of upstreams from the store for
+// each caller who takes a stream up, which together take up all that the store sends.
+func TestNodeInTouchReadsNothingForCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for nodes, most := range map[int]int{2: 30, 100: 3, 300: 1} {
+			for name, inTouch := range map[string]bool{"in touch": true, "cut off": false} {
+				reads := 0
+				s := newNode(&recordTopic{})
+				s.Nodes = func() []origin.Node {
+					all := []origin.Node{{Name: "a"}}
+					for i := range nodes - 1 {
+						all = append(all, origin.Node{Name: strconv.Itoa(i)})
+					}
+					return all
+				}
+				s.Refresh = func(context.Context) error {
+					reads++
+					return nil
+				}
+				s.TellVersions = func(context.Context, string, []origin.Entry) error { return nil }
+				if inTouch {
+					s.AskSighted = sightedV1
+				}
+				tickFor(s, 40*time.Second)
+				for range 20 {
+					_, known := s.FindOnly(t.Context(), "s", routeTimeout)
+					is.True(known || !inTouch)
+					time.Sleep(100 * time.Millisecond)
+				}
+				t.Logf("%d nodes, %s: %d reads", nodes, name, reads)
+				is.True(reads <= most)
+				is.True(!inTouch || reads == 0)
+				s.Stop(t.Context())
+			}
+		}
+	})
+}
