--- a/test/upgrade/upgrade_test.go
+++ b/test/upgrade/upgrade_test.go
@@ -211,9 +211,9 @@
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range 6 {
-		random := rand.New(rand.NewPCG(uint64(i), 43))
-		group.Go(func() { untilDone(done, func() { s.order(t, s.nodes[random.IntN(nodeCount)]) }) })
-		group.Go(func() { untilDone(done, func() { s.stream(t, random) }) })
+		orders, streams := rand.New(rand.NewPCG(uint64(i), 0)), rand.New(rand.NewPCG(uint64(i), 1))
+		group.Go(func() { untilDone(done, func() { s.order(t, s.nodes[orders.IntN(nodeCount)]) }) })
+		group.Go(func() { untilDone(done, func() { s.stream(t, streams) }) })
 	}
 	for _, program := range []string{current, former, current} {
 		for _, n := range s.nodes {
