Origins: nodes of small sites read the list for callers again

A node that was cut off lists a version that it could tell nobody; once the cut has ended, or the node has started again, the others take themselves for in touch and don't know the version yet.

Larger sites do without while the same nodes have all been live for 4 s, two regular reads of the list; else each node's reads grow rarer with the square of their number.

--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"lagoongw/internal/coordination/membership"
 	"lagoongw/internal/coordination/origin"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/rendezvous"
@@ -24,7 +23,7 @@
 	return &origins.Service{
 		Name:       p.Name,
 		Nodes:      p.originNodes,
-		AllLive:    p.allNodesLive,
+		StableFor:  p.stability.since,
 		Tell:       p.tellOrigins,
 		Ask:        p.askOrigin,
 		AskSighted: p.askVersions,
@@ -63,14 +62,10 @@
 	return rendezvous.Rank(readersKey, names)[0]
 }
 
-// allNodesLive reports whether all known nodes that have not left are live.
-func (p *Process) allNodesLive() bool {
-	for _, row := range p.members.Members() {
-		if state := membership.State(row.State); state != membership.Alive && state != membership.Left {
-			return false
-		}
-	}
-	return true
+// tickOrigins notes which nodes are live, and has the origins of streams told.
+func (p *Process) tickOrigins(now time.Time) {
+	p.stability.observe(p.members.Members(), now)
+	p.origins.Tick(now)
 }
 
 func (p *Process) originNodes() []origin.Node {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -129,6 +129,7 @@
 	budgets        map[string]*retry.WindowBudget
 	drainer        shutdown.Drainer
 	tasks          schedule.Tasks
+	stability      stability
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
@@ -146,7 +147,7 @@
 	group.Go(func() { schedule.Every(ctx, idleCheckInterval, p.connections.CloseIdle) })
 	group.Go(func() { schedule.Every(ctx, loadReportInterval, p.loadReporter.report) })
 	group.Go(func() { schedule.Every(ctx, detourTickInterval, p.detours.Tick) })
-	group.Go(func() { schedule.Every(ctx, originTickInterval, p.origins.Tick) })
+	group.Go(func() { schedule.Every(ctx, originTickInterval, p.tickOrigins) })
 	group.Go(func() { schedule.Every(ctx, memoryCheckInterval, p.memoryReporter.check) })
 	if p.capacities != nil {
 		group.Go(func() { p.capacities.Run(ctx) })
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -25,8 +25,9 @@
 	Name string
 	// Nodes returns the live nodes, including this one.
 	Nodes func() []origin.Node
-	// AllLive, if set, reports whether all nodes that this one knows of and that have not left are live.
-	AllLive func() bool
+	// StableFor, if set, returns for how long all nodes that this one knows of and that have not left have been live and no other
+	// has come, 0 while one is not.
+	StableFor func() time.Duration
 	// Tell sends reports to another node.
 	Tell func(ctx context.Context, node string, reports []origin.Report) error
 	// Ask asks another node for what it knows of a stream.
@@ -293,20 +294,23 @@
 	return s.findOnlySeen(ctx, pool, ago)
 }
 
-// findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. A node in touch with
-// the others knows them: all are told of a new version before one lists it. Any other reads the list of upstreams and the record
-// after the caller came. Each node that reads the list takes part of what the store sends in a second: on a large site all of them
-// together would take it up.
+// findOnly returns the origin of a stream of a pool by the versions that have served within a take-up bound. They are known once
+// the list of upstreams was read after the caller came: another node may have listed a new version before this one, which is told
+// of it unless a link is broken. A node that is not in touch with the others reads the record after that too.
 func (s *Service) findOnly(ctx context.Context, search *search, bound time.Duration) (o origin.Origin, known bool) {
 	if s.VersionRecord == nil {
 		return s.findOnlySeen(ctx, search.pool, bound)
 	}
+	trusting := s.trustsNodes()
+	if !trusting && !s.awaitList(ctx, search) {
+		return origin.Origin{}, false
+	}
 	s.awaitCover(ctx, search)
 	all, inTouch := s.askSighted(ctx, search.pool)
 	if inTouch {
 		return onlyOrigin(search.pool, all, bound)
 	}
-	if !s.awaitList(ctx, search) {
+	if trusting && !s.awaitList(ctx, search) {
 		return origin.Origin{}, false
 	}
 	recorded, known := s.awaitRecord(ctx, search)
@@ -317,6 +321,13 @@
 	return onlyOrigin(search.pool, append(all, recorded), bound)
 }
 
+// trustsNodes reports whether the nodes know of all versions without a read of the list for each caller: no node has come, or been
+// out of touch, for longer than all of them take to read a list. It holds on large sites only, where such reads would take up
+// all that the store sends.
+func (s *Service) trustsNodes() bool {
+	return s.StableFor != nil && len(s.Nodes()) > refreshNodes && s.StableFor() >= stableTime
+}
+
 // findOnlySeen returns the origin of a stream that began in a pool up to a time ago, if no other version has served there since by
 // what this node and the others have seen.
 func (s *Service) findOnlySeen(ctx context.Context, pool string, ago time.Duration) (o origin.Origin, known bool) {
@@ -348,7 +359,7 @@
 			failed:  err != nil,
 		}, nil
 	})
-	inTouch = count > 0 && (s.AllLive == nil || s.AllLive())
+	inTouch = count > 0 && (s.StableFor == nil || s.StableFor() > 0)
 	for range count {
 		a := <-answers
 		all = append(all, a.sighted)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -30,7 +30,10 @@
 	// refreshNodes. On larger ones it grows with the square of their number: so does what all nodes together would read of a
 	// list that is as much longer.
 	refreshInterval = 200 * time.Millisecond
-	refreshNodes    = 16
+	refreshNodes    = 64
+	// stableTime is the time after a node came, or was in touch again, until the versions that it may have listed alone are
+	// known to all: two regular reads of the list.
+	stableTime = 4 * time.Second
 	// readTime is the time that a read of the store takes at most while it serves: a call takes up to a few hundred milliseconds.
 	readTime = 400 * time.Millisecond
 	// contactDelay is the time after which an origin that nobody knew is worth another search: its node may have been cut off.
