Gateway: a refusal without an ID still says that the upstream is full

Cause: since refusals without an ID are not believed on kept connections, what they say of the upstream was dropped with them: that it is full, its limits and what it can bear.

Change: the limits, the load and the refusal itself are noted for the upstream and told to the holder of its places; the request still counts as possibly run. Callers in this test have an ID for each attempt, as the platform's have; with one ID for all, connections were closed after each refusal.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -98,6 +98,8 @@
 	started  time.Time
 	// connectedAt is when the connection was opened.
 	connectedAt time.Time
+	// refused reports that the upstream has turned a request away, maybe this one.
+	refused bool
 	// confirmed reports that a list of upstreams that was read since then shows the upstream as it was chosen.
 	confirmed  atomic.Bool
 	assignment *dispatch.Assignment
@@ -226,18 +228,18 @@
 		x.server.Connections.Put(conn, 0)
 		return attempt.Unsent, errAtLimit
 	}
-	defer func() { x.releasePermit(permit, result) }()
-	left := time.Until(x.deadline)
-	if left <= 0 {
-		conn.Close()
-		return attempt.Unsent, context.DeadlineExceeded
-	}
 	s := &upstreamSend{
 		upstream:    upstream,
 		started:     time.Now(),
 		connectedAt: conn.OpenedAt(),
 		cost:        choice.Cost,
 	}
+	defer func() { x.releasePermit(permit, s.refused) }()
+	left := time.Until(x.deadline)
+	if left <= 0 {
+		conn.Close()
+		return attempt.Unsent, context.DeadlineExceeded
+	}
 	s.assignment = x.server.Dispatcher.Begin(upstream, x.dispatchRequest(), choice, s.started)
 	defer func() { s.assignment.End(time.Now()) }()
 	response, sent, err := conn.Send(ctx, connection.Request{
@@ -312,7 +314,7 @@
 	s.reply = x.server.Codec.DecodeReply(s.response.Response)
 	if !x.belongsToRequest(s) {
 		s.response.Discard()
-		x.server.Dispatcher.Failed(s.upstream, time.Now())
+		x.recordForeign(s)
 		return attempt.Lost, errOtherRequest
 	}
 	x.heedUpstream(s)
@@ -321,6 +323,7 @@
 		return attempt.Lost, errOtherVersion
 	}
 	if s.reply.NotRun {
+		s.refused = true
 		s.response.RecordRefusal(x.call.ID)
 		return attempt.NotRun, x.recordRefusal(s)
 	}
@@ -333,6 +336,18 @@
 	return x.bufferAnswer(s)
 }
 
+// recordForeign tells the dispatcher of an answer that may not be that to the request. A refusal without an ID says nothing certain
+// of the request, but the upstream is full or asks for less.
+func (x *exchange) recordForeign(s *upstreamSend) {
+	if s.reply.ID != "" || !s.reply.NotRun {
+		x.server.Dispatcher.Failed(s.upstream, time.Now())
+		return
+	}
+	s.refused = true
+	x.heedUpstream(s)
+	x.server.Dispatcher.Refused(s.upstream, time.Now())
+}
+
 // heedUpstream passes on to the dispatcher what an upstream asks for in the header of an answer. Status 421 comes from
 // another upstream than the one that was meant.
 func (x *exchange) heedUpstream(s *upstreamSend) {
--- a/internal/transport/gateway/limit.go
+++ b/internal/transport/gateway/limit.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"lagoongw/internal/coordination/attempt"
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/ratelimit"
 	"lagoongw/internal/state/replica"
@@ -39,9 +38,8 @@
 	return permit
 }
 
-// releasePermit returns the place that came with a permit.
-func (x *exchange) releasePermit(permit dispatch.Permit, result attempt.Result) {
-	refused := result == attempt.NotRun
+// releasePermit returns the place that came with a permit; refused reports that the upstream has turned a request away.
+func (x *exchange) releasePermit(permit dispatch.Permit, refused bool) {
 	switch {
 	case permit.Ticket == 0:
 	case permit.Holder == "":
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -81,6 +81,8 @@
 	log lockedLog
 	// store holds what the nodes write.
 	store *siteStore
+	// calls counts the requests of callers.
+	calls int
 }
 
 // partition is how connects of a node to the engines fail.
@@ -545,7 +547,14 @@
 
 // call sends one request and returns the caller's answer.
 func (c *crashSite) call(ctx context.Context, number int, shared string) callResult {
-	headers := map[string]string{"X-Lagoongw-Prompt-Prefix": fmt.Sprintf(shared, 1000+number)}
+	c.mu.Lock()
+	c.calls++
+	id := fmt.Sprint("call-", c.calls) // each attempt of a caller has one of its own
+	c.mu.Unlock()
+	headers := map[string]string{
+		"X-Lagoongw-Attempt-Id":    id,
+		"X-Lagoongw-Prompt-Prefix": fmt.Sprintf(shared, 1000+number),
+	}
 	if shared == badPrompt {
 		headers["X-Test-Bad"] = "1"
 	}
