Origins, gateway, catalog: one piece of code where the change had two

EarlyLog repeated how Log keeps the streams that wait: both embed a backlog now, and the group of keys is drawn where it is first needed, without a flag. The wait for a read of the list stood twice (awaitRefresh), as did the check in the gateway whether the list was read since a time (listReadSince). fanOut dropped the errors of the nodes, so that askSighted wrapped its answers in a type of its own; it returns them now. A node awaited the cover of its observation twice for a caller, and copied each batch of records of the list, also without an odd one. `serve` asked an error what its caller had known; the count of answers of a connection was only ever compared with 0; two contexts had names alike.

--- a/internal/coordination/origin/early.go
+++ b/internal/coordination/origin/early.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -24,34 +23,26 @@
 // the streams of all. They go to keys beyond the slots of the log, so that nodes don't overwrite each other's. It is not safe for
 // concurrent use.
 type EarlyLog struct {
-	// group is the group of keys of this process, which no former one of its node has written to, and drawn is set once it is
-	// known.
-	group int64
-	drawn bool
-
-	pending  []Report
-	inFlight int
-	written  int
-	dueAt    time.Time
+	backlog
+	// group is the group of keys of this process, which no former one of its node has written to, 0 before it is drawn.
+	group   int
+	written int
 }
 
 // Add adds a stream that has just begun.
 func (l *EarlyLog) Add(report Report, now time.Time) {
-	if len(l.pending) >= maxPendingStreams {
-		return
-	}
 	if len(l.pending) == 0 && l.dueAt.Before(now.Add(earlyDelay)) {
 		l.dueAt = now.Add(earlyDelay)
 	}
-	l.pending = append(l.pending, report)
+	l.add(report)
 }
 
 // Retire drops the streams that wait, except those of an append in flight: the writer appends them.
-func (l *EarlyLog) Retire() { l.pending = slices.Clone(l.pending[:l.inFlight]) }
+func (l *EarlyLog) Retire() { l.retire() }
 
 // Waiting reports whether streams wait that are not being appended, and until when.
 func (l *EarlyLog) Waiting() (until time.Time, waiting bool) {
-	return l.dueAt, l.inFlight == 0 && len(l.pending) > 0
+	return l.dueAt, l.waiting()
 }
 
 // Due returns the streams of the next batch and the key to write it to, if one is due now. Done must be called after it.
@@ -59,35 +50,29 @@
 	if until, waiting := l.Waiting(); !waiting || now.Before(until) {
 		return nil, 0, false
 	}
-	l.inFlight = len(l.pending)
-	return l.pending[:l.inFlight:l.inFlight], l.key(), true
-}
-
-// key returns the key of the next batch: one of the process's own keys in turn.
-func (l *EarlyLog) key() int {
-	if !l.drawn {
-		l.group, l.drawn = rand.Int64N(earlyGroups), true
+	if l.group == 0 {
+		l.group = 1 + rand.IntN(earlyGroups)
 	}
-	return logSlots + int(l.group)*earlyKeys + l.written%earlyKeys
+	return l.take(), l.key(l.written % earlyKeys), true
 }
 
+// key returns one of the process's own keys.
+func (l *EarlyLog) key(i int) int { return logSlots + l.group*earlyKeys + i }
+
 // Written returns the keys that this process has written to.
 func (l *EarlyLog) Written() (keys []int) {
 	for i := range min(l.written, earlyKeys) {
-		keys = append(keys, logSlots+int(l.group)*earlyKeys+i)
+		keys = append(keys, l.key(i))
 	}
 	return keys
 }
 
 // Done records whether the batch was appended, while the given number of nodes is known. One that was not is due again.
 func (l *EarlyLog) Done(appended bool, nodes int, now time.Time) {
+	l.done(appended, now)
 	if !appended {
-		l.inFlight = 0
-		l.dueAt = now.Add(logRetryDelay)
 		return
 	}
-	l.pending = slices.Clone(l.pending[l.inFlight:])
-	l.inFlight = 0
 	l.written++
 	l.dueAt = now.Add(earlyInterval * time.Duration(max(nodes, earlyNodes)) / earlyNodes)
 }
--- a/internal/coordination/origin/log.go
+++ b/internal/coordination/origin/log.go
@@ -1,9 +1,6 @@
 package origin
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// logSlots is the number of keys under which batches of streams are kept in the store. One is written every LogInterval,
@@ -21,24 +18,16 @@
 
 // Log decides which streams are appended to the log of streams in the store, and where. It is not safe for concurrent use.
 type Log struct {
-	pending []Report
-	// inFlight is the number of the first pending streams that are being appended.
-	inFlight int
+	backlog
 	// next is the slot of the next batch, known once the log was read.
 	next  int
 	known bool
 	sizes [logSlots]int
 	bytes int
-	// dueAt is when the next batch may be appended.
-	dueAt time.Time
 }
 
 // Add adds a stream.
-func (l *Log) Add(report Report) {
-	if len(l.pending) < maxPendingStreams {
-		l.pending = append(l.pending, report)
-	}
-}
+func (l *Log) Add(report Report) { l.add(report) }
 
 // Pending returns the number of streams that wait.
 func (l *Log) Pending() int { return len(l.pending) }
@@ -61,7 +50,7 @@
 // Retire drops the streams that wait, except those of an append in flight, and makes the slots in use unknown: another node writes
 // to them from now on.
 func (l *Log) Retire() {
-	l.pending = slices.Clone(l.pending[:l.inFlight])
+	l.retire()
 	l.Forget()
 }
 
@@ -73,12 +62,11 @@
 
 // Due returns the streams of the next batch and the slot to write it to, if one is due now. Done must be called after it.
 func (l *Log) Due(now time.Time) (batch []Report, slot int, due bool) {
-	if !l.known || l.inFlight > 0 || len(l.pending) == 0 || now.Before(l.dueAt) {
+	if !l.known || !l.waiting() || now.Before(l.dueAt) {
 		return nil, 0, false
 	}
 	l.dueAt = now.Add(LogInterval)
-	l.inFlight = len(l.pending)
-	return l.pending[:l.inFlight:l.inFlight], l.next, true
+	return l.take(), l.next, true
 }
 
 // Excess returns the slots to empty so that a batch of a size may be written to the next slot: the oldest ones.
@@ -96,13 +84,10 @@
 
 // Done records whether a batch of a size was appended, and slots emptied with it. A batch that was not is due again.
 func (l *Log) Done(appended bool, size int, emptied []int, now time.Time) {
+	l.done(appended, now)
 	if !appended {
-		l.inFlight = 0
-		l.dueAt = now.Add(logRetryDelay)
 		return
 	}
-	l.pending = append([]Report(nil), l.pending[l.inFlight:]...)
-	l.inFlight = 0
 	for _, slot := range emptied {
 		l.bytes -= l.sizes[slot]
 		l.sizes[slot] = 0
--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -134,8 +134,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.spendLinkBudget(chosen, len(j.body))
-	if err := s.refusal(j, chosen, response); err != nil {
-		return upstreamAnswer{}, errors.Is(err, errDoubtfulRefusal), err
+	if maybeRan, err := s.refusal(j, chosen, response); err != nil {
+		return upstreamAnswer{}, maybeRan, err
 	}
 	body, err := s.readAnswer(j, response.Body)
 	if errors.Is(err, errAnswerTooLong) {
@@ -228,20 +228,20 @@
 	return true
 }
 
-// refusal returns errRefused if the upstream states that it did not run the request, and errDoubtfulRefusal if that may be said
-// of another request. It also marks the upstream as leaving if a header of the response says so.
-func (s *Server) refusal(j *job, chosen *replica.Replica, response *upstream.Response) error {
+// refusal returns an error if the upstream states that it did not run the request; maybeRan reports that it may say so of another
+// one. It also marks the upstream as leaving if a header of the response says so.
+func (s *Server) refusal(j *job, chosen *replica.Replica, response *upstream.Response) (maybeRan bool, err error) {
 	if response.Header.Get(upstream.HeaderLeaving) != "" {
 		s.MarkLeaving(chosen.Name(), "refusal")
 	}
 	switch {
 	case response.Refuses(j.id):
-		return errRefused
+		return false, errRefused
 	case response.Refusal():
 		s.recordMismatch(j, chosen)
-		return errDoubtfulRefusal
+		return true, errDoubtfulRefusal
 	}
-	return nil
+	return false, nil
 }
 
 // recordMismatch counts and logs an answer that belongs to another request.
--- a/internal/transport/caller/stream.go
+++ b/internal/transport/caller/stream.go
@@ -90,8 +90,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.spendLinkBudget(chosen, len(j.body))
-	if err := s.refusal(j, chosen, response); err != nil {
-		return errors.Is(err, errDoubtfulRefusal), err
+	if maybeRan, err := s.refusal(j, chosen, response); err != nil {
+		return maybeRan, err
 	}
 	if response.StatusCode != http.StatusOK {
 		chosen.RecordFailure()
--- a/internal/transport/catalog/readable.go
+++ b/internal/transport/catalog/readable.go
@@ -16,13 +16,13 @@
 // are not text are left out, since peers would get them under other keys, and long or binary values that can't be decoded are
 // replaced by a description. Such values grow severalfold in the messages to peers, up to their size limit.
 func (f *follower) readable(records []wire.FeedRecord) []wire.FeedRecord {
-	if f.decode == nil {
+	if f.decode == nil || !slices.ContainsFunc(records, isOdd) {
 		return records
 	}
 	replaced := slices.Clone(records)
 	replaced = slices.DeleteFunc(replaced, func(record wire.FeedRecord) bool { return !utf8.ValidString(record.Key) })
 	for i, record := range replaced {
-		if len(record.Value) <= maxUnreadableBytes && utf8.ValidString(record.Value) {
+		if !isOdd(record) {
 			continue
 		}
 		if _, err := f.decode(record.Key, []byte(record.Value)); err != nil {
@@ -32,3 +32,8 @@
 	}
 	return replaced
 }
+
+// isOdd reports whether a record is long or no text.
+func isOdd(record wire.FeedRecord) bool {
+	return len(record.Value) > maxUnreadableBytes || !utf8.ValidString(record.Value) || !utf8.ValidString(record.Key)
+}
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -327,11 +327,12 @@
 		}
 		s.Logger.Warn().Err(err).Str("step", "fetch "+f.topic.Name).Str("peer", target.Address).
 			Msg("peer call failed; reading the store unless another peer is named")
-		if failures++; failures%fetchesBeforeRead == 0 {
+		if failures++; failures == fetchesBeforeRead {
+			failures = 0
 			_ = f.catchUp(ctx)
 		}
 	}
-	if failures%fetchesBeforeRead > 0 {
+	if failures > 0 {
 		_ = f.catchUp(ctx)
 	}
 }
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -145,7 +145,7 @@
 func (r *Response) Net() net.Conn { return r.conn.net }
 
 // First reports whether this is the first answer on its connection, so that it can't be a copy of an earlier one.
-func (r *Response) First() bool { return r.conn.answers == 0 }
+func (r *Response) First() bool { return !r.conn.answered }
 
 // RecordRefusal records that the answer refuses a request. The connection is not used for that request again, and is closed once
 // it has carried many refusals.
@@ -164,7 +164,7 @@
 // if it announced none. A connection that can't carry another request is closed.
 func (r *Response) Release(p *Pool, idle time.Duration) {
 	stopped := r.stopWatching()
-	r.conn.answers++
+	r.conn.answered = true
 	if p.OnAnswer != nil {
 		p.OnAnswer(r.conn.address, r.conn.net)
 	}
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -74,8 +74,8 @@
 	// address is the address of the upstream.
 	address  string
 	openedAt time.Time
-	// answers counts the whole answers that have come, and refusals holds the refused requests.
-	answers  int
+	// answered reports that a whole answer has come, and refusals holds the refused requests.
+	answered bool
 	refusals refusals
 	// idleUntil is when an idle connection is given up.
 	idleUntil time.Time
--- a/internal/transport/gateway/origin.go
+++ b/internal/transport/gateway/origin.go
@@ -100,10 +100,8 @@
 		return
 	}
 	if x.origin == nil {
-		s.confirmed.Store(x.server.ListReadAt != nil && s.connectedAt.Before(x.server.ListReadAt().Add(-listAge)))
+		s.confirmed.Store(x.server.listReadSince(s.connectedAt))
 		x.beginning = s
-	}
-	if x.origin == nil {
 		x.origin = &origin.Origin{
 			Pool:    x.pool,
 			Version: s.upstream.Version(),
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -90,12 +90,12 @@
 // EndRequests ends the requests in flight: each is answered now by what has become of it, or its answer is broken off if a part
 // of it was sent.
 func (s *Server) EndRequests() {
-	s.endRequests()
+	s.requestsEnd()
 	s.end()
 }
 
-// endRequests returns a context that ends when the requests in flight are to be ended.
-func (s *Server) endRequests() context.Context {
+// requestsEnd returns a context that ends when the requests in flight are to be ended.
+func (s *Server) requestsEnd() context.Context {
 	s.endOnce.Do(func() { s.ending, s.end = context.WithCancel(context.Background()) })
 	return s.ending
 }
@@ -253,7 +253,7 @@
 func (x *exchange) begin(ctx context.Context) {
 	x.deadline = x.started.Add(x.timeout())
 	ctx, cancelCause := context.WithCancelCause(ctx)
-	stopWatching := context.AfterFunc(x.server.endRequests(), func() { cancelCause(errStopping) })
+	stopWatching := context.AfterFunc(x.server.requestsEnd(), func() { cancelCause(errStopping) })
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	x.ctx, x.cancel = ctx, func() {
 		stopWatching()
--- a/internal/transport/gateway/version.go
+++ b/internal/transport/gateway/version.go
@@ -33,6 +33,11 @@
 	return listed != nil && listed.Version() == x.origin.Version
 }
 
+// listReadSince reports whether the list of upstreams was read since a time.
+func (s *Server) listReadSince(t time.Time) bool {
+	return s.ListReadAt != nil && s.ListReadAt().Add(-listAge).After(t)
+}
+
 // sameBoot reports whether the upstream that brought the first event was the one that was listed: a list that was read since its
 // connection was opened shows it unchanged, or shows it no more.
 func (s *Server) sameBoot(first *upstreamSend) bool {
@@ -60,7 +65,7 @@
 	s.tasks.Go(func(ctx context.Context) {
 		for end := time.Now().Add(originCheckTime); time.Now().Before(end) && ctx.Err() == nil; {
 			schedule.Pause(ctx, originCheckInterval)
-			if s.ListReadAt().Add(-listAge).After(first.connectedAt) {
+			if s.listReadSince(first.connectedAt) {
 				break
 			}
 		}
--- a/internal/transport/origins/early.go
+++ b/internal/transport/origins/early.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,12 +28,7 @@
 
 // isLogged reports whether the streams of a pool are logged; the caller must hold the lock.
 func (s *Service) isLogged(pool string, now time.Time) bool {
-	for _, logged := range s.loggedPools(now) {
-		if logged == pool {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.loggedPools(now), pool)
 }
 
 func (s *Service) scheduleEarly(now time.Time) {
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -266,7 +266,7 @@
 	defer cancel()
 	answers, count := fanOut(s, id, func(node string) (origin.Answer, error) { return s.Ask(ctx, node, id) })
 	for range count {
-		answer := <-answers
+		answer := (<-answers).value
 		if answer.Known {
 			s.Told([]origin.Report{{
 				Stream: id,
@@ -302,10 +302,11 @@
 		return s.findOnlySeen(ctx, search.pool, bound)
 	}
 	trusting := s.trustsNodes()
-	if !trusting && !s.awaitList(ctx, search) {
+	if trusting {
+		s.awaitCover(ctx, search)
+	} else if !s.awaitList(ctx, search) {
 		return origin.Origin{}, false
 	}
-	s.awaitCover(ctx, search)
 	all, inTouch := s.askSighted(ctx, search.pool)
 	if inTouch {
 		return onlyOrigin(search.pool, all, bound)
@@ -347,23 +348,15 @@
 // others: it knows of some, all of them are live, and those that were asked have answered. One that is not may have missed
 // that a version came.
 func (s *Service) askSighted(ctx context.Context, pool string) (all []origin.Sighted, inTouch bool) {
-	type answer struct {
-		sighted origin.Sighted
-		failed  bool
-	}
 	all = []origin.Sighted{s.Sighted(pool)}
-	answers, count := fanOut(s, origin.NewID(pool), func(node string) (answer, error) {
-		sighted, err := s.AskSighted(ctx, node, pool)
-		return answer{
-			sighted: sighted,
-			failed:  err != nil,
-		}, nil
+	answers, count := fanOut(s, origin.NewID(pool), func(node string) (origin.Sighted, error) {
+		return s.AskSighted(ctx, node, pool)
 	})
 	inTouch = count > 0 && (s.StableFor == nil || s.StableFor() > 0)
 	for range count {
 		a := <-answers
-		all = append(all, a.sighted)
-		inTouch = inTouch && !a.failed
+		all = append(all, a.value)
+		inTouch = inTouch && a.err == nil
 	}
 	return all, inTouch
 }
@@ -381,19 +374,27 @@
 	return recorded, known
 }
 
+// answered is the answer of a node, zero with the error if it can't be asked.
+type answered[A any] struct {
+	value A
+	err   error
+}
+
 // fanOut calls ask for the other nodes that may know a stream, and returns the channel of their answers and their number.
-// The answer of a node that can't be asked is zero.
-func fanOut[A any](s *Service, id origin.ID, ask func(node string) (A, error)) (answers <-chan A, count int) {
+func fanOut[A any](s *Service, id origin.ID, ask func(node string) (A, error)) (answers <-chan answered[A], count int) {
 	candidates := slices.DeleteFunc(origin.Candidates(id, s.Nodes()), func(name string) bool { return name == s.Name })
-	all := make(chan A, len(candidates))
+	all := make(chan answered[A], len(candidates))
 	for _, node := range candidates {
 		go func() {
-			answer, err := ask(node)
+			value, err := ask(node)
 			if err != nil {
 				var none A
-				answer = none
+				value = none
+			}
+			all <- answered[A]{
+				value: value,
+				err:   err,
 			}
-			all <- answer
 		}()
 	}
 	return all, len(candidates)
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -123,18 +123,12 @@
 
 // awaitList waits for the list of upstreams to be read after a caller came, and reports whether it was.
 func (s *Service) awaitList(ctx context.Context, search *search) bool {
-	fresh := s.Refresh == nil || s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
-		if !s.refreshedAt.Before(search.came) {
-			return true
-		}
-		s.startRefresh(now)
+	if !s.awaitRefresh(ctx, time.Until(search.deadline), search.came) {
 		return false
-	})
-	if fresh {
-		s.observe(time.Now())
-		s.awaitCover(ctx, search)
 	}
-	return fresh
+	s.observe(time.Now())
+	s.awaitCover(ctx, search)
+	return true
 }
 
 // awaitCover waits for the record to be read that covers the time before this node's observation.
@@ -151,10 +145,12 @@
 // AwaitList waits for the list of upstreams to be read since a time, by this node for its callers or by ListReadAt, and reports
 // whether it was within the time that a caller waits.
 func (s *Service) AwaitList(ctx context.Context, since time.Time) bool {
-	if s.Refresh == nil || s.ListReadAt != nil && s.ListReadAt().After(since.Add(maxReadDelay)) {
-		return true
-	}
-	return s.await(ctx, callerTimeout, func(now time.Time) bool {
+	return s.ListReadAt != nil && s.ListReadAt().After(since.Add(maxReadDelay)) || s.awaitRefresh(ctx, callerTimeout, since)
+}
+
+// awaitRefresh waits for this node to read the list of upstreams since a time, and reports whether it did within the timeout.
+func (s *Service) awaitRefresh(ctx context.Context, timeout time.Duration, since time.Time) bool {
+	return s.Refresh == nil || s.await(ctx, timeout, func(now time.Time) bool {
 		if !s.refreshedAt.Before(since) {
 			return true
 		}
