Usages: the test draws its random numbers under the lock

Its faults and restores did the same, and the load read whether a node is frozen without it.

The scripts run with the lock held now; nothing else of the tests changed.

--- a/internal/transport/usages/model_test.go
+++ b/internal/transport/usages/model_test.go
@@ -38,13 +38,14 @@
 
 // site is a model of nodes, a store and the platform API, in the fake time of a synctest bubble.
 type site struct {
-	t      *testing.T
-	random *rand.Rand
+	t *testing.T
 
-	mu    sync.Mutex
-	nodes []*modelNode
-	store modelStore
-	api   modelAPI
+	mu sync.Mutex
+	// random and the fields below are guarded by mu.
+	random *rand.Rand
+	nodes  []*modelNode
+	store  modelStore
+	api    modelAPI
 	// holder holds the lease until leaseUntil; end is the end of the log that it knows.
 	holder     *modelNode
 	number     int
@@ -317,10 +318,8 @@
 	}
 }
 
-// restore takes the store back by some records.
+// restore takes the store back by some records; the caller must hold s.mu.
 func (s *site) restore(lost int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	kept := max(len(s.store.keys)-lost, 0)
 	s.store.keys, s.store.vals = s.store.keys[:kept:kept], s.store.vals[:kept:kept]
 	s.store.era++
@@ -405,18 +404,23 @@
 	return true
 }
 
-// run lets time pass: requests begin at every node, and the lease is tended. It calls each at every step.
+// run lets time pass: requests begin at every node, and the lease is tended. It calls each at every step, with s.mu held.
 func (s *site) run(length time.Duration, each func()) {
 	const step = 10 * time.Millisecond
 	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(step) {
 		s.tendLease()
-		each()
 		s.mu.Lock()
-		running := slices.Clone(s.running())
+		each()
+		serving := s.running()
+		for i, n := range serving {
+			if n.frozen {
+				serving[i] = nil
+			}
+		}
 		s.mu.Unlock()
-		for i, n := range running {
+		for i, n := range serving {
 			tick := time.Now().UnixNano()/int64(step) + int64(i)
-			if n.frozen || tick%int64(requestGap/step) != 0 {
+			if n == nil || tick%int64(requestGap/step) != 0 {
 				continue
 			}
 			team := fmt.Sprintf("team-%d", (tick/int64(requestGap/step)+int64(i))%modelTeams)
--- a/internal/transport/usages/service_test.go
+++ b/internal/transport/usages/service_test.go
@@ -23,8 +23,6 @@
 			nextKill, nextStep := begun.Add(20*time.Second), begun.Add(12*time.Second)
 			s.run(100*time.Second, func() {
 				now := time.Now()
-				s.mu.Lock()
-				defer s.mu.Unlock()
 				if now.After(nextStep) {
 					nextStep = now.Add(25 * time.Second)
 					s.stepClocks(0.28, 2400*time.Millisecond)
@@ -66,8 +64,6 @@
 					next = time.Now().Add(time.Duration(s.random.Int64N(int64(6 * time.Second))))
 					s.fault()
 				}
-				s.mu.Lock()
-				defer s.mu.Unlock()
 				s.restartKilled(2 * time.Second)
 			})
 			ended := time.Now()
@@ -94,12 +90,8 @@
 				if time.Now().After(next) {
 					next = next.Add(25*time.Second - time.Duration(s.random.Int64N(int64(time.Second))))
 					s.restore(20)
-					s.mu.Lock()
 					s.kill(s.holder)
-					s.mu.Unlock()
 				}
-				s.mu.Lock()
-				defer s.mu.Unlock()
 				s.restartKilled(3 * time.Second)
 			})
 			ended := time.Now()
@@ -123,7 +115,7 @@
 	return o
 }
 
-// stepClocks sets the wall clocks of a share of the nodes off, and those of the others right.
+// stepClocks sets the wall clocks of a share of the nodes off, and those of the others right; the caller must hold s.mu.
 func (s *site) stepClocks(share float64, by time.Duration) {
 	running := s.running()
 	s.random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
@@ -135,7 +127,7 @@
 	}
 }
 
-// killShare kills a share of the running nodes; every other time the holder is among them.
+// killShare kills a share of the running nodes; every other time the holder is among them. The caller must hold s.mu.
 func (s *site) killShare(share float64) {
 	running := s.running()
 	s.random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
@@ -150,7 +142,7 @@
 	}
 }
 
-// restartKilled starts the killed nodes again some time after they ended.
+// restartKilled starts the killed nodes again some time after they ended; the caller must hold s.mu.
 func (s *site) restartKilled(after time.Duration) {
 	running := map[string]bool{}
 	for _, n := range s.running() {
@@ -164,14 +156,12 @@
 	}
 }
 
-// fault begins or ends one of the faults.
+// fault begins or ends one of the faults; the caller must hold s.mu.
 func (s *site) fault() {
 	if s.random.IntN(8) == 0 {
 		s.restore(s.random.IntN(12))
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	running := s.running()
 	if len(running) == 0 {
 		return
