Catalog: upstreams of a version that is not recorded wait while others serve

The search found this hole, which docs/design/take-ups.md named as what remains: a version that could not be recorded within 1 s was listed all the same; once it had gone and all nodes were lost nobody knew of it, and its streams went on at the former version.

Change: an entry whose version the store has not confirmed waits on while its pool has another upstream that takes requests, also in the first list of a node. Where nobody else would serve it is listed after 1 s, as before. The model of the list in the test follows the catalog.

Ruled out: to wait in all cases, since a site that starts beside a store that takes no writes would serve nothing.

The other cases pass, their shares of streams that go on are as before.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -35,11 +35,12 @@
 	// push sends an update to the peers.
 	push   func(update wire.FeedUpdate)
 	logger zerolog.Logger
-	// versions, if set, records the versions of upstreams before their entries are applied; decode decodes an entry, and
-	// withhold is called for upstreams whose entries have to wait.
+	// versions, if set, records the versions of upstreams before their entries are applied; decode decodes an entry,
+	// withhold is called for upstreams whose entries have to wait, and serves reports whether a pool has others.
 	versions VersionRecord
 	decode   func(name string, data []byte) (wire.Machine, error)
 	withhold func(rows []wire.Machine)
+	serves   func(pool string) bool
 	// tasks runs the waits for versions to be recorded.
 	tasks *schedule.Tasks
 
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -115,6 +115,7 @@
 	s.upstreams.versions = s.Versions
 	s.upstreams.decode = s.DecodeUpstream
 	s.upstreams.withhold = s.withhold
+	s.upstreams.serves = s.serves
 	s.upstreams.onStoreReachable = s.storeReachable
 	s.upstreams.onStoreUnreachable = s.storeUnreachable
 }
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/state/replica"
 )
 
 // VersionRecord records the software versions of upstreams before these are listed.
@@ -16,16 +17,16 @@
 	Recorded(pool, version string) bool
 	// Listed notes versions by pool that are about to be listed.
 	Listed(versions map[string][]string)
-	// Admit records versions by pool and returns once that is done, or failed for too long.
+	// Admit records versions by pool and returns once that is done, or failed for too long; Recorded tells which.
 	Admit(ctx context.Context, versions map[string][]string)
 }
 
 // admit applies an update that was read from the store once the versions in it are recorded. Records of recorded versions are
-// applied at once, unless the topic is not loaded yet: the first list is applied as a whole. Peers' updates were admitted by
-// the node that read them.
+// applied at once, unless the topic is not loaded yet: the first list waits as a whole. What can't be recorded in time waits for
+// the next read, while its pool has other upstreams. Peers' updates were admitted by the node that read them.
 func (f *follower) admit(ctx context.Context, update wire.FeedUpdate, apply func(update wire.FeedUpdate, now time.Time)) {
 	now := time.Now()
-	known, rows := f.divide(update)
+	known, rows := f.divide(update, nil)
 	if len(rows) == 0 {
 		apply(update, now)
 		return
@@ -34,21 +35,37 @@
 	f.versions.Listed(versions)
 	if !f.loaded() {
 		f.versions.Admit(ctx, versions)
-		apply(update, now)
+		known, _ = f.divide(update, nil)
+		known, _ = f.divide(update, f.readyPools(known.Records))
+		apply(known, now)
 		return
 	}
 	apply(known, now)
 	f.withhold(rows)
 	f.tasks.Go(func(ctx context.Context) {
 		f.versions.Admit(ctx, versions)
-		apply(update, f.currentAt())
+		known, _ := f.divide(update, f.serves)
+		apply(known, f.currentAt())
 	})
 }
 
+// readyPools returns a function that reports whether one of the records is an upstream of a pool that takes requests.
+func (f *follower) readyPools(records []wire.FeedRecord) func(pool string) bool {
+	ready := map[string]bool{}
+	for _, record := range records {
+		row, err := f.decode(record.Key, []byte(record.Value))
+		if err == nil && row.State != replica.StateLeaving {
+			ready[row.Pool] = true
+		}
+	}
+	return func(pool string) bool { return ready[pool] }
+}
+
 // divide returns an update without the records of versions that are not recorded, and these versions' upstreams. The update
 // ends before the first such record, so that a peer that misses the later update sees that records are missing. If it holds the
-// whole topic, the former records stay in it: those that it lacks are removed.
-func (f *follower) divide(update wire.FeedUpdate) (known wire.FeedUpdate, rows []wire.Machine) {
+// whole topic, the former records stay in it: those that it lacks are removed. If serves is set, records of pools for which it
+// returns false stay in the update too: without them nobody would serve there.
+func (f *follower) divide(update wire.FeedUpdate, serves func(pool string) bool) (known wire.FeedUpdate, rows []wire.Machine) {
 	if f.versions == nil || !f.versions.Needed() {
 		return update, nil
 	}
@@ -56,7 +73,7 @@
 	known.Records = nil
 	for _, record := range update.Records {
 		row, held := f.held(record)
-		if !held {
+		if !held || serves != nil && !serves(row.Pool) {
 			known.Records = append(known.Records, record)
 			continue
 		}
@@ -98,6 +115,11 @@
 	return versions
 }
 
+// serves reports whether an upstream of a pool is listed that takes requests.
+func (s *Service) serves(pool string) bool {
+	return slices.ContainsFunc(s.Table.Load().PoolReplicas(pool), func(r *replica.Replica) bool { return !r.Leaving() })
+}
+
 // withhold keeps new requests from upstreams that are listed with another version than they have now, which is not recorded
 // yet: streams of the former version must not go on there.
 func (s *Service) withhold(rows []wire.Machine) {
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -19,6 +19,14 @@
 	mu       sync.Mutex
 	recorded map[string]bool
 	admits   int
+	// fails makes records fail.
+	fails bool
+}
+
+func (r *slowRecord) fail(fails bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = fails
 }
 
 func (r *slowRecord) Needed() bool { return true }
@@ -36,6 +44,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admits++
+	if r.fails {
+		return
+	}
 	for _, version := range versions["p"] {
 		r.recorded[version] = true
 	}
@@ -92,6 +103,46 @@
 	}
 }
 
+// TestUnrecordedVersionsWaitWhileOthersServe guards against streams that begin at a version that the store never learns of: after
+// the loss of all nodes they went on at another one. It also guards against a pool that nobody serves because of that wait.
+func TestUnrecordedVersionsWaitWhileOthersServe(t *testing.T) {
+	const period = upstreamsReadPeriod + pollInterval
+	for name, end := range map[string]func(record *slowRecord, upstreams *fakeTopic){
+		"the version is recorded": func(record *slowRecord, _ *fakeTopic) { record.fail(false) },
+		"the others leave":        func(_ *slowRecord, upstreams *fakeTopic) { upstreams.put("u1", "draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := &slowRecord{
+				delay:    time.Second,
+				recorded: map[string]bool{"": true},
+			}
+			runSiteOf(t, func(s *Service) { s.Versions = record }, func(s *site, routes, upstreams *fakeTopic) {
+				is := is.New(t)
+				listed := func(service *Service) bool {
+					_, found := service.Table.Load().Replica("u2")
+					return found
+				}
+				record.fail(true)
+				upstreams.put("u2", "ready@1/v2")
+				time.Sleep(5 * time.Second)
+				started := newNode(sitePeers{site: newSite()}, routes, upstreams)
+				started.Versions = record
+				started.Prepare()
+				is.NoErr(started.RefreshUpstreams(context.Background()))
+				is.Equal(started.Table.Load().Len(), 1)
+				for _, service := range append(s.services, started) {
+					is.True(!listed(service))
+				}
+				end(record, upstreams)
+				time.Sleep(2*period + record.delay)
+				for _, service := range s.services {
+					is.True(listed(service))
+				}
+			})
+		})
+	}
+}
+
 // TestFirstListWaitsNoLongerThanItsVersionsTake guards against a node that starts with an empty list, and one that serves
 // nobody while versions can't be recorded.
 func TestFirstListWaitsNoLongerThanItsVersionsTake(t *testing.T) {
--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -55,8 +55,10 @@
 	// calls counts the calls of the two topics by kind.
 	calls      map[string]int
 	storeUntil time.Time
-	lateUntil  time.Time
-	nodes      [modelNodes]*modelNode
+	// appendsUntil is the time until which the store refuses appends.
+	appendsUntil time.Time
+	lateUntil    time.Time
+	nodes        [modelNodes]*modelNode
 
 	// asked counts the streams that were taken up after their first node was lost, wentOn those that went on, and mixed all that
 	// went on at another version.
@@ -168,14 +170,20 @@
 			}
 		}
 	}
-	late := false
+	late, refused := false, false
 	err := m.call(t.node, func() {
 		m.calls["append "+t.name]++
+		if refused = time.Now().Before(m.appendsUntil); refused {
+			return
+		}
 		if late = time.Now().Before(m.lateUntil); !late {
 			run()
 		}
 	})
-	if !late {
+	switch {
+	case refused:
+		return errLost
+	case !late:
 		return err
 	}
 	if m.intN(3) > 0 {
@@ -300,7 +308,8 @@
 	}
 }
 
-// read reads the list of upstreams, as the catalog does: a version that is not recorded waits, and peers are told then.
+// read reads the list of upstreams, as the catalog does: a version that is not recorded waits while others serve, and peers are
+// told when it is listed.
 func (n *modelNode) read(ctx context.Context) error {
 	var versions []string
 	var offset, era int
@@ -311,26 +320,35 @@
 	}); err != nil {
 		return err
 	}
-	known := slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return !n.service.Recorded("s", v) })
+	known := n.recorded(versions)
 	if len(known) == len(versions) {
 		n.share(versions, offset, era)
 		return nil
 	}
 	waiting := map[string][]string{"s": versions}
 	n.service.Listed(waiting)
-	if !loaded {
+	shareAdmitted := func() {
 		n.service.Admit(ctx, waiting)
+		if known := n.recorded(versions); len(known) > 0 && len(known) < len(versions) {
+			n.share(known, offset-1, era)
+			return
+		}
 		n.share(versions, offset, era)
+	}
+	if !loaded {
+		shareAdmitted()
 		return nil
 	}
 	n.share(known, offset-1, era)
-	go func() {
-		n.service.Admit(ctx, waiting)
-		n.share(versions, offset, era)
-	}()
+	go shareAdmitted()
 	return nil
 }
 
+// recorded returns those of the versions that are recorded.
+func (n *modelNode) recorded(versions []string) []string {
+	return slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return !n.service.Recorded("s", v) })
+}
+
 // share lists versions at a node and tells its peers.
 func (n *modelNode) share(versions []string, offset, era int) {
 	n.list(versions, offset, era)
@@ -579,6 +597,19 @@
 	group.Wait()
 }
 
+// unwritableDay has a second version come and go while the store refuses appends, and loses all nodes when it has gone.
+func unwritableDay(ctx context.Context, m *model) {
+	for m.pause(10 * time.Second); time.Now().Before(m.end); m.pause(50 * time.Second) {
+		m.locked(func() {
+			m.appendsUntil = time.Now().Add(5 * time.Second)
+			m.change([]string{"v0", "v1"})
+		})
+		m.pause(time.Duration(2500+m.intN(2000)) * time.Millisecond)
+		m.locked(func() { m.change([]string{"v0"}) })
+		m.loseAll(ctx)
+	}
+}
+
 func (m *model) pause(length time.Duration) { time.Sleep(min(length, time.Until(m.end))) }
 
 // play runs a site for a while.
@@ -681,6 +712,11 @@
 			named:    10,
 			length:   50 * time.Second,
 		},
+		"a version comes and goes while the store refuses appends": {
+			versions: []string{"v0"},
+			script:   unwritableDay,
+			named:    5,
+		},
 		"versions come and go, all nodes are lost": {
 			versions:   []string{"v0"},
 			faults:     []string{"all nodes are lost", "a version comes", "a version goes"},
@@ -758,9 +794,11 @@
 			is.Equal(calls["read versions"], 1)   // before the removal
 			is.True(calls["append origins"] > 0)
 			is.True(calls["append origins"] <= 5*50)
-			for _, record := range m.topics["versions"] {
-				is.True(strings.Contains(record.Value, `"v1"`))
-			}
+			m.locked(func() {
+				for _, record := range m.topics["versions"] {
+					is.True(strings.Contains(record.Value, `"v1"`))
+				}
+			})
 			is.Equal(after(20*time.Second), map[string]int{})
 			m.loseAll(ctx)
 			is.Equal(after(20*time.Second), map[string]int{"read versions": modelNodes})
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -80,7 +80,7 @@
 }
 
 // Admit returns once the versions of a node's upstreams are recorded, by pool, or after admitTimeout. The node must not list
-// the upstreams before.
+// the upstreams before, nor those whose versions are still not recorded then, unless no others serve.
 func (s *Service) Admit(ctx context.Context, versions map[string][]string) {
 	if s.VersionRecord == nil {
 		return
@@ -90,7 +90,7 @@
 	s.askWriter(ctx, versions)
 	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
 		s.Logger.Warn().Str("decision", "versions").Interface("versions", versions).
-			Msg("versions not recorded in time; their upstreams are listed all the same")
+			Msg("versions not recorded in time; their upstreams are listed where no others serve, else the wait goes on")
 	}
 }
 
