Origins: streams are logged before a second version is recorded

Cause: streams are logged only while two versions serve. The second one was recorded first; the streams of before reached the writer at the next tick of their nodes, and the log 200 ms later.

Change: a node that is told of a coming version tells the writer of its streams before it answers, and the writer logs them before it records the version, for at most 250 ms. No message changed; nodes of an older build answer at once, as before.

--- a/internal/coordination/origin/announcer.go
+++ b/internal/coordination/origin/announcer.go
@@ -178,5 +178,15 @@
 	}
 }
 
+// Owes reports whether a node is still to be told of a stream.
+func (a *Announcer) Owes(name string) bool {
+	for _, stream := range a.unfinished {
+		if slices.Contains(stream.keepers, name) && !slices.Contains(stream.told, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Unfinished returns the number of streams of which a keeper has not been told.
 func (a *Announcer) Unfinished() int { return len(a.unfinished) }
--- a/internal/transport/entryvm/origins.go
+++ b/internal/transport/entryvm/origins.go
@@ -199,7 +199,7 @@
 	return struct{}{}, p.origins.RecordFor(ctx, request.Versions)
 }
 
-func (p *Process) handleTellVersions(_ context.Context, params json.RawMessage) (any, error) {
+func (p *Process) handleTellVersions(ctx context.Context, params json.RawMessage) (any, error) {
 	var message wire.TellVersions
 	if err := json.Unmarshal(params, &message); err != nil {
 		return nil, eris.Wrap(err, "decode versions")
@@ -216,7 +216,7 @@
 			Confirmed: row.Confirmed,
 		})
 	}
-	p.origins.ToldVersions(entries)
+	p.origins.ToldVersions(ctx, entries)
 	return struct{}{}, nil
 }
 
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -315,10 +315,10 @@
 		VersionRecord: store.topic("versions"),
 		StreamLog:     store.topic("origins"),
 		Writer:        func() string { return rendezvous.Rank("readers", append(c.live(number), fmt.Sprint(number)))[0] },
-		TellVersions: func(_ context.Context, name string, entries []origin.Entry) error {
+		TellVersions: func(ctx context.Context, name string, entries []origin.Entry) error {
 			to, err := peer(name)
 			if err == nil {
-				to.ToldVersions(entries)
+				to.ToldVersions(ctx, entries)
 			}
 			return err
 		},
--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -219,8 +219,8 @@
 			_ = n.with(name, func(to *origins.Service) { result = to.RecordFor(ctx, versions) })
 			return result
 		},
-		TellVersions: func(_ context.Context, name string, entries []origin.Entry) error {
-			return n.with(name, func(to *origins.Service) { to.ToldVersions(entries) })
+		TellVersions: func(ctx context.Context, name string, entries []origin.Entry) error {
+			return n.with(name, func(to *origins.Service) { to.ToldVersions(ctx, entries) })
 		},
 		Ask: func(_ context.Context, name string, stream origin.ID) (answer origin.Answer, err error) {
 			err = n.with(name, func(to *origins.Service) { answer = to.Known(stream) })
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -79,6 +79,8 @@
 	// was.
 	logged                map[origin.ID]origin.Answer
 	logReadAt, logAskedAt time.Time
+	// loggedAt is when the newest batch was taken that the store has accepted.
+	loggedAt time.Time
 	// writer is the node that writes to the two topics, by what this node knows, and writerSince since when it is.
 	writer      string
 	writerSince time.Time
@@ -173,6 +175,7 @@
 			now := time.Now()
 			s.mu.Lock()
 			s.announcer.Done(node, err == nil, now)
+			s.notifyLocked()
 			next := s.announcer.Due(now)
 			s.mu.Unlock()
 			s.tell(next)
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -91,6 +91,16 @@
 	s.scheduleLog(time.Now())
 }
 
+// flushLog begins the log of pools that have become logged, and returns once the streams that this node knows of are in it, or after
+// flushTimeout.
+func (s *Service) flushLog(ctx context.Context) {
+	now := time.Now()
+	s.mu.Lock()
+	s.updateLog(now)
+	s.mu.Unlock()
+	s.await(ctx, flushTimeout, func(time.Time) bool { return s.log.Pending() == 0 || s.loggedAt.After(now) })
+}
+
 // scheduleLog makes the streams that wait be appended once it is time; the caller must hold the lock.
 func (s *Service) scheduleLog(now time.Time) {
 	if s.log.Pending() > 0 && !s.logScheduled {
@@ -110,18 +120,20 @@
 	}
 	if !s.log.Known() {
 		s.startLogRead(now)
-		s.tasks.After(origin.LogInterval, s.appendLog)
+		s.tasks.After(waitPoll, s.appendLog)
 		return
 	}
-	if batch, slot, due := s.log.Due(now); due {
-		s.appendBatch(ctx, batch, slot)
+	if batch, slot, due := s.log.Due(now); due && s.appendBatch(ctx, batch, slot) {
+		s.loggedAt = now
+		s.notifyLocked()
 	}
 	s.logScheduled = false
 	s.scheduleLog(time.Now())
 }
 
-// appendBatch appends a batch to the log, with the lock released meanwhile; the caller must hold it.
-func (s *Service) appendBatch(ctx context.Context, batch []origin.Report, slot int) {
+// appendBatch appends a batch to the log, with the lock released meanwhile, and reports whether that was done; the caller must hold
+// the lock.
+func (s *Service) appendBatch(ctx context.Context, batch []origin.Report, slot int) bool {
 	value, err := encodeStreams(batch)
 	emptied := s.log.Excess(len(value))
 	records := []wire.FeedRecord{{
@@ -141,6 +153,7 @@
 		s.Logger.Warn().Err(err).Str("step", "write streams").Str("peer", "store").Int("streams", len(batch)).
 			Msg("origins of streams not written; will retry")
 	}
+	return err == nil
 }
 
 // startLogRead reads the log unless a read is in flight or the last one was too short ago; the caller must hold the lock.
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -24,6 +24,8 @@
 	// tellTimeout is how long a version waits for the other nodes to be told of it. A round trip between regions takes less; a
 	// node that does not answer by then reads the list of upstreams itself before it answers a caller.
 	tellTimeout = 250 * time.Millisecond
+	// flushTimeout is how long a version waits for the streams of the former one to be logged: a read and an append.
+	flushTimeout = 250 * time.Millisecond
 	// maxReadDelay is the time from a read of the list by a peer until this node knows of it.
 	maxReadDelay = time.Second
 	// refreshInterval is the least time between two reads of the list of upstreams for callers by a node of a site of up to
@@ -300,16 +302,28 @@
 	s.sightings.Note(versions, time.Now())
 }
 
-// ToldVersions records entries that another node writes to the record.
-func (s *Service) ToldVersions(entries []origin.Entry) {
+// ToldVersions records entries that another node writes to the record. If a version comes with which streams are logged, it returns
+// once the writer was told of those that began at this node, or after tellTimeout.
+func (s *Service) ToldVersions(ctx context.Context, entries []origin.Entry) {
+	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.record.Told(entries, time.Now())
+	s.record.Told(entries, now)
+	comes := false
 	for _, e := range entries {
 		if !e.Gone {
-			s.sightings.Note(map[string][]string{e.Pool: {e.Version}}, time.Now())
+			s.sightings.Note(map[string][]string{e.Pool: {e.Version}}, now)
+			comes = comes || !e.Confirmed
 		}
 	}
+	s.updateWriter(now)
+	writer, logged := s.writer, s.loggedPools(now)
+	s.announcer.SetWriter(writer, logged)
+	due := s.announcer.Due(now)
+	s.mu.Unlock()
+	s.tell(due)
+	if comes && len(logged) > 0 {
+		s.await(ctx, tellTimeout, func(time.Time) bool { return !s.announcer.Owes(writer) })
+	}
 }
 
 // maintainRecord reads the record if this node has not, and writes what the node that reads the store for all has to; the
@@ -406,16 +420,38 @@
 
 // startAppend appends the entries that are due; the caller must hold the lock.
 func (s *Service) startAppend(now time.Time) {
-	if due := s.record.Due(now); len(due) > 0 {
-		s.tasks.Go(func(ctx context.Context) { s.appendEntries(ctx, due) })
+	due := s.record.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	beginsLog := s.beginsLog(due, now)
+	if beginsLog && !s.log.Known() {
+		s.startLogRead(now)
 	}
+	s.tasks.Go(func(ctx context.Context) { s.appendEntries(ctx, due, beginsLog) })
+}
+
+// beginsLog reports whether the log of this node has to hold the streams of a pool once one of the entries is recorded; the caller
+// must hold the lock.
+func (s *Service) beginsLog(entries []origin.Entry, now time.Time) bool {
+	return s.isWriter(now) && slices.ContainsFunc(entries, func(e origin.Entry) bool {
+		return !e.Gone && s.isLogged(e.Pool, now) && !slices.Contains(s.writing, e.Pool)
+	})
 }
 
 // appendEntries writes entries to the record and tells all nodes, which then know of a new version before a stream begins
-// there. They are told again once the store has accepted the entries.
-func (s *Service) appendEntries(ctx context.Context, entries []origin.Entry) {
+// there. They are told again once the store has accepted the entries. If a second version comes to a pool, its streams are logged
+// first: once the record holds both versions, only the log shows at which of them a stream began.
+func (s *Service) appendEntries(ctx context.Context, entries []origin.Entry, beginsLog bool) {
 	tellsEnd := time.After(tellTimeout)
 	told := s.tellEntries(entries)
+	if beginsLog {
+		select {
+		case <-told:
+		case <-tellsEnd:
+		}
+		s.flushLog(ctx)
+	}
 	records, err := encodeEntries(entries)
 	if err == nil {
 		err = s.VersionRecord.Save(ctx, records)
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -102,7 +102,7 @@
 					return nil
 				}
 				tickFor(s, time.Second)
-				s.ToldVersions(c.told)
+				s.ToldVersions(t.Context(), c.told)
 				_, known := s.FindOnly(t.Context(), "s", routeTimeout)
 				is.Equal(known, c.known)
 			})
@@ -154,7 +154,7 @@
 		record := &recordTopic{}
 		s := newNode(record)
 		tickFor(s, 250*time.Millisecond)
-		s.ToldVersions([]origin.Entry{{
+		s.ToldVersions(t.Context(), []origin.Entry{{
 			Key:      "of-b",
 			Pool:     "s",
 			Version:  "v1",
