Catalog: versions that came while no node ran wait for callers to come back

Cause: the first node that started recorded the version it found in its first list, within 50 ms. The record had shown until then that all lost streams had begun at the other version.

Change: such a version waits for 3 s after the first list while its pool has upstreams of recorded versions. A caller who takes a stream up at a node that does not list a version yet waits for a read of the record after its arrival.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -63,6 +63,8 @@
 	fetches feed.FetchQueue
 	// fromCopy is set when the copy was loaded because the topic could not be read.
 	fromCopy bool
+	// admitFrom is when versions may be recorded that this node found in its first list, beside others of their pools.
+	admitFrom time.Time
 	// pushedAt is when what was read last was sent to the peers.
 	pushedAt time.Time
 }
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -9,12 +9,24 @@
 	"lagoongw/internal/state/replica"
 )
 
+const (
+	// firstListWait is how long the first list of a node waits for versions to be recorded.
+	firstListWait = time.Second
+	// returnTime is the time in which callers come back whose streams broke off when all nodes were lost. Until then a version that
+	// came in the meantime waits, while its pool has others: as long as it is not recorded, all those streams began at former ones.
+	returnTime = 3 * time.Second
+)
+
 // VersionRecord records the software versions of upstreams before these are listed.
 type VersionRecord interface {
 	// Needed reports whether any version may have to be recorded.
 	Needed() bool
 	// Recorded reports whether a version of a pool is recorded, or need not be.
 	Recorded(pool, version string) bool
+	// Load returns once it is known which versions are recorded, or after too long.
+	Load(ctx context.Context)
+	// Postponed notes that the list in the store has upstreams of a version which are not to be listed yet.
+	Postponed()
 	// Listed notes versions by pool that are about to be listed.
 	Listed(versions map[string][]string)
 	// Admit records versions by pool and returns once that is done, or failed for too long; Recorded tells which.
@@ -22,8 +34,8 @@
 }
 
 // admit applies an update that was read from the store once the versions in it are recorded. Records of recorded versions are
-// applied at once, unless the topic is not loaded yet: the first list waits as a whole. What can't be recorded in time waits for
-// the next read, while its pool has other upstreams. Peers' updates were admitted by the node that read them.
+// applied at once. What can't be recorded in time waits for the next read, while its pool has other upstreams. Peers' updates were
+// admitted by the node that read them.
 func (f *follower) admit(ctx context.Context, update wire.FeedUpdate, apply func(update wire.FeedUpdate, now time.Time)) {
 	now := time.Now()
 	known, rows := f.divide(update, nil)
@@ -31,24 +43,62 @@
 		apply(update, now)
 		return
 	}
-	versions := versionsOf(rows)
-	f.versions.Listed(versions)
 	if !f.loaded() {
-		f.versions.Admit(ctx, versions)
-		known, _ = f.divide(update, nil)
-		known, _ = f.divide(update, f.readyPools(known.Records))
-		apply(known, now)
+		apply(f.admitFirst(ctx, update, now), now)
 		return
 	}
 	apply(known, now)
 	f.withhold(rows)
+	due := versionsOf(f.dueRows(rows, f.serves, now))
+	if len(due) == 0 {
+		return
+	}
+	f.versions.Listed(due)
 	f.tasks.Go(func(ctx context.Context) {
-		f.versions.Admit(ctx, versions)
+		f.versions.Admit(ctx, due)
 		known, _ := f.divide(update, f.serves)
 		apply(known, f.currentAt())
 	})
 }
 
+// admitFirst returns the part of a node's first list that is to be applied.
+func (f *follower) admitFirst(ctx context.Context, update wire.FeedUpdate, now time.Time) wire.FeedUpdate {
+	ctx, cancel := context.WithTimeout(ctx, firstListWait)
+	defer cancel()
+	f.versions.Load(ctx)
+	f.mu.Lock()
+	f.admitFrom = now.Add(returnTime)
+	f.mu.Unlock()
+	known, rows := f.divide(update, nil)
+	serves := f.readyPools(known.Records)
+	if due := versionsOf(f.dueRows(rows, serves, now)); len(due) > 0 {
+		f.versions.Listed(due)
+		f.versions.Admit(ctx, due)
+	}
+	known, _ = f.divide(update, serves)
+	return known
+}
+
+// dueRows returns the upstreams whose versions are to be recorded now: all but those that wait after the start of this node because
+// others serve their pools.
+func (f *follower) dueRows(rows []wire.Machine, serves func(pool string) bool, now time.Time) (due []wire.Machine) {
+	f.mu.Lock()
+	admitFrom := f.admitFrom
+	f.mu.Unlock()
+	if !now.Before(admitFrom) {
+		return rows
+	}
+	for _, row := range rows {
+		if !serves(row.Pool) {
+			due = append(due, row)
+		}
+	}
+	if len(due) < len(rows) {
+		f.versions.Postponed()
+	}
+	return due
+}
+
 // readyPools returns a function that reports whether one of the records is an upstream of a pool that takes requests.
 func (f *follower) readyPools(records []wire.FeedRecord) func(pool string) bool {
 	ready := map[string]bool{}
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -37,6 +37,10 @@
 	return r.recorded[version]
 }
 
+func (r *slowRecord) Load(context.Context) {}
+
+func (r *slowRecord) Postponed() {}
+
 func (r *slowRecord) Listed(map[string][]string) {}
 
 func (r *slowRecord) Admit(ctx context.Context, versions map[string][]string) {
@@ -143,6 +147,41 @@
 	}
 }
 
+// TestVersionsThatCameDuringALossWaitForCallers guards against refused streams where a version came while no node ran: recorded at
+// once by the first node that starts, it leaves open at which version the streams of before had begun.
+func TestVersionsThatCameDuringALossWaitForCallers(t *testing.T) {
+	record := &slowRecord{
+		delay:    20 * time.Millisecond,
+		recorded: map[string]bool{"": true},
+	}
+	runSiteOf(t, func(*Service) {}, func(_ *site, routes, upstreams *fakeTopic) {
+		is := is.New(t)
+		upstreams.put("u2", "ready@1/v2")
+		started := newNode(sitePeers{site: newSite()}, routes, upstreams)
+		started.Versions = record
+		started.Prepare()
+		listed := func() bool {
+			is.NoErr(started.RefreshUpstreams(context.Background()))
+			time.Sleep(2 * record.delay)
+			_, found := started.Table.Load().Replica("u2")
+			return found
+		}
+		is.True(!listed())
+		is.Equal(started.Table.Load().Len(), 1) // the others serve at once
+		time.Sleep(returnTime - 200*time.Millisecond)
+		is.True(!listed())
+		is.Equal(record.admits, 0)
+		time.Sleep(200 * time.Millisecond)
+		is.True(listed())
+
+		alone := newNode(sitePeers{site: newSite()}, routes, upstreams)
+		alone.Versions = &slowRecord{recorded: map[string]bool{}}
+		alone.Prepare()
+		is.NoErr(alone.RefreshUpstreams(context.Background()))
+		is.Equal(alone.Table.Load().Len(), 2) // without a recorded version nothing waits
+	})
+}
+
 // TestFirstListWaitsNoLongerThanItsVersionsTake guards against a node that starts with an empty list, and one that serves
 // nobody while versions can't be recorded.
 func TestFirstListWaitsNoLongerThanItsVersionsTake(t *testing.T) {
--- a/internal/transport/origins/model_test.go
+++ b/internal/transport/origins/model_test.go
@@ -34,6 +34,8 @@
 	// readPeriod and fallbackPeriod are the times after which the reader and any other node read the list of upstreams.
 	readPeriod     = 1500 * time.Millisecond
 	fallbackPeriod = 2 * time.Second
+	// returnTime is how long versions wait that came while all nodes were lost.
+	returnTime = 3 * time.Second
 	// noticeDelay is the time after which nodes notice that another one doesn't answer.
 	noticeDelay = 2 * time.Second
 )
@@ -87,6 +89,8 @@
 	lost               bool
 	peersCut, storeCut time.Time
 	cutSince           time.Time
+	// admitFrom is when versions of the first list may be recorded.
+	admitFrom time.Time
 }
 
 func (m *model) locked(run func()) {
@@ -321,9 +325,19 @@
 		return err
 	}
 	known := n.recorded(versions)
-	if len(known) == len(versions) {
+	if !loaded && len(known) < len(versions) {
+		n.service.Load(ctx)
+		n.admitFrom = time.Now().Add(returnTime)
+		known = n.recorded(versions)
+	}
+	switch {
+	case len(known) == len(versions):
 		n.share(versions, offset, era)
 		return nil
+	case len(known) > 0 && time.Now().Before(n.admitFrom):
+		n.service.Postponed()
+		n.share(known, offset-1, era)
+		return nil
 	}
 	waiting := map[string][]string{"s": versions}
 	n.service.Listed(waiting)
--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -73,6 +73,8 @@
 	refreshedAt, refreshAskedAt time.Time
 	// recordReadAt is when the record was last read, and recordSentAt when that read was sent.
 	recordReadAt, recordSentAt time.Time
+	// postponedAt is when the list in the store last held versions that this node did not list yet.
+	postponedAt time.Time
 	// readingRecord and readingLog are set while a read of the topic is in flight.
 	readingRecord, readingLog bool
 	// logged holds the streams of the log; logReadAt is when the read that returned them was sent, logAskedAt when the last one
@@ -311,13 +313,18 @@
 		return origin.Origin{}, false
 	}
 	all, inTouch := s.askSighted(ctx, search.pool)
-	if inTouch {
+	postponed := s.postpones()
+	if inTouch && !postponed {
 		return onlyOrigin(search.pool, all, bound)
 	}
 	if trusting && !s.awaitList(ctx, search) {
 		return origin.Origin{}, false
 	}
-	recorded, known := s.awaitRecord(ctx, search)
+	age := recordAge
+	if postponed {
+		age = 0
+	}
+	recorded, known := s.awaitRecord(ctx, search, age)
 	if !known {
 		return origin.Origin{}, false
 	}
@@ -364,10 +371,17 @@
 	return all, inTouch
 }
 
-// awaitRecord returns the versions of the caller's pool in the record, once that was read since shortly before the caller came.
-func (s *Service) awaitRecord(ctx context.Context, search *search) (recorded origin.Sighted, known bool) {
+// postpones reports whether the list in the store may hold versions that this node does not list yet.
+func (s *Service) postpones() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.postponedAt) < postponedTime
+}
+
+// awaitRecord returns the versions of the caller's pool in the record, once that was read since an age before the caller came.
+func (s *Service) awaitRecord(ctx context.Context, search *search, age time.Duration) (recorded origin.Sighted, known bool) {
 	known = s.await(ctx, time.Until(search.deadline), func(now time.Time) bool {
-		if search.came.Sub(s.recordSentAt) < recordAge {
+		if search.came.Sub(s.recordSentAt) <= age {
 			recorded.Versions = s.record.Versions()[search.pool]
 			return true
 		}
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -46,6 +46,8 @@
 	// recordAge is the age up to which a read of the record serves a caller. An upstream whose version came later is listed for
 	// longer than that, and the list is read after the caller came.
 	recordAge = time.Second
+	// postponedTime is how long after a list with postponed versions the record is read for each caller.
+	postponedTime = 10 * time.Second
 	// waitPoll is the time between two checks of a wait; calls that failed are repeated at one of them.
 	waitPoll = 50 * time.Millisecond
 )
@@ -81,6 +83,31 @@
 	return s.record.Has(pool, version) && s.sightings.Fresh(pool, version, bound, now)
 }
 
+// Load returns once the record and the routes are known, or after admitTimeout.
+func (s *Service) Load(ctx context.Context) {
+	if s.VersionRecord == nil {
+		return
+	}
+	s.await(ctx, admitTimeout, func(now time.Time) bool {
+		switch {
+		case s.bounds() == nil:
+			return false
+		case !s.sightings.Covered():
+			s.startRecordRead(now)
+			return false
+		}
+		return true
+	})
+}
+
+// Postponed notes that the list in the store has upstreams of a version that this node does not list yet. Another node may, which
+// has recorded the version then.
+func (s *Service) Postponed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.postponedAt = time.Now()
+}
+
 // Admit returns once the versions of a node's upstreams are recorded, by pool, or after admitTimeout. The node must not list
 // the upstreams before, nor those whose versions are still not recorded then, unless no others serve.
 func (s *Service) Admit(ctx context.Context, versions map[string][]string) {
