Test: fleets of tests that run side by side share no port

Suspected cause: a port was chosen at random, tried, and left free until the process listened on it; fleets of packages that run at the same time, and processes of one fleet, could be given the same one.

Change: each test process has a loopback address of its own and gives out each port once. A node that has exited before the fleet is ready is reported with the end of its log.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -239,7 +240,7 @@
 		err := retry(ctx, func() error {
 			status, err := f.Status(ctx, node)
 			if err != nil {
-				return err
+				return errors.Join(err, node.checkRunning())
 			}
 			return f.checkReady(node, status)
 		})
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -87,10 +89,24 @@
 	maxPortAttempts = 100
 )
 
-// freeAddress returns a random loopback address on which nothing listens.
+// takenPorts holds the ports that freeAddress has returned: their processes may not listen yet.
+var takenPorts sync.Map
+
+// loopbackHost returns the loopback address of the fleets of this process. Tests of other packages run at the same time, and
+// could take a port before the process for which it was chosen listens on it.
+func loopbackHost() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(200+pid>>16&31), byte(pid>>8), byte(pid)).String()
+}
+
+// freeAddress returns a random loopback address on which nothing listens, and that it has not returned before.
 func freeAddress() (string, error) {
 	for range maxPortAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(endPort-firstPort))
+		port := firstPort + rand.IntN(endPort-firstPort)
+		if _, taken := takenPorts.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := net.JoinHostPort(loopbackHost(), strconv.Itoa(port))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -101,5 +117,20 @@
 	return "", errNoPort
 }
 
+// checkRunning returns an error with the end of the log if the process has exited.
+func (p *Process) checkRunning() error {
+	const shownBytes = 2000
+	select {
+	case <-p.exited:
+	default:
+		return nil
+	}
+	log, err := os.ReadFile(p.LogFile)
+	if err != nil {
+		return err
+	}
+	return fmt.Errorf("%s has exited; the end of its log:\n%s", p.Name, log[max(len(log)-shownBytes, 0):])
+}
+
 // PID returns the ID of the process.
 func (p *Process) PID() int { return p.command.Process.Pid }
