Catalog: no version is listed that the store does not know

What callers saw: nothing yet.

Cause: a version that could not be recorded was still listed where its pool had no other upstream.

Change: it waits until it is recorded, and is listed at that moment instead of at the next read. The cost is that of a store that fails a moment before the read that shows the version: its upstreams get no requests until the store takes writes.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,6 +64,8 @@
 	fetches feed.FetchQueue
 	// fromCopy is set when the copy was loaded because the topic could not be read.
 	fromCopy bool
+	// admissions counts the updates whose versions had to be recorded: each takes the place of the one before.
+	admissions atomic.Int64
 	// admitFrom is when versions may be recorded that this node found in its first list, beside others of their pools.
 	admitFrom time.Time
 	// pushedAt is when what was read last was sent to the peers.
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -7,6 +7,7 @@
 
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 )
 
 const (
@@ -34,49 +35,63 @@
 }
 
 // admit applies an update that was read from the store once the versions in it are recorded. Records of recorded versions are
-// applied at once. What can't be recorded in time waits for the next read, while its pool has other upstreams. Peers' updates were
-// admitted by the node that read them.
+// applied at once, the others wait as long as that takes: streams that began at a version that the store does not know could go on
+// at another one. Peers' updates were admitted by the node that read them.
 func (f *follower) admit(ctx context.Context, update wire.FeedUpdate, apply func(update wire.FeedUpdate, now time.Time)) {
 	now := time.Now()
-	known, rows := f.divide(update, nil)
-	if len(rows) == 0 {
-		apply(update, now)
-		return
+	known, rows := f.divide(update)
+	if len(rows) > 0 && !f.loaded() {
+		known, rows = f.admitFirst(ctx, update, now)
 	}
-	if !f.loaded() {
-		apply(f.admitFirst(ctx, update, now), now)
+	apply(known, now)
+	if len(rows) == 0 {
 		return
 	}
-	apply(known, now)
 	f.withhold(rows)
 	due := versionsOf(f.dueRows(rows, f.serves, now))
 	if len(due) == 0 {
 		return
 	}
 	f.versions.Listed(due)
+	admission := f.admissions.Add(1)
 	f.tasks.Go(func(ctx context.Context) {
 		f.versions.Admit(ctx, due)
-		known, _ := f.divide(update, f.serves)
-		apply(known, f.currentAt())
+		for !f.recorded(due) && ctx.Err() == nil && f.admissions.Load() == admission {
+			schedule.Pause(ctx, pollInterval)
+			f.versions.Admit(ctx, due)
+		}
+		if f.recorded(due) {
+			known, _ := f.divide(update)
+			apply(known, f.currentAt())
+		}
 	})
 }
 
-// admitFirst returns the part of a node's first list that is to be applied.
-func (f *follower) admitFirst(ctx context.Context, update wire.FeedUpdate, now time.Time) wire.FeedUpdate {
+// recorded reports whether versions by pool are recorded.
+func (f *follower) recorded(versions map[string][]string) bool {
+	for pool, names := range versions {
+		if slices.ContainsFunc(names, func(name string) bool { return !f.versions.Recorded(pool, name) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// admitFirst waits up to firstListWait for the versions of a node's first list to be recorded, but for those that have to wait for
+// returnTime. It returns the list without the records of the others, and these upstreams.
+func (f *follower) admitFirst(ctx context.Context, update wire.FeedUpdate, now time.Time) (known wire.FeedUpdate, rows []wire.Machine) {
 	ctx, cancel := context.WithTimeout(ctx, firstListWait)
 	defer cancel()
 	f.versions.Load(ctx)
 	f.mu.Lock()
 	f.admitFrom = now.Add(returnTime)
 	f.mu.Unlock()
-	known, rows := f.divide(update, nil)
-	serves := f.readyPools(known.Records)
-	if due := versionsOf(f.dueRows(rows, serves, now)); len(due) > 0 {
+	known, rows = f.divide(update)
+	if due := versionsOf(f.dueRows(rows, f.readyPools(known.Records), now)); len(due) > 0 {
 		f.versions.Listed(due)
 		f.versions.Admit(ctx, due)
 	}
-	known, _ = f.divide(update, serves)
-	return known
+	return f.divide(update)
 }
 
 // dueRows returns the upstreams whose versions are to be recorded now: all but those that wait after the start of this node because
@@ -113,9 +128,8 @@
 
 // divide returns an update without the records of versions that are not recorded, and these versions' upstreams. The update
 // ends before the first such record, so that a peer that misses the later update sees that records are missing. If it holds the
-// whole topic, the former records stay in it: those that it lacks are removed. If serves is set, records of pools for which it
-// returns false stay in the update too: without them nobody would serve there.
-func (f *follower) divide(update wire.FeedUpdate, serves func(pool string) bool) (known wire.FeedUpdate, rows []wire.Machine) {
+// whole topic, the former records stay in it: those that it lacks are removed.
+func (f *follower) divide(update wire.FeedUpdate) (known wire.FeedUpdate, rows []wire.Machine) {
 	if f.versions == nil || !f.versions.Needed() {
 		return update, nil
 	}
@@ -123,7 +137,7 @@
 	known.Records = nil
 	for _, record := range update.Records {
 		row, held := f.held(record)
-		if !held || serves != nil && !serves(row.Pool) {
+		if !held {
 			known.Records = append(known.Records, record)
 			continue
 		}
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -109,7 +109,7 @@
 }
 
 // Admit returns once the versions of a node's upstreams are recorded, by pool, or after admitTimeout. The node must not list
-// the upstreams before, nor those whose versions are still not recorded then, unless no others serve.
+// upstreams whose versions are not recorded.
 func (s *Service) Admit(ctx context.Context, versions map[string][]string) {
 	if s.VersionRecord == nil {
 		return
@@ -119,7 +119,7 @@
 	s.askWriter(ctx, versions)
 	if !s.await(ctx, admitTimeout, func(now time.Time) bool { return s.admitted(versions, now) }) {
 		s.Logger.Warn().Str("decision", "versions").Interface("versions", versions).
-			Msg("versions not recorded in time; their upstreams are listed where no others serve, else the wait goes on")
+			Msg("versions not recorded in time; their upstreams wait")
 	}
 }
 
