Test: upstreams of new versions join while processes are replaced

The upgrade test had both versions from the start, so that builds that run side by side never recorded one together. An upstream of a new version now joins after the first process of each round was replaced, and all must serve streams.

--- a/test/upgrade/upgrade_test.go
+++ b/test/upgrade/upgrade_test.go
@@ -45,7 +45,9 @@
 	nextID                  int
 	orders, served          int
 	streams, whole, takenUp int
-	faults                  []string
+	// seen counts the events of streams by the version of their upstream.
+	seen   map[string]int
+	faults []string
 }
 
 func (s *site) id(kind string) string {
@@ -156,6 +158,9 @@
 				s.fault("%s: event %d of %s after one of %s", id, *last, made, *version)
 			}
 			*version = made
+			s.mu.Lock()
+			s.seen[made]++
+			s.mu.Unlock()
 		}
 	}
 }
@@ -173,7 +178,7 @@
 
 // TestProcessesAreReplacedOneByOne guards against requests that are lost, run twice or run after a refusal, and streams that are
 // joined from two versions, while the entry VMs of a site are replaced one after the other by another build and back, so that
-// both read each other's messages and records.
+// both read each other's messages and records. Upstreams of new versions join while both run.
 func TestProcessesAreReplacedOneByOne(t *testing.T) {
 	is := is.New(t)
 	current := build(t)
@@ -187,6 +192,7 @@
 			runs:  map[string]int{},
 		},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
+		seen:   map[string]int{},
 	}
 	s.upstreams.store.put(platform.TopicOperator, platform.ManifestKey, manifest)
 	server := httptest.NewServer(s.upstreams.store)
@@ -215,11 +221,17 @@
 		group.Go(func() { untilDone(done, func() { s.order(t, s.nodes[orders.IntN(nodeCount)]) }) })
 		group.Go(func() { untilDone(done, func() { s.stream(t, streams) }) })
 	}
+	var joined []string
 	for _, program := range []string{current, former, current} {
-		for _, n := range s.nodes {
+		for i, n := range s.nodes {
 			time.Sleep(time.Second)
 			n.stop()
 			n.start(program)
+			if i == 0 {
+				joined = append(joined, fmt.Sprint("v", 3+len(joined)))
+				version := joined[len(joined)-1]
+				s.upstreams.start(t, "model-"+version, poolModels, version)
+			}
 		}
 	}
 	time.Sleep(time.Second)
@@ -229,6 +241,9 @@
 	for _, fault := range s.faults {
 		t.Error(fault)
 	}
+	for _, version := range joined {
+		is.True(s.seen[version] > 0)
+	}
 	is.True(s.served*10 >= s.orders*9)
 	is.True(s.whole*10 >= s.streams*9)
 }
