Catalog: versions wait for callers also where a peer supplied the first list

Cause: a version that came while no node ran waits 3 s after the first list, but only where the node had read that list itself. A node that a peer's push reached first recorded the version at its first own read.

Change: the time counts from the first list, whoever supplied it. TestVersionsThatCameDuringALossWaitForCallers, 'first list from a peer', failed before.

The case of a first list without any recorded version has a test of its own now.

--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -66,7 +66,8 @@
 	fromCopy bool
 	// admissions counts the updates whose versions had to be recorded: each takes the place of the one before.
 	admissions atomic.Int64
-	// admitFrom is when versions may be recorded that this node found in its first list, beside others of their pools.
+	// admitFrom is when versions may be recorded that came before this node's first list, from the store or a peer, while their
+	// pools have others.
 	admitFrom time.Time
 	// pushedAt is when what was read last was sent to the peers.
 	pushedAt time.Time
@@ -245,6 +246,9 @@
 	eraBefore, loadedBefore := f.topic.Era(), f.topic.Loaded()
 	ignored := f.topic.Ignores(update)
 	newer, gap := f.topic.Apply(update)
+	if !loadedBefore && f.topic.Loaded() {
+		f.admitFrom = now.Add(returnTime)
+	}
 	restored := loadedBefore && f.topic.Era() != eraBefore
 	if restored {
 		f.handleRestore()
--- a/internal/transport/catalog/versions.go
+++ b/internal/transport/catalog/versions.go
@@ -83,9 +83,6 @@
 	ctx, cancel := context.WithTimeout(ctx, firstListWait)
 	defer cancel()
 	f.versions.Load(ctx)
-	f.mu.Lock()
-	f.admitFrom = now.Add(returnTime)
-	f.mu.Unlock()
 	known, rows = f.divide(update)
 	if due := versionsOf(f.dueRows(rows, f.readyPools(known.Records), now)); len(due) > 0 {
 		f.versions.Listed(due)
@@ -98,9 +95,9 @@
 // others serve their pools.
 func (f *follower) dueRows(rows []wire.Machine, serves func(pool string) bool, now time.Time) (due []wire.Machine) {
 	f.mu.Lock()
-	admitFrom := f.admitFrom
+	waits := !f.topic.Loaded() || now.Before(f.admitFrom)
 	f.mu.Unlock()
-	if !now.Before(admitFrom) {
+	if !waits {
 		return rows
 	}
 	for _, row := range rows {
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -148,35 +148,54 @@
 // TestVersionsThatCameDuringALossWaitForCallers guards against refused streams where a version came while no node ran: recorded at
 // once by the first node that starts, it leaves open at which version the streams of before had begun.
 func TestVersionsThatCameDuringALossWaitForCallers(t *testing.T) {
-	record := &slowRecord{
-		delay:    20 * time.Millisecond,
-		recorded: map[string]bool{"": true},
+	for name, load := range map[string]func(started, peer *Service){
+		"first list from the store": func(*Service, *Service) {},
+		"first list from a peer": func(started, peer *Service) {
+			whole, _ := peer.Snapshot(TopicUpstreams)
+			started.HandleUpdate(whole)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := &slowRecord{
+				delay:    20 * time.Millisecond,
+				recorded: map[string]bool{"": true},
+			}
+			runSiteOf(t, func(*Service) {}, func(s *site, routes, upstreams *fakeTopic) {
+				is := is.New(t)
+				started := newNode(sitePeers{site: newSite()}, routes, upstreams)
+				started.Versions = record
+				started.Prepare()
+				load(started, s.services[0])
+				upstreams.put("u2", "ready@1/v2")
+				listed := func() bool {
+					is.NoErr(started.RefreshUpstreams(context.Background()))
+					time.Sleep(2 * record.delay)
+					_, found := started.Table.Load().Replica("u2")
+					return found
+				}
+				is.True(!listed())
+				is.Equal(started.Table.Load().Len(), 1) // the others serve at once
+				time.Sleep(returnTime - 200*time.Millisecond)
+				is.True(!listed())
+				is.Equal(record.admits, 0)
+				time.Sleep(200 * time.Millisecond)
+				is.True(listed())
+			})
+		})
 	}
+}
+
+// TestFirstListOfUnrecordedVersionsWaitsForNobody guards against a site that starts for the first time, or whose pools have moved to
+// other versions while no node ran, and that serves nobody while it waits for callers.
+func TestFirstListOfUnrecordedVersionsWaitsForNobody(t *testing.T) {
 	runSiteOf(t, func(*Service) {}, func(_ *site, routes, upstreams *fakeTopic) {
 		is := is.New(t)
 		upstreams.put("u2", "ready@1/v2")
 		started := newNode(sitePeers{site: newSite()}, routes, upstreams)
-		started.Versions = record
+		started.Versions = &slowRecord{recorded: map[string]bool{}}
 		started.Prepare()
-		listed := func() bool {
-			is.NoErr(started.RefreshUpstreams(context.Background()))
-			time.Sleep(2 * record.delay)
-			_, found := started.Table.Load().Replica("u2")
-			return found
-		}
-		is.True(!listed())
-		is.Equal(started.Table.Load().Len(), 1) // the others serve at once
-		time.Sleep(returnTime - 200*time.Millisecond)
-		is.True(!listed())
-		is.Equal(record.admits, 0)
-		time.Sleep(200 * time.Millisecond)
-		is.True(listed())
-
-		alone := newNode(sitePeers{site: newSite()}, routes, upstreams)
-		alone.Versions = &slowRecord{recorded: map[string]bool{}}
-		alone.Prepare()
-		is.NoErr(alone.RefreshUpstreams(context.Background()))
-		is.Equal(alone.Table.Load().Len(), 2) // without a recorded version nothing waits
+		is.NoErr(started.RefreshUpstreams(context.Background()))
+		is.Equal(started.Table.Load().Len(), 2)
 	})
 }
 
