Origins: a log that has just begun is flushed before a version is recorded

Between the moment in which a node notes a version that is coming and the one in which it records it, its regular tick may begin the log with what the node knows by itself. The version was then recorded without waiting for the streams that the others tell.

Change: the wait applies to all entries until the log of the pool is 1 s old.

--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -93,9 +93,10 @@
 	// earlyAt is when the last such append succeeded, zero once its batches were removed.
 	earlyAt   time.Time
 	earlyKeys []int
-	// writing holds the pools whose streams this node appends to the log; logScheduled is set while an append is scheduled or
-	// in flight.
+	// writing holds the pools whose streams this node appends to the log, and writingSince since when it does; logScheduled is
+	// set while an append is scheduled or in flight.
 	writing      []string
+	writingSince map[string]time.Time
 	logScheduled bool
 }
 
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -76,11 +76,20 @@
 	s.writing = pools
 	for _, pool := range pools {
 		if !slices.Contains(before, pool) {
+			s.beginWriting(pool, now)
 			s.logStreams(s.registry.Recent(pool, origin.DefaultWindow, now))
 		}
 	}
 }
 
+// beginWriting notes that this node appends the streams of a pool from now on; the caller must hold the lock.
+func (s *Service) beginWriting(pool string, now time.Time) {
+	if s.writingSince == nil {
+		s.writingSince = map[string]time.Time{}
+	}
+	s.writingSince[pool] = now
+}
+
 // logStreams appends those streams to the log that this node has to write; the caller must hold the lock.
 func (s *Service) logStreams(reports []origin.Report) {
 	for _, report := range reports {
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -26,6 +26,8 @@
 	tellTimeout = 250 * time.Millisecond
 	// flushTimeout is how long a version waits for the streams of the former one to be logged: a read and an append.
 	flushTimeout = 250 * time.Millisecond
+	// logBeginTime is how long after the log of a pool began it may lack streams that had begun before.
+	logBeginTime = 2 * (tellTimeout + flushTimeout)
 	// maxReadDelay is the time from a read of the list by a peer until this node knows of it.
 	maxReadDelay = time.Second
 	// refreshInterval is the least time between two reads of the list of upstreams for callers by a node of a site of up to
@@ -462,7 +464,8 @@
 // must hold the lock.
 func (s *Service) beginsLog(entries []origin.Entry, now time.Time) bool {
 	return s.isWriter(now) && slices.ContainsFunc(entries, func(e origin.Entry) bool {
-		return !e.Gone && s.isLogged(e.Pool, now) && !slices.Contains(s.writing, e.Pool)
+		return !e.Gone && s.isLogged(e.Pool, now) &&
+			(!slices.Contains(s.writing, e.Pool) || now.Sub(s.writingSince[e.Pool]) < logBeginTime)
 	})
 }
 
