Origins: a frozen node delays no version where streams are logged first

Cause: the end of the time that nodes get to answer was one receive from a timer. Since streams are logged before a second version is recorded, it is awaited twice; the second wait went on until the call of a node that did not answer timed out, and the version was not listed meanwhile, although the store had it. Found by reading.

Change: the end is that of a context, which stays ended. TestFrozenNodeDoesNotDelayANewVersion has a second case, with a log, which failed before; its bound is as it was. The first case runs 8 s now instead of 0.25 s before the version comes.

--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -473,12 +473,13 @@
 // there. They are told again once the store has accepted the entries. If a second version comes to a pool, its streams are logged
 // first: once the record holds both versions, only the log shows at which of them a stream began.
 func (s *Service) appendEntries(ctx context.Context, entries []origin.Entry, beginsLog bool) {
-	tellsEnd := time.After(tellTimeout)
+	tells, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
 	told := s.tellEntries(entries)
 	if beginsLog {
 		select {
 		case <-told:
-		case <-tellsEnd:
+		case <-tells.Done():
 		}
 		s.flushLog(ctx)
 	}
@@ -488,7 +489,7 @@
 	}
 	select {
 	case <-told:
-	case <-tellsEnd:
+	case <-tells.Done():
 	}
 	if err == nil {
 		s.tellEntries(origin.Confirmed(entries))
--- a/internal/transport/origins/versions_test.go
+++ b/internal/transport/origins/versions_test.go
@@ -121,23 +121,37 @@
 }
 
 // TestFrozenNodeDoesNotDelayANewVersion guards against an upstream that is withheld until the call of a frozen node times out
-// although the store has accepted its version.
+// although the store has accepted its version, also where streams of the former version are logged first.
 func TestFrozenNodeDoesNotDelayANewVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		const peerTimeout = 5 * time.Second
-		s := newNode(&recordTopic{})
-		s.TellVersions = func(context.Context, string, []origin.Entry) error {
-			time.Sleep(peerTimeout)
-			return errLost
-		}
-		tickFor(s, 250*time.Millisecond)
-		began := time.Now()
-		s.Admit(t.Context(), map[string][]string{"s": {"v2"}})
-		is.True(s.Recorded("s", "v2"))
-		is.True(time.Since(began) < 400*time.Millisecond)
-		time.Sleep(2 * peerTimeout) // the calls end within the test
-	})
+	for name, log := range map[string]origins.Stored{
+		"no streams are logged":    nil,
+		"streams are logged first": &recordTopic{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const peerTimeout = 5 * time.Second
+				s := newNode(&recordTopic{})
+				s.StreamLog = log
+				s.Tell = func(context.Context, string, []origin.Report) error { return nil }
+				s.TellVersions = func(context.Context, string, []origin.Entry) error {
+					time.Sleep(peerTimeout)
+					return errLost
+				}
+				tickFor(s, 8*time.Second) // it is the writer, and has recorded v1
+				s.Began("r1", origin.Origin{
+					Pool:    "s",
+					Version: "v1",
+				})
+				began := time.Now()
+				s.Admit(t.Context(), map[string][]string{"s": {"v2"}})
+				is.True(s.Recorded("s", "v2"))
+				is.True(time.Since(began) < 400*time.Millisecond)
+				time.Sleep(2 * peerTimeout) // the calls end within the test
+				s.Stop(t.Context())
+			})
+		})
+	}
 }
 
 func tickFor(s *origins.Service, length time.Duration) {
