Gateway: the log tells silent upstreams from broken connections, and names time limits

The record of the incident has a send that failed and an answer of 504 after 401 ms; neither line says whether the upstream was given up or broke off, nor which limit was in force, so that the hypotheses can't be told apart.

Lines of failed sends have given-up and limit-ms, those of answers limit-ms, the end of a drain says what it leaves unfinished, and lagoongw_given_up_sends_total counts by what followed. No decision changes. TestLogTellsASilentUpstreamFromABrokenConnection.

--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -170,6 +170,10 @@
 // finish ends the requests that are still in flight, closes the listeners for HTTP and stops the background work. It waits until
 // the answers are sent and the calls have ended, for as long as the grace period allows.
 func (p *Process) finish(ctx context.Context, httpServers []*http.Server) {
+	p.Logger.Info().
+		Int("requests", p.gateway.InFlight()).
+		Int("connections-for-others", p.detourServer.Connections()).
+		Msg("drain finished: ending what is left")
 	p.gateway.EndRequests()
 	ctx, cancel := context.WithTimeout(ctx, share(p.tunables.Load().GracePeriod, stopShare))
 	defer cancel()
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -187,6 +189,10 @@
 	if result == attempt.Answered {
 		return
 	}
+	givenUp := isGivenUp(err)
+	if givenUp {
+		x.server.Metrics.countGivenUp(action)
+	}
 	x.server.Logger.Warn().
 		Err(err).
 		Str("decision", "send-again").
@@ -194,6 +200,8 @@
 		Str("step", "send").
 		Str("peer", upstream.Name()).
 		Str("result", result.String()).
+		Bool("given-up", givenUp).
+		Dur("limit-ms", x.deadline.Sub(x.started)).
 		Int("sends", x.attempts.Sends()).
 		Int("events", x.progress.events).
 		Dur("left-ms", time.Until(x.deadline)).
@@ -201,6 +209,11 @@
 		Msg("send failed")
 }
 
+// isGivenUp reports whether a send ended because of the upstream's silence, while its connection was open.
+func isGivenUp(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errStreamStalled)
+}
+
 // recordAnswer counts and logs a final answer; status 0 is an aborted one.
 func (x *exchange) recordAnswer(status int, reason string) {
 	x.server.Metrics.countAnswer(status)
@@ -210,7 +223,7 @@
 	}
 	if x.route != nil {
 		x.server.Metrics.observeAnswer(x.route, x.priorityLevel, time.Since(x.started))
-		entry = entry.Str("route", x.route.Name())
+		entry = entry.Str("route", x.route.Name()).Dur("limit-ms", x.timeout())
 	}
 	entry.
 		Str("decision", "answer").
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -23,6 +23,7 @@
 	registry          *prometheus.Registry
 	requests          *prometheus.CounterVec
 	sends             *prometheus.CounterVec
+	givenUp           *prometheus.CounterVec
 	answers           *prometheus.CounterVec
 	firstEventSeconds *prometheus.HistogramVec
 	answerSeconds     *prometheus.HistogramVec
@@ -34,9 +35,11 @@
 // NewMetrics returns metrics that are registered in a registry of their own.
 func NewMetrics() *Metrics {
 	m := &Metrics{
-		registry:          prometheus.NewRegistry(),
-		requests:          newCounter("requests_total", "Requests that matched a route.", "kind", "tier"),
-		sends:             newCounter("sends_total", "Sends to upstreams by their result.", "result"),
+		registry: prometheus.NewRegistry(),
+		requests: newCounter("requests_total", "Requests that matched a route.", "kind", "tier"),
+		sends:    newCounter("sends_total", "Sends to upstreams by their result.", "result"),
+		givenUp: newCounter("given_up_sends_total",
+			"Sends that were given up since their upstream was silent, by what followed.", "action"),
 		answers:           newCounter("answers_total", "Final answers by status; 0 is a broken one.", "status"),
 		firstEventSeconds: newHistogram("first_event_seconds", "Time to a stream's first event."),
 		answerSeconds:     newHistogram("answer_seconds", "Time to the end of the answer."),
@@ -48,7 +51,7 @@
 			"Streams that callers took up, by whether it was known where they began, and by whether the route still leads there.",
 			"known", "served"),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.answers, m.firstEventSeconds, m.answerSeconds, m.quarantined,
+	m.registry.MustRegister(m.requests, m.sends, m.givenUp, m.answers, m.firstEventSeconds, m.answerSeconds, m.quarantined,
 		m.limitedSends, m.takenUpStreams)
 	return m
 }
@@ -96,6 +99,10 @@
 	m.sends.WithLabelValues(result.String()).Inc()
 }
 
+func (m *Metrics) countGivenUp(action attempt.Action) {
+	m.givenUp.WithLabelValues(action.String()).Inc()
+}
+
 func (m *Metrics) countPermit(permit dispatch.Permit) {
 	if permit.Limited {
 		m.limitedSends.WithLabelValues(strconv.FormatBool(permit.Granted)).Inc()
