Gateway: only the next events go on with a begun stream

Cause: an answer was judged by the same rules whether it was the first or was to go on with what the caller had. Everything but 200 was delivered as a final answer, onto the open body; 200 was relayed whatever its type, encoding and events were; the end of an answer was the end of the stream, also without an event. And a stream whose last event has no ID was resumed after the last one that had one, or from its start. Ruled out: 5xx and refusals, which broke the stream off as they should.

Change: once a stream has begun, an answer must be of status 200, of events, in the same encoding; its events must have IDs that follow (event.Sequence: larger numbers, and no gap where there was none), and there must be one. Anything else counts as a lost answer: another send, or the stream is broken off and its caller can resume it. A stream whose last event has no ID isn't resumed here.

An empty answer may be that of a sound upstream whose first run broke off after the last event. The caller then resumes once more and gets that answer itself.

TestStreamThatRanWellIsResumedDespiteAQuarantine had a stand-in that began anew whatever the request said, so that the test took joined runs for a whole stream; it now honours Last-Event-Id, and the test compares the events.

--- a/internal/protocol/event/splitter.go
+++ b/internal/protocol/event/splitter.go
@@ -24,6 +24,8 @@
 	line, searched int
 	lastID         string
 	completed      int
+	// ids holds the IDs of the events that the last Add returned, without comments.
+	ids []string
 }
 
 // Add appends the next bytes of the stream and returns the complete events so far; the result is valid until the next
@@ -32,6 +34,7 @@
 	s.dropCompleted()
 	s.buffer = append(s.buffer, data...)
 	s.completed = 0
+	s.ids = s.ids[:0]
 	for {
 		newline := bytes.IndexByte(s.buffer[s.searched:], '\n')
 		if newline < 0 {
@@ -75,6 +78,10 @@
 // LastID returns the ID of the last complete event that had one, or an empty string.
 func (s *Splitter) LastID() string { return s.lastID }
 
+// IDs returns the ID of each complete event in the result of the last Add, an empty string for one without; comments have no
+// entry. The result is valid until the next call of Add.
+func (s *Splitter) IDs() []string { return s.ids }
+
 // Completed returns the number of complete events in the result of the last Add.
 func (s *Splitter) Completed() int { return s.completed }
 
@@ -85,10 +92,17 @@
 
 // readID stores the value of the event's last id field, if it has one.
 func (s *Splitter) readID(event []byte) {
+	id, comment := "", true
 	for line := range bytes.Lines(event) {
-		field, value, found := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		text := bytes.TrimRight(line, "\r\n")
+		field, value, found := bytes.Cut(text, []byte(":"))
 		if found && string(field) == "id" {
-			s.lastID = string(bytes.TrimPrefix(value, []byte(" ")))
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+			s.lastID = id
 		}
+		comment = comment && (len(text) == 0 || found && len(field) == 0)
+	}
+	if !comment {
+		s.ids = append(s.ids, id)
 	}
 }
--- a/internal/protocol/event/splitter_test.go
+++ b/internal/protocol/event/splitter_test.go
@@ -17,12 +17,15 @@
 		var s Splitter
 		var whole bytes.Buffer
 		completed := 0
+		var ids []string
 		for at := 0; at < len(stream); at += size {
 			whole.Write(s.Add([]byte(stream[at:min(at+size, len(stream))])))
 			completed += s.Completed()
+			ids = append(ids, s.IDs()...)
 		}
 		is.Equal(whole.String(), stream)
 		is.Equal(completed, 4)
+		is.Equal(ids, []string{"1", "2", "4"}) // the comment has none
 		is.Equal(s.LastID(), "4")
 		is.Equal(s.Buffered(), 0)
 	}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -328,6 +328,11 @@
 		return attempt.NotRun, x.recordRefusal(s)
 	}
 	s.assignment.Answering(time.Now())
+	if x.progress.headWritten {
+		if result, err := x.refuseContinuation(s); err != nil {
+			return result, err
+		}
+	}
 	if x.route.Kind() == route.Stream && s.response.StatusCode == http.StatusOK {
 		x.setBuffered(nil)
 		return x.relayStream(s)
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -137,6 +137,7 @@
 		result := <-done
 		is.Equal(result.status, http.StatusOK)
 		is.True(result.whole)
+		is.Equal(result.body, eventText(longStreamEvents))
 	})
 }
 
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -262,6 +262,9 @@
 	}
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(slowReaderWait))
 	x.setPool(x.route.PoolFor(x.call.ID))
+	if x.call.ResumeAfter != "" {
+		x.progress.sequence.Resume(x.call.ResumeAfter)
+	}
 	x.attempts.Repeatable = x.route.Repeatable()
 	x.attempts.MaxAttempts = x.route.MaxAttempts()
 	x.attempts.Deadline = x.deadline
--- a/internal/transport/gateway/site_test.go
+++ b/internal/transport/gateway/site_test.go
@@ -532,10 +532,14 @@
 	delete(c.conns, engine)
 }
 
-// longStream streams events for 800 ms.
+// longStreamEvents is the number of events of a longStream.
+const longStreamEvents = 20
+
+// longStream streams the events after Last-Event-Id, which take 800 ms in all.
 func longStream(conn net.Conn, r *http.Request) bool {
 	writeAnswer(conn, r, "HTTP/1.1 200 X\r\n"+answerHeaders+"Transfer-Encoding: chunked\r\n\r\n")
-	for i := 1; i <= 20; i++ {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= longStreamEvents; i++ {
 		time.Sleep(40 * time.Millisecond)
 		if _, err := io.WriteString(conn, chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))); err != nil {
 			return false
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -39,9 +39,12 @@
 // relayProgress is how much of an upstream's answer the caller has been sent.
 type relayProgress struct {
 	// headWritten reports whether the status and the headers were sent.
-	headWritten  bool
-	events       int
-	lastEventID  string
+	headWritten bool
+	// head holds the headers that were sent.
+	head   http.Header
+	events int
+	// sequence holds the IDs of the events.
+	sequence     event.Sequence
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	// relayedAt is when the last event was written; a caller that reads slowly delays it.
@@ -50,17 +53,13 @@
 	maxGap time.Duration
 }
 
-// resumeAfter returns the ID of the last event that the caller has received.
-func (x *exchange) resumeAfter() string {
-	if x.progress.lastEventID != "" {
-		return x.progress.lastEventID
-	}
-	return x.call.ResumeAfter
-}
+// resumeAfter returns the ID of the last event that the caller has received, empty for none.
+func (x *exchange) resumeAfter() string { return x.progress.sequence.LastID() }
 
 // relayStream sends complete events to the caller as they arrive; an incomplete event at the end of a broken stream is
-// dropped.
+// dropped. Those of an answer that goes on with a begun stream must follow its last event.
 func (x *exchange) relayStream(s *upstreamSend) (attempt.Result, error) {
+	begun, followed := x.progress.headWritten, false
 	splitter := event.Splitter{MaxEventBytes: maxEventBytes(x.server.Memory)}
 	unfinished := x.server.Memory.NewReservation(memory.Events)
 	defer unfinished.Resize(0)
@@ -69,7 +68,14 @@
 		s.response.SetReadDeadline(x.silenceDeadline(s.started, s.cost))
 		n, err := s.response.Body.Read(buffer)
 		if events := splitter.Add(buffer[:n]); len(events) > 0 {
-			if writeErr := x.writeEvents(s, events, splitter.LastID(), splitter.Completed()); writeErr != nil {
+			if orderErr := x.noteIDs(splitter.IDs(), begun); orderErr != nil {
+				return x.failStream(s, orderErr)
+			}
+			followed = followed || len(splitter.IDs()) > 0
+			if begun && !followed {
+				events = nil // comments of an answer that may not go on with the stream
+			}
+			if writeErr := x.writeEvents(s, events, splitter.Completed()); writeErr != nil {
 				s.response.Discard()
 				return attempt.Lost, writeErr
 			}
@@ -84,6 +90,8 @@
 			x.attempts.Repeatable = false // another upstream's event would find no room either
 			return attempt.Lost, errNoEventMemory
 		case err == nil:
+		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && begun && !followed:
+			return x.failStream(s, errNoFurtherEvent)
 		case errors.Is(err, io.EOF) && splitter.Buffered() == 0:
 			return x.finishStream(s)
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -131,15 +139,15 @@
 	return x.deadline
 }
 
-// writeEvents sends complete events to the caller; count is their number, and lastID the ID of the last one that has an
-// ID.
-func (x *exchange) writeEvents(s *upstreamSend, events []byte, lastID string, count int) error {
+// writeEvents sends complete events to the caller; count is their number.
+func (x *exchange) writeEvents(s *upstreamSend, events []byte, count int) error {
+	if len(events) == 0 {
+		return nil
+	}
 	now := time.Now()
 	x.countUsage()
 	if !x.progress.headWritten {
-		x.copyHeader(s.response.Header)
-		x.w.WriteHeader(http.StatusOK)
-		x.progress.headWritten = true
+		x.writeHead(s)
 		x.attempts.MarkStreaming()
 	}
 	x.noteWeights(s, events)
@@ -153,9 +161,6 @@
 	s.assignment.Events(count, now)
 	x.progress.events += count
 	x.progress.lastEventAt = now
-	if lastID != "" {
-		x.progress.lastEventID = lastID
-	}
 	if _, err := x.w.Write(events); err != nil {
 		return errors.Join(errCallerLeft, err)
 	}
@@ -164,15 +169,21 @@
 	return err
 }
 
+// writeHead sends the head of a stream to the caller.
+func (x *exchange) writeHead(s *upstreamSend) {
+	x.copyHeader(s.response.Header)
+	x.w.WriteHeader(http.StatusOK)
+	x.progress.headWritten = true
+	x.progress.head = s.response.Header
+}
+
 func (x *exchange) finishStream(s *upstreamSend) (attempt.Result, error) {
 	s.response.Release(x.server.Connections, s.reply.IdleTimeout)
 	now := time.Now()
 	x.server.Dispatcher.Succeeded(s.upstream, 0, now)
 	x.recordWhole(s)
 	if !x.progress.headWritten {
-		x.copyHeader(s.response.Header)
-		x.w.WriteHeader(http.StatusOK)
-		x.progress.headWritten = true
+		x.writeHead(s)
 	}
 	return attempt.Answered, nil
 }
