Gateway: a silent upstream is given up only once another send is certain

Cause: silence ended a send, and only then a retry was asked for, an upstream chosen and a connection opened. Each of the three may fail, and the run of a sound upstream was thrown away. After SIGTERM retries are seldom left, since the node has few requests that earn them. Ruled out: an upstream that had broken off (the errors are time limits), and the time limit of the request in the test (1.5 s against 0.25 s).

Change: the silence starts a search instead. It goes on each 100 ms until an upstream is chosen, connected to, allowed by its limits, and a retry is taken from the budget; then the silent one is given up. Until then its answer counts and ends the search. A probe of a quarantine and quarantined requests wait. The budget can be asked without taking from it, and the attempts accept a send that was granted before the failure.

--- a/internal/coordination/attempt/machine.go
+++ b/internal/coordination/attempt/machine.go
@@ -71,6 +71,8 @@
 	// possibleRuns is the number of sends after which the upstream ran the request or may have run it.
 	possibleRuns int
 	streaming    bool
+	// secured reports that the retry budget has granted the next send.
+	secured bool
 }
 
 // Sends returns the number of sends that reached an upstream.
@@ -110,9 +112,20 @@
 	return m.Repeatable && m.Deadline.Sub(now) >= minTimeLeft && m.possibleRuns+1 < m.MaxAttempts && m.sends+1 < maxSends
 }
 
+// Secure takes the send that may follow a failure from the retry budget before it is known that there will be one, and reports
+// whether the budget allows it. The next send after which the request is sent again then needs no other grant, nor more time.
+func (m *StateMachine) Secure() bool {
+	m.secured = m.secured || m.TakeRetryBudget()
+	return m.secured
+}
+
 // mayRetry reports whether the request may be sent again, and takes the retry from the budget unless the result is
 // Unsent.
 func (m *StateMachine) mayRetry(result Result, now time.Time) bool {
+	if m.secured && m.Repeatable && (result == Lost || result == Failed) {
+		m.secured = false
+		return true
+	}
 	if m.Deadline.Sub(now) < minTimeLeft || m.possibleRuns >= max(m.MaxAttempts, 1) || m.sends >= maxSends {
 		return false
 	}
--- a/internal/coordination/attempt/machine_test.go
+++ b/internal/coordination/attempt/machine_test.go
@@ -117,3 +117,20 @@
 		}
 	})
 }
+
+// TestSecuredSendIsGrantedOnce guards against a send that was certain being refused when the send before it is given up, and
+// against one grant that serves for two.
+func TestSecuredSendIsGrantedOnce(t *testing.T) {
+	is := is.New(t)
+	grants := 1
+	m := newStateMachine(true, false)
+	m.MaxAttempts = 3
+	m.TakeRetryBudget = func() bool {
+		grants--
+		return grants >= 0
+	}
+	is.True(m.Secure())
+	is.Equal(m.Next(Lost, start.Add(time.Second)), Again) // given up with no time left to look for another upstream
+	is.True(!m.Secure())
+	is.Equal(m.Next(Lost, start), Fail)
+}
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -58,6 +58,22 @@
 func (w *WindowBudget) Take(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.allows(now) {
+		return false
+	}
+	w.retries[w.bucket%ringBuckets]++
+	return true
+}
+
+// Allows reports whether a retry is left.
+func (w *WindowBudget) Allows(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.allows(now)
+}
+
+// allows reports whether a retry is left; mu is held.
+func (w *WindowBudget) allows(now time.Time) bool {
 	w.advance(now)
 	requests, retries := 0, 0
 	for i := range int64(ringBuckets) {
@@ -68,11 +84,7 @@
 	}
 	allowance := w.Allowance()
 	allowed := nodeRatioShare*allowance.Ratio*float64(requests) + allowance.Slack/float64(max(w.Nodes(), 1))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.bucket%ringBuckets]++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // advance moves on to the bucket of the given time and clears the buckets that it reuses.
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -31,9 +31,12 @@
 	is := is.New(t)
 	w := newWindow(8)
 	taken := 0
-	for w.Take(testStart) {
+	for w.Allows(testStart) {
+		is.True(w.Allows(testStart)) // it takes none
+		is.True(w.Take(testStart))
 		taken++
 	}
+	is.True(!w.Take(testStart))
 	is.Equal(taken, 7) // a slack of 56, divided by 8 nodes
 	for range 20 {
 		w.RecordRequest(testStart)
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -211,7 +211,7 @@
 
 // isGivenUp reports whether a send ended because of the upstream's silence, while its connection was open.
 func isGivenUp(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errStreamStalled)
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errStreamStalled) || errors.Is(err, errUpstreamSilent)
 }
 
 // recordAnswer counts and logs a final answer; status 0 is an aborted one.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -82,6 +82,8 @@
 	requestMemory memory.Reservation
 	// probe reports that the answer decides whether the request or a part of its prompt is still quarantined.
 	probe bool
+	// next is the send for which the last upstream was given up, nil if none was.
+	next *preparedSend
 	// quarantine is why the request is not sent again, nil if it is for no quarantine.
 	quarantine *quarantine.Quarantine
 	// digest identifies the request when it comes again, 0 until identifyRepeat.
@@ -105,6 +107,8 @@
 	assignment *dispatch.Assignment
 	response   *connection.Response
 	reply      Reply
+	// succession watches for the silence of the upstream.
+	succession *succession
 	// cost is the Cost of the choice, which adds other costs to the predicted time; the first event is expected in much
 	// less time.
 	cost time.Duration
@@ -113,17 +117,19 @@
 // run sends the request to one upstream after another until an answer is final.
 func (x *exchange) run() {
 	defer x.endProbe()
+	defer func() { x.release(x.next) }()
 	for {
 		if x.stopped() {
 			x.finishWithout(*x.noUpstream(errStopping.Error()))
 			return
 		}
-		chosen, refusal := x.choose()
+		send, refusal := x.takeNext()
 		if refusal != nil {
 			x.finishWithout(*refusal)
 			return
 		}
-		result, err := x.sendOnce(chosen)
+		upstream := send.choice.Replica
+		result, err := x.sendOnce(send)
 		if errors.Is(err, errAtLimit) && !x.callerLeft() {
 			if refusal = x.denied(); refusal == nil {
 				continue
@@ -132,19 +138,30 @@
 			return
 		}
 		if x.callerLeft() && result != attempt.Answered {
-			x.abandon(chosen.Replica, err)
+			x.abandon(upstream, err)
 			return
 		}
 		action := x.attempts.Next(result, time.Now())
-		x.recordSend(chosen.Replica, result, action, err)
+		x.recordSend(upstream, result, action, err)
 		if action != attempt.Again {
 			x.finish(action, err)
 			return
 		}
-		x.excluded = append(x.excluded, chosen.Replica.Name())
+		x.excluded = append(x.excluded, upstream.Name())
 	}
 }
 
+// takeNext returns the send for which the last upstream was given up, or else one to an upstream that it chooses. It returns the
+// final answer if there is none.
+func (x *exchange) takeNext() (*preparedSend, *localAnswer) {
+	if next := x.next; next != nil {
+		x.next = nil
+		return next, nil
+	}
+	choice, refusal := x.choose()
+	return &preparedSend{choice: choice}, refusal
+}
+
 // callerLeft reports whether the caller disconnected, as opposed to the deadline passing.
 func (x *exchange) callerLeft() bool {
 	return errors.Is(x.ctx.Err(), context.Canceled) && !x.stopped()
@@ -209,40 +226,60 @@
 	return &answer
 }
 
-// sendOnce sends the request to one upstream and reads its answer.
-func (x *exchange) sendOnce(choice dispatch.Choice) (result attempt.Result, err error) {
-	upstream := choice.Replica
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
+// prepare connects to the upstream of a send and takes what its limits require. On an error nothing was sent and nothing is held.
+func (x *exchange) prepare(ctx context.Context, p *preparedSend) error {
+	upstream := p.choice.Replica
 	conn, err := x.server.Connections.Get(ctx, upstream.Address(), x.call.ID)
 	if err != nil {
-		x.recordUnreachable(upstream, err)
-		return attempt.Unsent, err
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			x.recordUnreachable(upstream, err)
+		}
+		return err
 	}
 	if !x.confirmVersion(ctx, upstream, conn.OpenedAt()) {
 		x.server.Connections.Put(conn, 0)
-		return attempt.Unsent, errOtherVersion
+		return errOtherVersion
 	}
 	permit := x.takePermit(ctx, upstream)
 	if !permit.Granted {
 		x.server.Connections.Put(conn, 0)
-		return attempt.Unsent, errAtLimit
+		return errAtLimit
+	}
+	p.conn, p.permit = conn, permit
+	return nil
+}
+
+// sendOnce sends the request to one upstream and reads its answer. If the upstream was given up, the next send is kept.
+func (x *exchange) sendOnce(p *preparedSend) (result attempt.Result, err error) {
+	upstream := p.choice.Replica
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	if p.conn == nil {
+		if err := x.prepare(ctx, p); err != nil {
+			return attempt.Unsent, err
+		}
 	}
 	s := &upstreamSend{
 		upstream:    upstream,
 		started:     time.Now(),
-		connectedAt: conn.OpenedAt(),
-		cost:        choice.Cost,
+		connectedAt: p.conn.OpenedAt(),
+		cost:        p.choice.Cost,
+		succession: &succession{
+			exchange: x,
+			upstream: upstream,
+			conn:     p.conn,
+		},
 	}
-	defer func() { x.releasePermit(permit, s.refused) }()
+	defer func() { x.releasePermit(p.permit, s.refused) }()
 	left := time.Until(x.deadline)
 	if left <= 0 {
-		conn.Close()
+		p.conn.Close()
 		return attempt.Unsent, context.DeadlineExceeded
 	}
-	s.assignment = x.server.Dispatcher.Begin(upstream, x.dispatchRequest(), choice, s.started)
+	s.assignment = x.server.Dispatcher.Begin(upstream, x.dispatchRequest(), p.choice, s.started)
 	defer func() { s.assignment.End(time.Now()) }()
-	response, sent, err := conn.Send(ctx, connection.Request{
+	s.succession.expect(x.headerDeadline(s.cost))
+	response, sent, err := p.conn.Send(ctx, connection.Request{
 		Method: x.method,
 		Target: x.target,
 		Host:   x.host,
@@ -256,8 +293,14 @@
 			Weights:       x.weights,
 		}),
 		Body:           x.body,
-		HeaderDeadline: x.headerDeadline(s.cost),
+		HeaderDeadline: x.deadline,
 	})
+	if !s.succession.heard() {
+		if response != nil {
+			response.Discard()
+		}
+		return x.giveUp(s)
+	}
 	if err != nil {
 		x.server.Dispatcher.Failed(upstream, time.Now())
 		if sent {
@@ -270,6 +313,12 @@
 	return x.receive(s)
 }
 
+// giveUp ends a send whose upstream was silent for too long, and keeps the next one.
+func (x *exchange) giveUp(s *upstreamSend) (attempt.Result, error) {
+	x.next = s.succession.next
+	return attempt.Lost, errUpstreamSilent
+}
+
 // recordUnreachable tells the dispatcher that no connection to an upstream could be opened, unless the caller has left.
 func (x *exchange) recordUnreachable(upstream *replica.Replica, err error) {
 	var unreachable *connection.UnreachableError
@@ -282,13 +331,13 @@
 	}
 }
 
-// headerDeadline returns when to give up an upstream that has not sent the header of its answer. A safe request gives
-// up early if it may run at another upstream as well; once it may have run, it waits until the request's deadline.
+// headerDeadline returns when an upstream that has not sent the header of its answer has been silent for too long: early for a safe
+// request, which may run at another upstream as well.
 func (x *exchange) headerDeadline(cost time.Duration) time.Time {
 	switch {
 	case x.route.Kind() == route.Stream:
 		return x.silenceDeadline(time.Now(), cost)
-	case x.route.Kind() == route.Safe && !x.attempts.MayHaveRun() && x.route.MaxAttempts() > 1:
+	case x.route.Kind() == route.Safe:
 		return x.deadlineAfter(max(minPlainAnswerWait, x.route.TargetLatency()))
 	}
 	return x.deadline
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -56,54 +56,90 @@
 // resumeAfter returns the ID of the last event that the caller has received, empty for none.
 func (x *exchange) resumeAfter() string { return x.progress.sequence.LastID() }
 
+// relay is how one answer's events are passed on to the caller.
+type relay struct {
+	splitter event.Splitter
+	// begun reports that the caller has been sent a part of another answer, and followed that this one has brought an event.
+	begun, followed bool
+}
+
 // relayStream sends complete events to the caller as they arrive; an incomplete event at the end of a broken stream is
 // dropped. Those of an answer that goes on with a begun stream must follow its last event.
 func (x *exchange) relayStream(s *upstreamSend) (attempt.Result, error) {
-	begun, followed := x.progress.headWritten, false
-	splitter := event.Splitter{MaxEventBytes: maxEventBytes(x.server.Memory)}
+	r := relay{
+		splitter: event.Splitter{MaxEventBytes: maxEventBytes(x.server.Memory)},
+		begun:    x.progress.headWritten,
+	}
 	unfinished := x.server.Memory.NewReservation(memory.Events)
 	defer unfinished.Resize(0)
 	buffer := make([]byte, streamBufferBytes)
+	s.response.SetReadDeadline(x.deadline)
 	for {
-		s.response.SetReadDeadline(x.silenceDeadline(s.started, s.cost))
+		s.succession.expect(x.silenceDeadline(s.started, s.cost))
 		n, err := s.response.Body.Read(buffer)
-		if events := splitter.Add(buffer[:n]); len(events) > 0 {
-			if orderErr := x.noteIDs(splitter.IDs(), begun); orderErr != nil {
-				return x.failStream(s, orderErr)
-			}
-			followed = followed || len(splitter.IDs()) > 0
-			if begun && !followed {
-				events = nil // comments of an answer that may not go on with the stream
-			}
-			if writeErr := x.writeEvents(s, events, splitter.Completed()); writeErr != nil {
-				s.response.Discard()
-				return attempt.Lost, writeErr
+		events := r.splitter.Add(buffer[:n])
+		held := unfinished.Resize(eventBytes(r.splitter.Buffered()))
+		if len(events) == 0 && err == nil && held && !r.splitter.TooLong() {
+			continue
+		}
+		if !s.succession.heard() {
+			s.response.Discard()
+			return x.giveUp(s)
+		}
+		if len(events) > 0 {
+			if err := x.passOnEvents(s, &r, events); err != nil {
+				return attempt.Lost, err
 			}
 		}
 		switch {
-		case splitter.TooLong():
+		case r.splitter.TooLong():
 			s.response.Discard()
 			x.suspectCrash(s, errEventTooLong)
 			return attempt.Lost, errEventTooLong
-		case !unfinished.Resize(eventBytes(splitter.Buffered())):
+		case !held:
 			s.response.Discard()
 			x.attempts.Repeatable = false // another upstream's event would find no room either
 			return attempt.Lost, errNoEventMemory
-		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0 && begun && !followed:
-			return x.failStream(s, errNoFurtherEvent)
-		case errors.Is(err, io.EOF) && splitter.Buffered() == 0:
-			return x.finishStream(s)
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return x.failStream(s, errStreamStalled)
-		case errors.Is(err, io.EOF):
-			return x.failStream(s, errTruncatedStream)
-		default:
-			return x.failStream(s, err)
+		case err != nil:
+			return x.endStream(s, &r, err)
 		}
 	}
 }
 
+// passOnEvents sends complete events to the caller, or ends the answer with an error if they can't follow or the caller can't be
+// sent any.
+func (x *exchange) passOnEvents(s *upstreamSend, r *relay, events []byte) error {
+	if err := x.noteIDs(r.splitter.IDs(), r.begun); err != nil {
+		_, err = x.failStream(s, err)
+		return err
+	}
+	r.followed = r.followed || len(r.splitter.IDs()) > 0
+	if r.begun && !r.followed {
+		return nil // comments of an answer that may not go on with the stream
+	}
+	if err := x.writeEvents(s, events, r.splitter.Completed()); err != nil {
+		s.response.Discard()
+		return err
+	}
+	return nil
+}
+
+// endStream returns the result of an answer of which no more can be read because of an error, io.EOF at its end.
+func (x *exchange) endStream(s *upstreamSend, r *relay, err error) (attempt.Result, error) {
+	atEnd := errors.Is(err, io.EOF)
+	switch {
+	case atEnd && r.splitter.Buffered() > 0:
+		err = errTruncatedStream
+	case atEnd && r.begun && !r.followed:
+		err = errNoFurtherEvent
+	case atEnd:
+		return x.finishStream(s)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errStreamStalled
+	}
+	return x.failStream(s, err)
+}
+
 // maxEventBytes returns the maximum length of an event: a part of the memory for all of them.
 func maxEventBytes(budget *memory.Budget) int {
 	return int(min(max(budget.Limit(memory.Events)/maxEventPart, event.DefaultMaxEventBytes), maxMaxEventBytes))
@@ -118,9 +154,9 @@
 	return 2 * int64(buffered)
 }
 
-// silenceDeadline returns when to give up an upstream that completes no further event; sent is when the request was sent
-// to it, and cost the Cost of the choice. Bytes that complete no event don't put it off. If no other upstream can resume
-// the stream, it is the request's deadline.
+// silenceDeadline returns when an upstream that completes no further event has been silent for too long; sent is when the request
+// was sent to it, and cost the Cost of the choice. Bytes that complete no event don't put it off. If no other upstream can
+// resume the stream, it is the request's deadline.
 func (x *exchange) silenceDeadline(sent time.Time, cost time.Duration) time.Time {
 	if !x.route.Resumable() {
 		return x.deadline
@@ -141,9 +177,6 @@
 
 // writeEvents sends complete events to the caller; count is their number.
 func (x *exchange) writeEvents(s *upstreamSend, events []byte, count int) error {
-	if len(events) == 0 {
-		return nil
-	}
 	now := time.Now()
 	x.countUsage()
 	if !x.progress.headWritten {
