Connections: a request that is given up resets its connection

A close sends the end of our bytes, which an upstream that allows half-closed connections takes for the end of the request; it works on until it writes.

Change: whatever ends a request before its answer is whole (the caller leaves, a time limit, a broken or unusable answer, another upstream that takes over) resets the connection, also through another node. Idle connections are closed as before.

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -45,13 +45,13 @@
 }
 
 // Send writes the request and reads the response's header; sent reports whether any byte may have left this VM. The
-// connection is closed on an error, and when ctx ends.
+// connection is reset on an error, and when ctx ends.
 func (c *Conn) Send(ctx context.Context, request Request) (response *Response, sent bool, err error) {
 	if err := ctx.Err(); err != nil {
-		c.Close()
+		c.Close() // nothing was sent
 		return nil, false, err
 	}
-	stopWatching := context.AfterFunc(ctx, c.Close)
+	stopWatching := context.AfterFunc(ctx, c.Abort)
 	writeResult := make(chan error, 1)
 	bodyBytes := request.bodyBytes()
 	message := append(net.Buffers{encodeHead(request, bodyBytes)}, request.Body...)
@@ -63,14 +63,14 @@
 	}
 	if err != nil {
 		stopWatching()
-		c.Close()
+		c.Abort()
 		return nil, true, eris.Wrapf(closeReason(ctx, err), "send request to upstream %s", c.address)
 	}
 	_ = c.net.SetReadDeadline(request.HeaderDeadline)
 	httpResponse, err := c.readHead(request.Method) //nolint:bodyclose // Discard or Release ends the response
 	if err != nil {
 		stopWatching()
-		c.Close()
+		c.Abort()
 		return nil, true, eris.Wrapf(closeReason(ctx, err), "read answer of upstream %s", c.address)
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
@@ -154,10 +154,10 @@
 // SetReadDeadline sets the time after which reads of the body fail.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.net.SetReadDeadline(t) }
 
-// Discard closes the connection.
+// Discard resets the connection.
 func (r *Response) Discard() {
 	r.stopWatching()
-	r.conn.Close()
+	r.conn.Abort()
 }
 
 // Release returns the connection to the pool after the whole body was read; idle is the upstream's own idle timeout, 0
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -262,6 +262,19 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
+// Abort resets the connection, so that the upstream sees that nobody waits for the answer. A close alone would tell it that the
+// request has ended, and it could go on with its work.
+func (c *Conn) Abort() { Reset(c.net) }
+
+// Reset closes a connection so that the other side sees an error rather than its end. It closes those without that choice, as in
+// tests, like any other.
+func Reset(conn net.Conn) {
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // reusable reports whether the connection is open and has no unread bytes. Bytes that arrive on an idle connection
 // belong to no request and would be taken for the start of the next response. A connection that is not a socket, as in
 // tests, counts as open.
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -86,7 +86,7 @@
 			end:   func(conn net.Conn) { _ = conn.Close() },
 			whole: true,
 		},
-		"upstream resets": {end: reset},
+		"upstream resets": {end: connection.Reset},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -158,25 +158,35 @@
 }
 
 // TestUpstreamLearnsThatTheCallerLeft guards against work that goes on at an upstream after the first node has closed its
-// connection.
+// connection, or has reset it since it gave the request up.
 func TestUpstreamLearnsThatTheCallerLeft(t *testing.T) {
-	is := is.New(t)
-	closed := make(chan error, 1)
-	server := newServer()
-	conn := through(t, server, listen(t, func(conn net.Conn) {
-		_, err := io.Copy(io.Discard, conn)
-		closed <- err
-	}))
-	_, err := conn.Write([]byte("a request"))
-	is.NoErr(err)
-	_ = conn.Close()
-	select {
-	case err := <-closed:
-		is.NoErr(err)
-	case <-time.After(20 * time.Second):
-		t.Fatal("the upstream's connection stays open")
+	for name, c := range map[string]struct {
+		end  func(conn net.Conn)
+		want error
+	}{
+		"closed":   {end: func(conn net.Conn) { _ = conn.Close() }},
+		"given up": {end: connection.Reset, want: syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan error, 1)
+			server := newServer()
+			conn := through(t, server, listen(t, func(conn net.Conn) {
+				_, err := io.Copy(io.Discard, conn)
+				closed <- err
+			}))
+			_, err := conn.Write([]byte("a request"))
+			is.NoErr(err)
+			c.end(conn)
+			select {
+			case err := <-closed:
+				is.True(errors.Is(err, c.want))
+			case <-time.After(20 * time.Second):
+				t.Fatal("the upstream's connection stays open")
+			}
+			eventually(t, "the connection is counted no more", func() bool { return server.Connections() == 0 })
+		})
 	}
-	eventually(t, "the connection is counted no more", func() bool { return server.Connections() == 0 })
 }
 
 // TestConnectionsForOthersAreBounded guards against nodes that use up another one, by connections that they don't take, that
--- a/internal/transport/detour/frame.go
+++ b/internal/transport/detour/frame.go
@@ -39,6 +39,14 @@
 // Via returns the name of the node that the connection leads through.
 func (c *Conn) Via() string { return c.via }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, as net.TCPConn does, where there is such a choice.
+func (c *Conn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Read reads bytes of the upstream. It returns io.EOF only if the upstream has ended the connection, and an error if the
 // connection broke off.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/transport/detour/server.go
+++ b/internal/transport/detour/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"lagoongw/internal/coordination/reach"
+	"lagoongw/internal/transport/connection"
 )
 
 const (
@@ -118,7 +119,7 @@
 	_, err := io.ReadFull(node, ticket[:])
 	upstream := s.take(ticket)
 	if err != nil || upstream == nil {
-		reset(node)
+		connection.Reset(node)
 		return
 	}
 	defer s.open.Add(-1)
@@ -131,27 +132,22 @@
 func (s *Server) carry(node, upstream net.Conn) {
 	defer func() { _ = upstream.Close() }()
 	go func() {
-		_, _ = io.CopyBuffer(watched{Conn: upstream}, watched{Conn: node}, make([]byte, maxFrameBytes))
-		_ = upstream.Close() // the node has closed its side, as it does when the caller leaves
+		if _, err := io.CopyBuffer(watched{Conn: upstream}, watched{Conn: node}, make([]byte, maxFrameBytes)); err != nil {
+			connection.Reset(upstream) // the node has given up the request
+			return
+		}
+		_ = upstream.Close() // the node has closed its side
 	}()
 	if err := copyFrames(watched{Conn: node}, watched{Conn: upstream}); err != nil {
 		if !errors.Is(err, net.ErrClosed) {
 			s.Logger.Debug().Err(err).Str("step", "detour").Msg("connection for another node broke off")
 		}
-		reset(node)
+		connection.Reset(node)
 		return
 	}
 	_ = node.Close()
 }
 
-// reset closes a connection so that the other side sees that it was broken off.
-func reset(conn net.Conn) {
-	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = socket.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // watched is a connection on which reads and writes fail after a time without progress.
 type watched struct {
 	net.Conn
--- a/internal/transport/gateway/succession.go
+++ b/internal/transport/gateway/succession.go
@@ -101,7 +101,7 @@
 	for ctx.Err() == nil && x.attempts.MayRepeat(time.Now()) {
 		if next := x.secureNext(ctx, w.upstream); next != nil {
 			w.next = next
-			w.conn.Close()
+			w.conn.Abort()
 			return
 		}
 		schedule.Pause(ctx, successorInterval)
