--- a/test/upgrade/store_test.go
+++ b/test/site/store.go
@@ -1,4 +1,4 @@
-package upgrade
+package site
 
 import (
 	"encoding/base64"
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// store stands in for the platform's store: it keeps all records of keyed topics.
-type store struct {
+// Store stands in for the platform's store: it keeps all records of keyed topics. The zero value is empty.
+type Store struct {
 	mu     sync.Mutex
 	topics map[string][]record
 }
@@ -21,22 +21,27 @@
 	key, value string
 }
 
-func (s *store) put(topic, key, value string) {
+// Put appends a record to a topic.
+func (s *Store) Put(topic, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.topics == nil {
+		s.topics = map[string][]record{}
+	}
 	s.topics[topic] = append(s.topics[topic], record{
 		key:   key,
 		value: value,
 	})
 }
 
-func (s *store) records(topic string) []record {
+func (s *Store) records(topic string) []record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.topics[topic]
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves the calls of the nodes.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	topic := r.URL.Query().Get("topic")
 	switch r.URL.Path {
 	case "/log-append":
@@ -50,7 +55,7 @@
 	}
 }
 
-func (s *store) append(w http.ResponseWriter, r *http.Request, topic string) {
+func (s *Store) append(w http.ResponseWriter, r *http.Request, topic string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -58,7 +63,7 @@
 	for len(body) > 4 {
 		size := 4 + int(binary.BigEndian.Uint32(body))
 		keyEnd := 5 + int(body[4])
-		s.put(topic, string(body[5:keyEnd]), string(body[keyEnd:size]))
+		s.Put(topic, string(body[5:keyEnd]), string(body[keyEnd:size]))
 		body = body[size:]
 	}
 	end := len(s.records(topic))
@@ -68,7 +73,7 @@
 	})
 }
 
-func (s *store) read(w http.ResponseWriter, r *http.Request, topic string) {
+func (s *Store) read(w http.ResponseWriter, r *http.Request, topic string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	for until := time.Now().Add(time.Duration(wait) * time.Millisecond); time.Now().Before(until) && len(s.records(topic)) <= from; {
@@ -85,7 +90,7 @@
 	_, _ = w.Write(answer)
 }
 
-func (s *store) newest(w http.ResponseWriter, topic string) {
+func (s *Store) newest(w http.ResponseWriter, topic string) {
 	records := s.records(topic)
 	newest := map[string]int{}
 	for offset, record := range records {
--- a/test/upgrade/upgrade_test.go
+++ b/test/upgrade/upgrade_test.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -19,11 +17,11 @@
 	"github.com/matryer/is"
 
 	"lagoongw/platform"
+	"lagoongw/test/site"
 )
 
 const (
 	nodeCount  = 3
-	peerPort   = "17946"
 	poolModels = "models"
 	poolOrders = "orders"
 	manifest   = `{"version": 1, "routes": [
@@ -33,16 +31,19 @@
 		"services": [{"name": "orders"}, {"name": "models"}]}`
 )
 
+// gracePeriod is the time from SIGTERM to SIGKILL.
+const gracePeriod = 8 * time.Second
+
 // formerVariable names the program of a former build; without it all processes are of this one.
 const formerVariable = "LAGOONGW_FORMER"
 
 // seenTimeout is how long the test goes on until streams have come from all versions.
 const seenTimeout = 30 * time.Second
 
-// site is three entry VMs, their upstreams and their callers.
-type site struct {
+// fixture is three entry VMs, their upstreams and their callers.
+type fixture struct {
 	upstreams *upstreams
-	nodes     []*node
+	nodes     []*site.Node
 	client    *http.Client
 
 	mu                      sync.Mutex
@@ -54,22 +55,22 @@
 	faults []string
 }
 
-func (s *site) id(kind string) string {
+func (s *fixture) id(kind string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
 	return fmt.Sprint(kind, "-", s.nextID)
 }
 
-func (s *site) fault(format string, args ...any) {
+func (s *fixture) fault(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = append(s.faults, fmt.Sprintf(format, args...))
 }
 
 // send sends a request to a node on a connection that is kept.
-func (s *site) send(t *testing.T, n *node, path, id string, headers map[string]string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.callers+path, strings.NewReader("{}"))
+func (s *fixture) send(t *testing.T, n *site.Node, path, id string, headers map[string]string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.Callers+path, strings.NewReader("{}"))
 	if err != nil {
 		return nil, err
 	}
@@ -83,7 +84,7 @@
 }
 
 // order sends an order, which must run once at most, and not at all if it is refused.
-func (s *site) order(t *testing.T, n *node) {
+func (s *fixture) order(t *testing.T, n *site.Node) {
 	id := s.id("order")
 	response, err := s.send(t, n, "/order/x", id, nil)
 	status := 0
@@ -112,7 +113,7 @@
 
 // stream reads a stream, takes it up at other nodes when it ends early, and checks that all events come once, in order, and from
 // one version.
-func (s *site) stream(t *testing.T, random *rand.Rand) {
+func (s *fixture) stream(t *testing.T, random *rand.Rand) {
 	last, version, first := 0, "", ""
 	for try := range 4 {
 		id := s.id("stream")
@@ -147,7 +148,7 @@
 	}
 }
 
-func (s *site) readEvents(id string, body io.Reader, last *int, version *string) {
+func (s *fixture) readEvents(id string, body io.Reader, last *int, version *string) {
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
 		var event int
@@ -169,36 +170,25 @@
 	}
 }
 
-// build returns the path of the program of this build.
-func build(t *testing.T) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "lagoongw")
-	command := exec.CommandContext(t.Context(), "go", "build", "-tags=nolab", "-o", path, "lagoongw")
-	if out, err := command.CombinedOutput(); err != nil {
-		t.Fatalf("build the program: %v\n%s", err, out)
-	}
-	return path
-}
-
 // TestProcessesAreReplacedOneByOne guards against requests that are lost, run twice or run after a refusal, and streams that are
 // joined from two versions, while the entry VMs of a site are replaced one after the other by another build and back, so that
 // both read each other's messages and records. Upstreams of new versions join while both run.
 func TestProcessesAreReplacedOneByOne(t *testing.T) {
 	is := is.New(t)
-	current := build(t)
+	current := site.Build(t)
 	former := current
 	if path := os.Getenv(formerVariable); path != "" {
 		former = path
 	}
-	s := &site{
+	s := &fixture{
 		upstreams: &upstreams{
-			store: &store{topics: map[string][]record{}},
+			store: &site.Store{},
 			runs:  map[string]int{},
 		},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
 		seen:   map[string]int{},
 	}
-	s.upstreams.store.put(platform.TopicOperator, platform.ManifestKey, manifest)
+	s.upstreams.store.Put(platform.TopicOperator, platform.ManifestKey, manifest)
 	server := httptest.NewServer(s.upstreams.store)
 	t.Cleanup(server.Close)
 	for i, version := range []string{"v1", "v2", "v1", "v2"} {
@@ -207,16 +197,13 @@
 	for i := range 2 {
 		s.upstreams.start(t, fmt.Sprint("desk-", i), poolOrders, "v1")
 	}
-	var ips, seeds []string
-	for i := range nodeCount {
-		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()>>8%100, os.Getpid()%256, 1+i))
-		seeds = append(seeds, ips[i]+":"+peerPort)
-	}
-	for i, ip := range ips {
-		s.nodes = append(s.nodes, newNode(t, fmt.Sprint("vm-", i), ip, strings.TrimPrefix(server.URL, "http://"), seeds))
-	}
+	s.nodes = site.NewNodes(t, site.Settings{
+		Nodes: nodeCount,
+		Store: strings.TrimPrefix(server.URL, "http://"),
+		Grace: gracePeriod,
+	})
 	for _, n := range s.nodes {
-		n.start(former)
+		n.Start(former, "error", nil)
 	}
 	done := make(chan struct{})
 	var group sync.WaitGroup
@@ -229,8 +216,10 @@
 	for _, program := range []string{current, former, current} {
 		for i, n := range s.nodes {
 			time.Sleep(time.Second)
-			n.stop()
-			n.start(program)
+			if !n.Stop() {
+				t.Errorf("process of %s ran longer than its grace period", n.Callers)
+			}
+			n.Start(program, "error", nil)
 			if i == 0 {
 				joined = append(joined, fmt.Sprint("v", 3+len(joined)))
 				version := joined[len(joined)-1]
@@ -254,7 +243,7 @@
 }
 
 // sawAll reports whether streams came from all of the versions.
-func (s *site) sawAll(versions []string) bool {
+func (s *fixture) sawAll(versions []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !slices.ContainsFunc(versions, func(version string) bool { return s.seen[version] == 0 })
--- a/test/upgrade/upstream_test.go
+++ b/test/upgrade/upstream_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"lagoongw/test/site"
 )
 
 // eventsOfStream is the number of events of a stream, and eventPause the time between two of them.
@@ -19,7 +21,7 @@
 
 // upstreams are the upstreams of the site. They count how often each request has run.
 type upstreams struct {
-	store *store
+	store *site.Store
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -57,7 +59,7 @@
 	t.Cleanup(server.Close)
 	entry := fmt.Sprintf(`{"service":"%s","address":"%s","zone":"a","slots":64,"state":"ready","version":"%s","born":1}`,
 		pool, strings.TrimPrefix(server.URL, "http://"), version)
-	u.store.put("keyed.servers", name, entry)
+	u.store.Put("keyed.servers", name, entry)
 }
 
 func (u *upstreams) runsOf(id string) int {
