Origins: one map holds which pools a node logs, and since when

Two fields said the same: a list of pools, and a map of times that kept pools which were no longer logged.

--- a/internal/transport/origins/service.go
+++ b/internal/transport/origins/service.go
@@ -93,10 +93,9 @@
 	// earlyAt is when the last such append succeeded, zero once its batches were removed.
 	earlyAt   time.Time
 	earlyKeys []int
-	// writing holds the pools whose streams this node appends to the log, and writingSince since when it does; logScheduled is
-	// set while an append is scheduled or in flight.
-	writing      []string
-	writingSince map[string]time.Time
+	// writing holds since when this node appends the streams of a pool to the log, by pool; logScheduled is set while an append is
+	// scheduled or in flight.
+	writing      map[string]time.Time
 	logScheduled bool
 }
 
--- a/internal/transport/origins/streams.go
+++ b/internal/transport/origins/streams.go
@@ -73,27 +73,21 @@
 		s.log.Forget() // another node may have written since
 	}
 	before := s.writing
-	s.writing = pools
+	s.writing = make(map[string]time.Time, len(pools))
 	for _, pool := range pools {
-		if !slices.Contains(before, pool) {
-			s.beginWriting(pool, now)
-			s.logStreams(s.registry.Recent(pool, origin.DefaultWindow, now))
+		if since, wrote := before[pool]; wrote {
+			s.writing[pool] = since
+			continue
 		}
+		s.writing[pool] = now
+		s.logStreams(s.registry.Recent(pool, origin.DefaultWindow, now))
 	}
 }
 
-// beginWriting notes that this node appends the streams of a pool from now on; the caller must hold the lock.
-func (s *Service) beginWriting(pool string, now time.Time) {
-	if s.writingSince == nil {
-		s.writingSince = map[string]time.Time{}
-	}
-	s.writingSince[pool] = now
-}
-
 // logStreams appends those streams to the log that this node has to write; the caller must hold the lock.
 func (s *Service) logStreams(reports []origin.Report) {
 	for _, report := range reports {
-		if slices.Contains(s.writing, report.Origin.Pool) {
+		if _, writes := s.writing[report.Origin.Pool]; writes {
 			s.log.Add(report)
 		}
 	}
--- a/internal/transport/origins/versions.go
+++ b/internal/transport/origins/versions.go
@@ -464,8 +464,8 @@
 // must hold the lock.
 func (s *Service) beginsLog(entries []origin.Entry, now time.Time) bool {
 	return s.isWriter(now) && slices.ContainsFunc(entries, func(e origin.Entry) bool {
-		return !e.Gone && s.isLogged(e.Pool, now) &&
-			(!slices.Contains(s.writing, e.Pool) || now.Sub(s.writingSince[e.Pool]) < logBeginTime)
+		since, writes := s.writing[e.Pool]
+		return !e.Gone && s.isLogged(e.Pool, now) && (!writes || now.Sub(since) < logBeginTime)
 	})
 }
 
