--- a/internal/transport/entryvm/detours_test.go
+++ b/internal/transport/entryvm/detours_test.go
@@ -14,10 +14,19 @@
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/detour"
-	"lagoongw/internal/transport/entryvm"
 	"lagoongw/internal/transport/peer"
 )
 
+// openStream takes a connection that the process at an address has opened for another node.
+func openStream(t *testing.T, address string, ticket []byte) net.Conn {
+	t.Helper()
+	is := is.New(t)
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+	is.NoErr(err)
+	is.NoErr(peer.OpenStream(conn, ticket))
+	return detour.NewConn(conn, "vm-1")
+}
+
 // TestProcessConnectsToUpstreamsForOthers guards against entry VMs that don't give each other connections to upstreams, or
 // give them to what is no upstream, or to whoever has no ticket.
 func TestProcessConnectsToUpstreamsForOthers(t *testing.T) {
@@ -41,12 +50,7 @@
 		is.NoErr(client.Call(t.Context(), addresses[3], peer.MethodDetour, wire.DetourRequest{Address: address}, &answer))
 		return answer
 	}
-	open := func(ticket []byte) net.Conn {
-		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[3])
-		is.NoErr(err)
-		is.NoErr(peer.OpenStream(conn, ticket))
-		return detour.NewConn(conn, "vm-1")
-	}
+	open := func(ticket []byte) net.Conn { return openStream(t, addresses[3], ticket) }
 	is.Equal(ask(addresses[0]).Opinion, "none") // not an upstream
 
 	answer := ask(upstream)
@@ -80,17 +84,7 @@
 	)
 	is := is.New(t)
 	held, upstream := startHeldRequests(t)
-	addresses := freeAddresses(t)
-	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
-	p.Tunables = entryvm.Tunables{
-		GracePeriod:    grace,
-		RetryAllowance: p.Tunables.RetryAllowance,
-	}
-	start(t, p)
-	eventually(t, "it is ready", func() bool {
-		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
-		return status == http.StatusOK
-	})
+	p, addresses := startWithGrace(t, upstream, grace)
 	client := &peer.Client{
 		Name:   "vm-2",
 		Secret: p.Secret,
@@ -100,10 +94,7 @@
 	is.NoErr(client.Call(t.Context(), addresses[3], peer.MethodDetour, wire.DetourRequest{Address: upstream}, &answer))
 	ticket, err := hex.DecodeString(answer.Ticket)
 	is.NoErr(err)
-	raw, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[3])
-	is.NoErr(err)
-	is.NoErr(peer.OpenStream(raw, ticket))
-	conn := detour.NewConn(raw, "vm-1")
+	conn := openStream(t, addresses[3], ticket)
 	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Lagoongw-Attempt-Id: carried\r\n\r\n")
 	is.NoErr(err)
--- a/internal/transport/entryvm/drain_test.go
+++ b/internal/transport/entryvm/drain_test.go
@@ -91,6 +91,23 @@
 	return response.StatusCode
 }
 
+// startWithGrace starts a process before an upstream, with a grace period, and waits until it is ready.
+func startWithGrace(t *testing.T, upstream string, grace time.Duration) (p *entryvm.Process, addresses []string) {
+	t.Helper()
+	addresses = freeAddresses(t)
+	p = newProcess("vm-1", startStore(t, upstream), addresses, nil)
+	p.Tunables = entryvm.Tunables{
+		GracePeriod:    grace,
+		RetryAllowance: p.Tunables.RetryAllowance,
+	}
+	start(t, p)
+	eventually(t, "it is ready", func() bool {
+		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
+		return status == http.StatusOK
+	})
+	return p, addresses
+}
+
 // TestNoRequestThatWasPassedOnIsLostInADrain guards against requests that a stopped process passes on later than callers use
 // cached addresses, and against connections on which such a request gets no answer.
 func TestNoRequestThatWasPassedOnIsLostInADrain(t *testing.T) {
@@ -103,17 +120,7 @@
 	)
 	is := is.New(t)
 	held, upstream := startHeldRequests(t)
-	addresses := freeAddresses(t)
-	p := newProcess("vm-1", startStore(t, upstream), addresses, nil)
-	p.Tunables = entryvm.Tunables{
-		GracePeriod:    grace,
-		RetryAllowance: p.Tunables.RetryAllowance,
-	}
-	start(t, p)
-	eventually(t, "it is ready", func() bool {
-		status, _, _ := get(t, "http://"+addresses[1]+"/readyz", nil)
-		return status == http.StatusOK
-	})
+	p, addresses := startWithGrace(t, upstream, grace)
 	var kept []keptConnection
 	for range callers {
 		kept = append(kept, keepConnection(t, addresses[0]))
