Gateway: a long error is dropped only once another send is certain

Callers saw: 502 in place of an upstream's own 500, where its body is too long to hold and no other upstream can be sent the request.

The error was dropped because the request might be repeated; only then a retry, an upstream and a connection were asked for.

Change: they are taken first; without them the error is passed on as it comes.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -103,7 +103,7 @@
 func (x *exchange) bufferAnswer(s *upstreamSend) (attempt.Result, error) {
 	answer, more, err := x.readAnswer(s)
 	now := time.Now()
-	if err == nil && more && s.response.StatusCode >= http.StatusInternalServerError && x.attempts.MayRepeat(now) {
+	if err == nil && more && s.response.StatusCode >= http.StatusInternalServerError && x.replaces(s) {
 		answer.release()
 		s.response.Discard()
 		x.server.Dispatcher.Failed(s.upstream, now)
@@ -132,6 +132,15 @@
 	return attempt.Answered, nil
 }
 
+// replaces reports whether another send is certain, which may bring a better answer than one that can't be held until then.
+func (x *exchange) replaces(s *upstreamSend) bool {
+	if !x.attempts.MayRepeat(time.Now()) || x.probe || x.repeatQuarantined() {
+		return false
+	}
+	x.next = x.secureNext(x.ctx, s.upstream)
+	return x.next != nil
+}
+
 // setBuffered replaces the buffered answer; nil drops it.
 func (x *exchange) setBuffered(answer *bufferedAnswer) {
 	x.buffered.release()
--- a/internal/transport/gateway/successor_test.go
+++ b/internal/transport/gateway/successor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +151,34 @@
 		})
 	}
 }
+
+// TestLongErrorIsPassedOnUnlessAnotherSendIsCertain guards against answers of 502 in place of an upstream's own error, which is too
+// long to hold and was dropped before it was known whether the request could be sent anywhere else.
+func TestLongErrorIsPassedOnUnlessAnotherSendIsCertain(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	for name, c := range map[string]struct {
+		slack  float64
+		second script
+		status int
+		body   string
+	}{
+		"no retry is granted":           {second: answer(http.StatusOK, "good"), status: http.StatusInternalServerError, body: long},
+		"the other refuses connections": {slack: 20, status: http.StatusInternalServerError, body: long},
+		"another send is certain":       {slack: 20, second: answer(http.StatusOK, "good"), status: http.StatusOK, body: "good"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{
+					"u1": answer(http.StatusInternalServerError, long),
+					"u2": c.second,
+				})
+				g.allowRetries(func() float64 { return c.slack })
+				got := g.call(t.Context(), "/safe/x", "{}", nil)
+				is.Equal(got.status, c.status)
+				is.True(got.whole)
+				is.True(got.body == c.body)
+			})
+		})
+	}
+}
