Drain: it leaves time for the end of the process

A killed process loses the answers that it has not sent.

Cause: the drain took 0.94 of the grace period, and 0.24 s were left for the last answers, the end of background work and the exit, whatever processor time the machine had.

The times of a drain are computed in package drain.

--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -175,7 +175,7 @@
 		Int("connections-for-others", p.detourServer.Connections()).
 		Msg("drain finished: ending what is left")
 	p.gateway.EndRequests()
-	ctx, cancel := context.WithTimeout(ctx, share(p.tunables.Load().GracePeriod, stopShare))
+	ctx, cancel := context.WithTimeout(ctx, drain.TimeoutsFor(p.tunables.Load().GracePeriod).Stop)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, server := range httpServers {
