--- a/internal/transport/gateway/continuation.go
+++ b/internal/transport/gateway/continuation.go
@@ -10,8 +10,8 @@
 	"lagoongw/internal/coordination/attempt"
 )
 
-// eventStream is the media type of streams.
-const eventStream = "text/event-stream"
+// eventStreamType is the media type of streams.
+const eventStreamType = "text/event-stream"
 
 var (
 	errNoContinuation = errors.New("answer doesn't go on with the stream that was begun")
@@ -39,7 +39,7 @@
 		return eris.Wrapf(errNoContinuation, "status %d", r.StatusCode)
 	}
 	begun := x.progress.head
-	if kind := mediaType(r.Header); kind != "" && kind != eventStream && kind != mediaType(begun) {
+	if kind := mediaType(r.Header); kind != "" && kind != eventStreamType && kind != mediaType(begun) {
 		return eris.Wrapf(errNoContinuation, "type %s", kind)
 	}
 	if encoding := r.Header.Get("Content-Encoding"); encoding != begun.Get("Content-Encoding") {
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -56,8 +56,8 @@
 // resumeAfter returns the ID of the last event that the caller has received, empty for none.
 func (x *exchange) resumeAfter() string { return x.progress.sequence.LastID() }
 
-// relay is how one answer's events are passed on to the caller.
-type relay struct {
+// streamRelay is how one answer's events are passed on to the caller.
+type streamRelay struct {
 	splitter event.Splitter
 	// begun reports that the caller has been sent a part of another answer, and followed that this one has brought an event.
 	begun, followed bool
@@ -66,7 +66,7 @@
 // relayStream sends complete events to the caller as they arrive; an incomplete event at the end of a broken stream is
 // dropped. Those of an answer that goes on with a begun stream must follow its last event.
 func (x *exchange) relayStream(s *upstreamSend) (attempt.Result, error) {
-	r := relay{
+	r := streamRelay{
 		splitter: event.Splitter{MaxEventBytes: maxEventBytes(x.server.Memory)},
 		begun:    x.progress.headWritten,
 	}
@@ -108,7 +108,7 @@
 
 // passOnEvents sends complete events to the caller, or ends the answer with an error if they can't follow or the caller can't be
 // sent any.
-func (x *exchange) passOnEvents(s *upstreamSend, r *relay, events []byte) error {
+func (x *exchange) passOnEvents(s *upstreamSend, r *streamRelay, events []byte) error {
 	if err := x.noteIDs(r.splitter.IDs(), r.begun); err != nil {
 		_, err = x.failStream(s, err)
 		return err
@@ -125,7 +125,7 @@
 }
 
 // endStream returns the result of an answer of which no more can be read because of an error, io.EOF at its end.
-func (x *exchange) endStream(s *upstreamSend, r *relay, err error) (attempt.Result, error) {
+func (x *exchange) endStream(s *upstreamSend, r *streamRelay, err error) (attempt.Result, error) {
 	atEnd := errors.Is(err, io.EOF)
 	switch {
 	case atEnd && r.splitter.Buffered() > 0:
--- a/internal/transport/gateway/succession.go
+++ b/internal/transport/gateway/succession.go
@@ -14,9 +14,9 @@
 	"lagoongw/internal/transport/schedule"
 )
 
-// successorInterval is the time between two searches for another upstream while one is silent: retries become free and upstreams
+// searchInterval is the time between two searches for another upstream while one is silent: retries become free and upstreams
 // return within seconds, and a search that fails costs a choice at most.
-const successorInterval = 100 * time.Millisecond
+const searchInterval = 100 * time.Millisecond
 
 var errUpstreamSilent = errors.New("upstream was silent for too long, and another one was ready")
 
@@ -104,7 +104,7 @@
 			w.conn.Abort()
 			return
 		}
-		schedule.Pause(ctx, successorInterval)
+		schedule.Pause(ctx, searchInterval)
 	}
 }
 
