Gateway: an aborted answer uses the reset of package connection

The abort of a caller of HTTP/1.0 had its own copy of what connection.Reset does since. One piece of code serves both; behaviour stays as it is. A comment no longer says that a failing search costs a choice at most: it may connect. The gateway's tests of callers, answers and upstreams pass (12 s).

--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -12,6 +12,7 @@
 	"lagoongw/internal/coordination/dispatch"
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/connection"
 )
 
 const (
@@ -125,12 +126,8 @@
 // unless the connection is reset.
 func (x *exchange) abort() {
 	if x.oldCaller {
-		conn, _, err := http.NewResponseController(x.w).Hijack()
-		if err == nil {
-			if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-				_ = socket.SetLinger(0)
-			}
-			_ = conn.Close()
+		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
+			connection.Reset(conn)
 		}
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/transport/gateway/succession.go
+++ b/internal/transport/gateway/succession.go
@@ -15,7 +15,7 @@
 )
 
 // searchInterval is the time between two searches for another upstream while one is silent: retries become free and upstreams
-// return within seconds, and a search that fails costs a choice at most.
+// return within seconds. A search that fails costs a choice, and a connect to each upstream that was not known to be down.
 const searchInterval = 100 * time.Millisecond
 
 var errUpstreamSilent = errors.New("upstream was silent for too long, and another one was ready")
