Splitter: the last ID is kept by the sequence alone

The splitter still kept the ID of the last event, which nothing but its tests has read since event.Sequence holds it. The tests compare the IDs of all events instead, which holds what they asked of the last one. The tests of package event pass; behaviour stays as it is.

--- a/internal/protocol/event/splitter.go
+++ b/internal/protocol/event/splitter.go
@@ -22,7 +22,6 @@
 	begin  int
 	// line is where the unfinished line begins, which has no line break before searched.
 	line, searched int
-	lastID         string
 	completed      int
 	// ids holds the IDs of the events that the last Add returned, without comments.
 	ids []string
@@ -75,9 +74,6 @@
 	return s.Buffered() > cmp.Or(s.MaxEventBytes, DefaultMaxEventBytes)
 }
 
-// LastID returns the ID of the last complete event that had one, or an empty string.
-func (s *Splitter) LastID() string { return s.lastID }
-
 // IDs returns the ID of each complete event in the result of the last Add, an empty string for one without; comments have no
 // entry. The result is valid until the next call of Add.
 func (s *Splitter) IDs() []string { return s.ids }
@@ -90,7 +86,7 @@
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
 }
 
-// readID stores the value of the event's last id field, if it has one.
+// readID adds the value of the event's last id field to those of the events, unless it is a comment.
 func (s *Splitter) readID(event []byte) {
 	id, comment := "", true
 	for line := range bytes.Lines(event) {
@@ -98,7 +94,6 @@
 		field, value, found := bytes.Cut(text, []byte(":"))
 		if found && string(field) == "id" {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
-			s.lastID = id
 		}
 		comment = comment && (len(text) == 0 || found && len(field) == 0)
 	}
--- a/internal/protocol/event/splitter_test.go
+++ b/internal/protocol/event/splitter_test.go
@@ -26,7 +26,6 @@
 		is.Equal(whole.String(), stream)
 		is.Equal(completed, 4)
 		is.Equal(ids, []string{"1", "2", "4"}) // the comment has none
-		is.Equal(s.LastID(), "4")
 		is.Equal(s.Buffered(), 0)
 	}
 }
@@ -35,10 +34,10 @@
 	is := is.New(t)
 	var s Splitter
 	is.Equal(string(s.Add([]byte("id: 1\ndata: a\n\nid: 2\nda"))), "id: 1\ndata: a\n\n")
-	is.Equal(s.LastID(), "1")
+	is.Equal(s.IDs(), []string{"1"})
 	is.Equal(s.Buffered(), len("id: 2\nda"))
 	is.Equal(string(s.Add([]byte("ta: b\n\n"))), "id: 2\ndata: b\n\n")
-	is.Equal(s.LastID(), "2")
+	is.Equal(s.IDs(), []string{"2"})
 }
 
 // TestLongEventsOfAnyChunkSize guards against an event that is searched again from its start with each chunk, or whose
@@ -56,7 +55,7 @@
 				is.True(!s.TooLong())
 			}
 			is.Equal(completed, 1)
-			is.Equal(s.LastID(), "9")
+			is.Equal(s.IDs(), []string{"9"})
 			s.Add([]byte("id: 10\n"))
 			is.True(cap(s.buffer) <= keptBytes)
 			s.Add(make([]byte, effective))
