--- /dev/null
+++ b/internal/transport/catalog/start_test.go
@@ -0,0 +1,119 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// silentTopic is a topic of a store that doesn't answer until a time.
+type silentTopic struct {
+	*fakeTopic
+	until time.Time
+}
+
+// await waits for the store to answer, for at most the time that a call may take.
+func (s silentTopic) await(ctx context.Context) error {
+	const timeout = 700 * time.Millisecond
+	if silent := time.Until(s.until); silent > 0 {
+		pause(ctx, min(silent, timeout))
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+func (s silentTopic) Newest(ctx context.Context) (Batch, error) {
+	if err := s.await(ctx); err != nil {
+		return Batch{}, err
+	}
+	return s.fakeTopic.Newest(ctx)
+}
+
+func (s silentTopic) Read(ctx context.Context, from int, wait time.Duration) (Batch, error) {
+	if err := s.await(ctx); err != nil {
+		return Batch{}, err
+	}
+	return s.fakeTopic.Read(ctx, from, wait)
+}
+
+// runStart runs a test against a node that starts beside one peer while the store is silent. The peer is one that has read
+// nothing since version 1 of the routes was written; version 2 has followed.
+func runStart(t *testing.T, silence time.Duration, test func(t *testing.T, node *Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		routes, upstreams := newTopic(), newTopic()
+		routes.put("config", "1")
+		upstreams.put("u1", "ready")
+		s := newSite()
+		old := newNode(sitePeers{site: s}, routes, upstreams)
+		old.Prepare()
+		old.CatchUp(t.Context(), "", TopicRoutes)
+		old.CatchUp(t.Context(), "", TopicUpstreams)
+		s.services = []*Service{old}
+		time.Sleep(10 * time.Second)
+		routes.put("config", "2")
+		upstreams.put("u1", "draining")
+
+		node := newNode(sitePeers{
+			site: s,
+			self: 1,
+		}, routes, upstreams)
+		until := time.Now().Add(silence)
+		node.Routes = silentTopic{
+			fakeTopic: routes,
+			until:     until,
+		}
+		node.Upstreams = silentTopic{
+			fakeTopic: upstreams,
+			until:     until,
+		}
+		node.Prepare()
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { node.Run(ctx) })
+		defer func() {
+			cancel()
+			group.Wait()
+		}()
+		test(t, node)
+	})
+}
+
+// TestStartingNodeIsNotReadyWithOldRoutes guards against a node that served by the routes of a peer, which were older than those
+// that the store had confirmed long ago, and sent requests to an upstream that had left.
+func TestStartingNodeIsNotReadyWithOldRoutes(t *testing.T) {
+	runStart(t, time.Second, func(t *testing.T, node *Service) {
+		is := is.New(t)
+		for start := time.Now(); !node.Ready(); time.Sleep(10 * time.Millisecond) {
+			is.True(time.Since(start) < bound)
+		}
+		is.Equal(node.RoutesVersion(), 2)
+		u1, known := node.Table.Load().Replica("u1")
+		is.True(!known || u1.Leaving())
+	})
+}
+
+// TestStartingNodeServesByOldRoutesWhereNobodyKnowsNewerOnes checks that a node that can't reach the store serves by what its
+// peers have, after a bounded time.
+func TestStartingNodeServesByOldRoutesWhereNobodyKnowsNewerOnes(t *testing.T) {
+	runStart(t, time.Hour, func(t *testing.T, node *Service) {
+		is := is.New(t)
+		time.Sleep(bound)
+		is.True(node.Ready())
+		is.Equal(node.RoutesVersion(), 1)
+	})
+}
+
+// TestPeersListIsAsOldAsAtThePeer guards against a node that didn't read the store for upstreams that leave, since the list of a
+// peer, which had not read it either, counted as new.
+func TestPeersListIsAsOldAsAtThePeer(t *testing.T) {
+	runStart(t, time.Hour, func(t *testing.T, node *Service) {
+		is := is.New(t)
+		time.Sleep(100 * time.Millisecond)
+		is.True(node.Table.Load().Len() == 1)
+		is.True(node.UpstreamsAge() >= 10*time.Second)
+	})
+}
--- a/test/site/store.go
+++ b/test/site/store.go
@@ -15,6 +15,8 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string][]record
+	// sent counts the bytes of the answers to reads, by topic.
+	sent map[string]int
 }
 
 type record struct {
@@ -34,6 +36,24 @@
 	})
 }
 
+// Sent returns the number of bytes that reads of a topic have returned.
+func (s *Store) Sent(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent[topic]
+}
+
+// send answers a read of a topic.
+func (s *Store) send(w http.ResponseWriter, topic string, answer []byte) {
+	s.mu.Lock()
+	if s.sent == nil {
+		s.sent = map[string]int{}
+	}
+	s.sent[topic] += len(answer)
+	s.mu.Unlock()
+	_, _ = w.Write(answer)
+}
+
 func (s *Store) records(topic string) []record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,7 +107,7 @@
 		answer = append(answer, byte(len(record.key)))
 		answer = append(answer, record.key+record.value...)
 	}
-	_, _ = w.Write(answer)
+	s.send(w, topic, answer)
 }
 
 func (s *Store) newest(w http.ResponseWriter, topic string) {
@@ -107,8 +127,9 @@
 			"offset": offset,
 		})
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{
+	answer, _ := json.Marshal(map[string]any{
 		"items":      items,
 		"end_offset": len(records),
 	})
+	s.send(w, topic, answer)
 }
--- /dev/null
+++ b/test/transfers/routes_test.go
@@ -0,0 +1,133 @@
+package transfers
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lagoongw/platform"
+	"lagoongw/test/site"
+)
+
+const (
+	nodeCount   = 12
+	zoneCount   = 3
+	routesAdded = 2800
+	// waitTimeout bounds waits for what takes a second or two where the machine has time.
+	waitTimeout = 30 * time.Second
+)
+
+// manifest returns a version of the routes, whose last route has the path prefix that lastPath returns. Names and paths
+// are random, as those of the platform's operators are.
+func manifest(version, routes int) string {
+	random := rand.New(rand.NewPCG(49, 49)) // the routes of each version begin with those of the one before
+	var rows []string
+	for i := range routes {
+		rows = append(rows, fmt.Sprintf(`{"name":"r-%07x","host":"h","path_prefix":"/%08x/%d/","kind":"safe","timeout_ms":3000,`+
+			`"target_latency_ms":300,"priority":2,"service":"s%d","max_attempts":2,"public":true}`,
+			random.Uint32()>>4, random.Uint32(), i, i%2))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,{"name":"last","host":"h","path_prefix":"%s","kind":"safe","timeout_ms":3000,`+
+		`"service":"s0","public":true}],"services":[{"name":"s0"},{"name":"s1"}]}`,
+		version, strings.Join(rows, ","), lastPath(version))
+}
+
+func lastPath(version int) string { return fmt.Sprintf("/last-%d/", version) }
+
+// has reports whether a node has a version of the routes in force: it answers 404 for a route that it doesn't know.
+func has(n *site.Node, version int) bool {
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.Callers+lastPath(version), nil)
+	if err != nil {
+		return false
+	}
+	request.Host = "h"
+	request.Header.Set("X-Lagoongw-Attempt-Id", "probe")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable
+}
+
+// await waits until all nodes have a version of the routes.
+func await(t *testing.T, nodes []*site.Node, version int) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTimeout); ; time.Sleep(20 * time.Millisecond) {
+		missing := 0
+		for _, n := range nodes {
+			if !has(n, version) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d nodes lack version %d", missing, len(nodes), version)
+		}
+	}
+}
+
+// TestLargeRoutesAreNotReadByEachNode guards against the fault that filled the links between regions: whenever routes were too
+// large to push, and at each start, every node read them from the store, uncompressed.
+func TestLargeRoutesAreNotReadByEachNode(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.NewRelaxed(t)
+	store := &site.Store{}
+	first, grown := manifest(1, 40), manifest(2, 40+routesAdded)
+	store.Put(platform.TopicOperator, platform.ManifestKey, first)
+	server := httptest.NewServer(store)
+	defer server.Close()
+	program := site.Build(t)
+	nodes := site.NewNodes(t, site.Settings{
+		Nodes: nodeCount,
+		Zones: zoneCount,
+		Store: strings.TrimPrefix(server.URL, "http://"),
+		Grace: 8 * time.Second,
+	})
+	var group sync.WaitGroup
+	for _, n := range nodes {
+		group.Go(func() { n.Start(program, "error", io.Discard) })
+	}
+	group.Wait()
+	await(t, nodes, 1)
+	time.Sleep(5 * time.Second) // they know each other
+
+	// sentPerNode returns what the store has sent of the routes since, as a share of their size and for each node.
+	sentPerNode := func(before, nodes int) float64 {
+		return float64(store.Sent(platform.TopicOperator)-before) / float64(len(grown)) / float64(nodes)
+	}
+	before := store.Sent(platform.TopicOperator)
+	store.Put(platform.TopicOperator, platform.ManifestKey, grown)
+	await(t, nodes, 2)
+	time.Sleep(time.Second)
+	change := sentPerNode(before, nodeCount)
+	t.Logf("sent by the store for each node, in sizes of the routes: %.2f when they change", change)
+	is.True(change <= 0.2)
+
+	before = store.Sent(platform.TopicOperator)
+	restarted := nodes[zoneCount+1:]
+	for _, n := range restarted {
+		n.Kill()
+	}
+	for _, n := range restarted {
+		group.Go(func() { n.Start(program, "error", io.Discard) })
+	}
+	group.Wait()
+	await(t, nodes, 2)
+	start := sentPerNode(before, len(restarted))
+	t.Logf("sent by the store for each node, in sizes of the routes: %.2f at a start", start)
+	is.True(start <= 0.2)
+}
