Large routes are passed on from node to node, packed

What callers saw: 404 for routes that had been confirmed more than 4 s before, and 503 where connects to upstreams timed out, in the region without the store. Cause: an update that is too large to push went out without its records, and each node then read the routes from the store as they are: 283 to 822 KB for each of 66 nodes, 95 MB into one region in 14 s. Links filled, connects failed, and what failed began anew. Change: such an update is compressed once (22 to 41 KB) and sent to one node of each other availability zone and to up to eight of the sender's own; its head names those it is passed on to. The others are told that it is coming, wait 0.5 s and then fetch it from a peer, whose answer is packed as well and made once for all. The store is the last resort. Nodes of former builds see an update without records, as before, and get whole answers to fetches. Ruled out: that transfers between peers were uncompressed; their frames are.

--- a/internal/coordination/feed/join.go
+++ b/internal/coordination/feed/join.go
@@ -7,14 +7,15 @@
 
 // Size returns the number of bytes that an update holds.
 func Size(update wire.FeedUpdate) int {
-	size := recordOverhead
+	size := recordOverhead + len(update.Packed)
 	for _, record := range update.Records {
 		size += len(record.Key) + len(record.Value) + recordOverhead
 	}
 	return size
 }
 
-// Omit returns an update without its records. A peer that has not come as far sees that records are missing.
+// Omit returns an update without its records. A peer that has not come as far sees that records are missing. It gets those of
+// a packed update from another node.
 func Omit(update wire.FeedUpdate) wire.FeedUpdate {
 	return wire.FeedUpdate{
 		Topic:     update.Topic,
@@ -24,15 +25,19 @@
 		From:      update.Next,
 		Next:      update.Next,
 		Omitted:   true,
+		Coming:    update.Coming || update.Packed != "",
 	}
 }
 
 // Join returns the update to send in place of one that waits and a newer one. If their records don't follow each other,
-// or take more than maxBytes, it carries none.
+// or take more than maxBytes, it carries none. A packed update takes the place of the one that waits, and stays while nothing
+// newer follows.
 func Join(waiting, newer wire.FeedUpdate, maxBytes int) wire.FeedUpdate {
 	switch {
-	case newer.Whole:
+	case newer.Whole || newer.Packed != "":
 		return newer
+	case waiting.Packed != "" && newer.Era == waiting.Era && newer.Next <= waiting.Next && !newer.Omitted:
+		return waiting
 	case waiting.Omitted || newer.Omitted || waiting.Era != newer.Era || newer.From > waiting.Next:
 		return Omit(newer)
 	}
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -351,6 +351,9 @@
 
 // FeedFetch asks a peer for all records of a topic.
 type FeedFetch struct {
+	// Packed asks for a packed update.
+	Packed bool `json:"packed,omitempty,omitzero"`
+
 	// Topic corresponds to the JSON schema field "topic".
 	Topic string `json:"topic"`
 }
@@ -371,6 +374,14 @@
 // FeedUpdate carries the records of a topic that changed in a range of offsets, or
 // all of them.
 type FeedUpdate struct {
+	// AgeMs is the time in milliseconds since the answer to a fetch was last known to
+	// be current; nodes of former builds don't tell.
+	AgeMs *int `json:"age-ms,omitempty,omitzero"`
+
+	// Coming reports that the receiver gets the records that are left out from
+	// another node.
+	Coming bool `json:"coming,omitempty,omitzero"`
+
 	// Era counts the restores of the store from an older copy; offsets are comparable
 	// within one era.
 	Era int `json:"era,omitempty,omitzero"`
@@ -389,6 +400,14 @@
 	// send to all nodes.
 	Omitted bool `json:"omitted,omitempty,omitzero"`
 
+	// Packed is this update with its records: its JSON, compressed with gzip, in
+	// base64. Nodes of former builds read the records that are left out from the
+	// store.
+	Packed string `json:"packed,omitempty,omitzero"`
+
+	// PassOn names the nodes to which the receiver passes a packed update on.
+	PassOn []string `json:"pass-on,omitempty,omitzero"`
+
 	// Records corresponds to the JSON schema field "records".
 	Records []FeedRecord `json:"records,omitempty,omitzero"`
 
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -71,6 +71,16 @@
 	admitFrom time.Time
 	// pushedAt is when what was read last was sent to the peers.
 	pushedAt time.Time
+	// packing guards packed, the last snapshot that was packed.
+	packing sync.Mutex
+	packed  packedSnapshot
+}
+
+// packedSnapshot is a packed snapshot, and how far the topic had come.
+type packedSnapshot struct {
+	position  position
+	freshFrom int
+	update    wire.FeedUpdate
 }
 
 // read reads the store once and sends what changed to the peers.
@@ -389,6 +399,30 @@
 	return f.topic.Snapshot(), f.topic.Loaded()
 }
 
+// packSnapshot returns the packed snapshot. It is made once for all peers that ask for it until the topic changes.
+func (f *follower) packSnapshot() (update wire.FeedUpdate, known bool, err error) {
+	f.packing.Lock()
+	defer f.packing.Unlock()
+	snapshot, known := f.snapshot()
+	at := position{
+		era:  snapshot.Era,
+		next: snapshot.Next,
+	}
+	if !known || f.packed.update.Packed != "" && f.packed.position == at && f.packed.freshFrom == snapshot.FreshFrom {
+		return f.packed.update, known, nil
+	}
+	packed, err := feed.Pack(snapshot)
+	if err != nil {
+		return wire.FeedUpdate{}, known, err
+	}
+	f.packed = packedSnapshot{
+		position:  at,
+		freshFrom: snapshot.FreshFrom,
+		update:    packed,
+	}
+	return packed, known, nil
+}
+
 func (f *follower) loaded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -416,6 +450,12 @@
 	}
 }
 
+// hasCome reports whether the topic has come as far as an update.
+func (f *follower) hasCome(update wire.FeedUpdate) bool {
+	at := f.position()
+	return at.era > update.Era || at.era == update.Era && at.next >= update.Next
+}
+
 func (f *follower) age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -204,6 +204,43 @@
 	}
 }
 
+// TestRecordsThatArePassedOnAreFetchedOnlyIfTheyDontCome guards against large routes that each node fetched although another one
+// was passing them on, and against a node that waited in vain for one that had ended.
+func TestRecordsThatArePassedOnAreFetchedOnlyIfTheyDontCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		comes   bool
+		fetches int
+	}{
+		"they come":       {comes: true},
+		"they don't come": {fetches: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				whole := wire.FeedUpdate{
+					Topic:   TopicRoutes,
+					Whole:   true,
+					Next:    2,
+					Records: []wire.FeedRecord{{Key: "config", Value: "2", Offset: 1}},
+				}
+				peers := &countingPeers{answer: whole}
+				routes := newTopic()
+				service := newNode(peers, routes, newTopic())
+				service.Prepare()
+				if c.comes {
+					time.AfterFunc(pushWait/2, func() { service.HandleUpdate(whole) })
+				}
+				start := time.Now()
+				service.AwaitRecords(t.Context(), "10.0.0.1:1", wire.FeedUpdate{Topic: TopicRoutes, From: 2, Next: 2, Omitted: true})
+				is.Equal(service.RoutesVersion(), 2)
+				is.Equal(peers.calls, c.fetches)
+				is.Equal(routes.callCount(), 0)
+				is.True(time.Since(start) <= time.Second)
+			})
+		})
+	}
+}
+
 // readHook calls functions before and after each read of the newest records.
 type readHook struct {
 	*fakeTopic
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -30,6 +30,10 @@
 	// copyReadDelay is how long a starting node waits for the topics before it reads the copies; the store answers within
 	// milliseconds, plus a round trip between regions.
 	copyReadDelay = 250 * time.Millisecond
+	// pushWait is how long a node that was told of newer records waits for them, since large ones are passed on from node to node,
+	// before it fetches them. What remains of the two seconds in which the routes are to be in force suffices for that.
+	pushWait          = 500 * time.Millisecond
+	pushCheckInterval = 50 * time.Millisecond
 	// copySaveDelay is how long a node runs before it saves the copies, so that nodes that start together have agreed on
 	// one reader.
 	copySaveDelay = 4 * time.Second
@@ -278,6 +282,36 @@
 	return wire.FeedUpdate{}, false
 }
 
+// PackedSnapshot returns a whole topic for a peer as a packed update; known is false until this node has loaded it.
+func (s *Service) PackedSnapshot(topic string) (update wire.FeedUpdate, known bool, err error) {
+	if f := s.follower(topic); f != nil {
+		return f.packSnapshot()
+	}
+	return wire.FeedUpdate{}, false, nil
+}
+
+// AwaitRecords waits for the records that a peer's update left out since another node passes them on, and fetches the whole
+// topic from the peer at an address if they don't come in time.
+func (s *Service) AwaitRecords(ctx context.Context, address string, update wire.FeedUpdate) {
+	f := s.follower(update.Topic)
+	if f == nil {
+		return
+	}
+	if !awaitUpdate(ctx, func() bool { return f.hasCome(update) }) {
+		s.Refetch(ctx, address, update.Topic)
+	}
+}
+
+// awaitUpdate waits up to pushWait for an update that is on its way, and reports whether it has come.
+func awaitUpdate(ctx context.Context, hasCome func() bool) bool {
+	for end := time.Now().Add(pushWait); !hasCome() && ctx.Err() == nil; schedule.Pause(ctx, pushCheckInterval) {
+		if !time.Now().Before(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // CatchUp reads the records that a peer's update left out from the store, or fetches the whole topic from the peer at an
 // address if the store can't be read and no other peer has supplied them meanwhile.
 func (s *Service) CatchUp(ctx context.Context, address, topic string) {
@@ -315,6 +349,9 @@
 	if f == nil || !f.requestFetch(target) {
 		return
 	}
+	if target.Version > 0 {
+		awaitUpdate(ctx, func() bool { return s.hasVersion(target.Version) })
+	}
 	failures := 0
 	for more := true; more; target, more = f.endFetch() {
 		if target.Version > 0 && s.hasVersion(target.Version) {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -33,6 +33,11 @@
 	maxPushBytes = linkBytesPerSecond * int(pushTimeout/time.Millisecond) / 1000
 	// maxUpdateBytes is the largest size of an update that is pushed. Encoded, it takes up to twice as much.
 	maxUpdateBytes = peer.MaxRequestBytes / 4
+	// maxWaitingFetches is the number of fetches of a topic that wait for another one. Of packed answers, which take some 50 KB
+	// with 2,500 routes, maxPackedFetches are sent at once, and maxWaitingPackedFetches wait.
+	maxWaitingFetches       = 2
+	maxPackedFetches        = 4
+	maxWaitingPackedFetches = 32
 	// readersKey is the rendezvous hashing key that ranks the nodes as readers of the store.
 	readersKey = "readers"
 )
@@ -54,16 +59,52 @@
 	process *Process
 }
 
-// Push sends an update to every live peer without waiting for the answers.
+// Push sends an update to every live peer without waiting for the answers. One whose records would keep the link of this node
+// busy for long goes to a few peers with its records, which pass it on, and to the others without.
 func (p catalogPeers) Push(update wire.FeedUpdate) {
 	live := p.process.members.Live()
-	update = omitLargeRecords(update, len(live))
-	update.Sender = p.process.Name
-	p.process.outgoing.send(live, peer.MethodFeedUpdate+" "+update.Topic, updateMessage(update))
+	pushed := omitLargeRecords(update, len(live))
+	if pushed.Omitted {
+		if packed, err := feed.Pack(update); err == nil && feed.Size(packed) <= maxUpdateBytes {
+			p.process.spread(live, packed)
+			return
+		}
+	}
+	p.process.push(live, pushed)
+}
+
+// push sends an update to peers.
+func (p *Process) push(targets []wire.Member, update wire.FeedUpdate) {
+	update.Sender = p.Name
+	p.outgoing.send(targets, peer.MethodFeedUpdate+" "+update.Topic, updateMessage(update))
+}
+
+// spread sends a packed update to a few of the targets, which pass it on to the others. These are told that it is coming.
+func (p *Process) spread(targets []wire.Member, packed wire.FeedUpdate) {
+	targets = slices.DeleteFunc(slices.Clone(targets), func(row wire.Member) bool { return row.Name == p.Name })
+	for _, branch := range feed.Branches(targets, p.AvailabilityZone) {
+		packed.PassOn = nil
+		for _, row := range branch.Rest {
+			packed.PassOn = append(packed.PassOn, row.Name)
+		}
+		p.push([]wire.Member{branch.Head}, packed)
+		p.push(branch.Rest, feed.Omit(packed))
+	}
+}
+
+// passOn sends a packed update to the nodes that its sender has named.
+func (p *Process) passOn(packed wire.FeedUpdate) {
+	var targets []wire.Member
+	for _, row := range p.members.Live() {
+		if slices.Contains(packed.PassOn, row.Name) {
+			targets = append(targets, row)
+		}
+	}
+	p.spread(targets, packed)
 }
 
 // omitLargeRecords removes the records of an update that would keep the link of this node busy for long if it were sent
-// to all nodes. The peers then see that records are missing and read the store, which has the faster link.
+// to all nodes.
 func omitLargeRecords(update wire.FeedUpdate, nodes int) wire.FeedUpdate {
 	switch size := feed.Size(update); {
 	case size > maxUpdateBytes || size*nodes > MaxOutgoingBytes:
@@ -111,11 +152,17 @@
 	limited, cancel := context.WithTimeout(ctx, p.fetchTimes.limit(topic))
 	defer cancel()
 	var update wire.FeedUpdate
-	err := p.client.Download(limited, address, peer.MethodFeedFetch, wire.FeedFetch{Topic: topic}, &update,
-		p.fetchTimes.silence(topic))
+	request := wire.FeedFetch{
+		Topic:  topic,
+		Packed: true,
+	}
+	err := p.client.Download(limited, address, peer.MethodFeedFetch, request, &update, p.fetchTimes.silence(topic))
 	cutOff := errors.Is(limited.Err(), context.DeadlineExceeded) || errors.Is(err, context.Canceled) && ctx.Err() == nil
 	p.fetchTimes.ended(topic, err != nil && cutOff)
-	return update, err
+	if err != nil || update.Packed == "" {
+		return update, err
+	}
+	return feed.Unpack(update)
 }
 
 func (p *Process) handleFeedUpdate(_ context.Context, params json.RawMessage) (any, error) {
@@ -123,10 +170,20 @@
 	if err := json.Unmarshal(params, &update); err != nil {
 		return nil, eris.Wrap(err, "decode feed update")
 	}
+	if update.Packed != "" {
+		unpacked, err := feed.Unpack(update)
+		if err != nil {
+			return nil, err
+		}
+		p.passOn(update)
+		update = unpacked
+	}
 	// After a gap between this node's copy and the update, the sender's snapshot supplies the missing records.
 	if p.Catalog.HandleUpdate(update) && !update.Whole {
 		sender, known := p.members.Lookup(update.Sender)
 		switch {
+		case known && update.Coming:
+			p.tasks.Go(func(ctx context.Context) { p.Catalog.AwaitRecords(ctx, sender.Address, update) })
 		case known && update.Omitted:
 			p.tasks.Go(func(ctx context.Context) { p.Catalog.CatchUp(ctx, sender.Address, update.Topic) })
 		case known:
@@ -136,18 +193,29 @@
 	return struct{}{}, nil
 }
 
-// oneTopicAtATime makes the fetches of a topic wait for each other, but not for those of the other topic.
-func oneTopicAtATime(method string, params json.RawMessage) (kind string) {
+// topicLane makes the fetches of a topic wait for each other, but not for those of the other topic. Packed answers are small, so
+// that several are sent at once.
+func topicLane(method string, params json.RawMessage) peer.Lane {
 	if method != peer.MethodFeedFetch {
-		return ""
+		return peer.Lane{}
 	}
 	var request wire.FeedFetch
 	_ = json.Unmarshal(params, &request) // the handler refuses what it can't decode
+	lane := peer.Lane{
+		Kind:    method,
+		InWork:  1,
+		Waiting: maxWaitingFetches,
+	}
 	switch request.Topic {
 	case catalog.TopicRoutes, catalog.TopicUpstreams:
-		return method + " " + request.Topic
+		lane.Kind += " " + request.Topic
+	}
+	if request.Packed {
+		lane.Kind += " packed"
+		lane.InWork = maxPackedFetches
+		lane.Waiting = maxWaitingPackedFetches
 	}
-	return method
+	return lane
 }
 
 func (p *Process) handleFeedFetch(_ context.Context, params json.RawMessage) (any, error) {
@@ -155,14 +223,26 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, eris.Wrap(err, "decode feed fetch")
 	}
-	update, known := p.Catalog.Snapshot(request.Topic)
-	if !known {
+	update, known, err := p.snapshot(request)
+	switch {
+	case err != nil:
+		return nil, err
+	case !known:
 		return nil, errStarting
 	}
 	update.Sender = p.Name
 	return update, nil
 }
 
+// snapshot returns a whole topic in the form that a peer asks for; known is false until this node has loaded it.
+func (p *Process) snapshot(request wire.FeedFetch) (update wire.FeedUpdate, known bool, err error) {
+	if request.Packed {
+		return p.Catalog.PackedSnapshot(request.Topic)
+	}
+	update, known = p.Catalog.Snapshot(request.Topic)
+	return update, known, nil
+}
+
 // fetchNewerRoutes fetches the routes from the sender of a membership digest if its version of them is newer than this
 // node's; the digest's Revision is the version.
 func (p *Process) fetchNewerRoutes(digest wire.Digest) {
--- a/internal/transport/entryvm/peers_test.go
+++ b/internal/transport/entryvm/peers_test.go
@@ -70,7 +70,7 @@
 func TestTopicsAreSentIndependently(t *testing.T) {
 	is := is.New(t)
 	kind := func(method, topic string) string {
-		return oneTopicAtATime(method, json.RawMessage(`{"topic":"`+topic+`"}`))
+		return topicLane(method, json.RawMessage(`{"topic":"`+topic+`"}`)).Kind
 	}
 	is.True(kind(peer.MethodFeedFetch, "routes") != kind(peer.MethodFeedFetch, "upstreams"))
 	is.True(kind(peer.MethodFeedFetch, "routes") != "")
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -307,7 +307,7 @@
 	p.members.Machine.Start(time.Now())
 	p.server = &peer.Server{
 		Secret:      p.Secret,
-		OneAtATime:  oneTopicAtATime,
+		LaneOf:      topicLane,
 		IdleTimeout: peerIdleTimeout,
 		ServeStream: p.serveStream,
 		Logger:      p.Logger,
--- a/internal/transport/peer/limits.go
+++ b/internal/transport/peer/limits.go
@@ -27,8 +27,6 @@
 	// no more is read meanwhile.
 	maxInWork              = 256
 	maxInWorkPerConnection = 8
-	// maxAlone is the largest number of requests of a kind of Server.OneAtATime, of which one is in work and the others wait.
-	maxAlone = 3
 	// maxCoding is the largest number of frames of more than smallFrameBytes that are being compressed or decoded at once,
 	// and that of smaller ones, such as probes, which don't wait for the larger ones.
 	maxCoding       = 2
--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -118,6 +118,7 @@
 // a small topic, doesn't wait for them.
 func TestOneLargeAnswerIsHeldAtATime(t *testing.T) {
 	is := is.New(t)
+	const held = 3
 	release := make(chan struct{})
 	var inWork, most atomic.Int64
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -125,11 +126,15 @@
 	server := &Server{
 		Secret:      secret,
 		IdleTimeout: time.Minute,
-		OneAtATime: func(method string, params json.RawMessage) string {
+		LaneOf: func(method string, params json.RawMessage) Lane {
 			if method != "topic" {
-				return ""
+				return Lane{}
+			}
+			return Lane{
+				Kind:    method + string(params),
+				InWork:  1,
+				Waiting: held - 1,
 			}
-			return method + string(params)
 		},
 		Logger: zerolog.Nop(),
 		Handlers: map[string]Handler{"topic": func(_ context.Context, params json.RawMessage) (any, error) {
@@ -152,14 +157,14 @@
 	for range cap(errs) {
 		go func() { errs <- c.Download(t.Context(), listener.Addr().String(), "topic", nil, nil, waitTimeout) }()
 	}
-	for range cap(errs) - maxAlone {
+	for range cap(errs) - held {
 		var refused *jsonrpc2.Error
 		is.True(errors.As(<-errs, &refused))
 		is.Equal(refused.Message, ErrBusy.Error())
 	}
 	is.NoErr(c.Download(t.Context(), listener.Addr().String(), "topic", "another", nil, waitTimeout))
 	close(release)
-	for range maxAlone {
+	for range held {
 		is.NoErr(<-errs)
 	}
 	is.Equal(most.Load(), int64(1))
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -34,9 +34,8 @@
 	Secret []byte
 	// Handlers holds the handlers by the name of their method, without those of the handshake.
 	Handlers map[string]Handler
-	// OneAtATime returns the kind of a request of which one is in work at a time, until its answer was written, or "" if any
-	// number may be; nil stands for that of all requests. The kinds must be few.
-	OneAtATime func(method string, params json.RawMessage) (kind string)
+	// LaneOf returns the lane of a request; nil stands for none of any request. The kinds must be few.
+	LaneOf func(method string, params json.RawMessage) Lane
 	// ServeStream, if set, serves the connections that were opened with OpenStream, and closes them. The first bytes are those
 	// by which the other side identifies itself.
 	ServeStream func(conn net.Conn)
@@ -55,14 +54,24 @@
 	receiving   allowance
 	inWork      allowance
 	inWorkBytes allowance
-	// lanes holds the requests of each kind of OneAtATime; mu guards it.
+	// lanes holds the requests of each kind of LaneOf; mu guards it.
 	lanes map[string]*lane
 }
 
-// lane is the requests of a kind of which one is in work at a time.
+// Lane limits the requests of a kind. One is in work until its answer was written.
+type Lane struct {
+	// Kind is the kind of the requests, "" if any number of them may be in work.
+	Kind string
+	// InWork is the number of requests that are in work at a time, and Waiting that of those that wait; others are refused.
+	InWork  int
+	Waiting int
+}
+
+// lane is the requests of a kind.
 type lane struct {
 	inWork chan struct{}
 	held   allowance
+	limit  int
 }
 
 // ByteCounts returns the number of bytes sent and received so far on the connections that peers opened.
@@ -191,19 +200,22 @@
 
 // lane returns the lane of a request, or nil if any number of its kind may be in work.
 func (s *Server) lane(method string, params json.RawMessage) *lane {
-	if s.OneAtATime == nil {
+	if s.LaneOf == nil {
 		return nil
 	}
-	kind := s.OneAtATime(method, params)
-	if kind == "" {
+	l := s.LaneOf(method, params)
+	if l.Kind == "" {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lanes[kind] == nil {
-		s.lanes[kind] = &lane{inWork: make(chan struct{}, 1)}
+	if s.lanes[l.Kind] == nil {
+		s.lanes[l.Kind] = &lane{
+			inWork: make(chan struct{}, l.InWork),
+			limit:  l.InWork + l.Waiting,
+		}
 	}
-	return s.lanes[kind]
+	return s.lanes[l.Kind]
 }
 
 // session is the state of one incoming connection.
@@ -259,7 +271,7 @@
 	}
 	defer s.server.inWorkBytes.put(size)
 	if lane := s.server.lane(request.Method, params); lane != nil {
-		if !lane.held.take(1, maxAlone) {
+		if !lane.held.take(1, lane.limit) {
 			return ErrBusy
 		}
 		defer lane.held.put(1)
