A starting node is ready once its routes and upstreams are current

Cause: Ready asked only whether there were routes and a list. Those of a peer counted as read now, however old; the copy in the store lags seconds behind the topic. All nodes that start together also read both topics whole from the store, in base64. It is ready once both topics are current, or the store has answered that it can't supply them, or after 2 s. What the store doesn't answer, or refuses for now (429, 503), says nothing about the topic. Nodes of former builds tell no age: theirs are taken, and the store is read at once.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -38,9 +38,13 @@
 	return fallbackDelay + time.Duration(min(rank-1, maxFallbackSteps))*fallbackStep
 }
 
-// MarkCurrent records that the copy is current as of now, after a read or a peer's update.
-func (s *ReadSchedule) MarkCurrent(now time.Time) {
-	s.currentAt = now
+// MarkCurrent records that the copy is current as of a time, after a read or a peer's update. One that is older than the copy
+// before tells nothing.
+func (s *ReadSchedule) MarkCurrent(at time.Time) {
+	if !at.After(s.currentAt) {
+		return
+	}
+	s.currentAt = at
 	s.retryAt = time.Time{}
 	s.backoff = 0
 }
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -69,6 +69,9 @@
 	// admitFrom is when versions may be recorded that came before this node's first list, from the store or a peer, while their
 	// pools have others.
 	admitFrom time.Time
+	// failedAt is when this node's last failed read of the store ended, and storeAnswered is set if the store answered it.
+	failedAt      time.Time
+	storeAnswered bool
 	// pushedAt is when what was read last was sent to the peers.
 	pushedAt time.Time
 	// packing guards packed, the last snapshot that was packed.
@@ -250,14 +253,14 @@
 	return pushed, len(pushed.Records) > 0
 }
 
-// merge applies the new records of an update that is current as of now. It reports whether they changed something or began
+// merge applies the new records of an update that is current as of a time. It reports whether they changed something or began
 // a new era, and whether records between the topic's next offset and the update are missing. The caller must hold the lock.
-func (f *follower) merge(update wire.FeedUpdate, now time.Time) (changed, gap bool) {
+func (f *follower) merge(update wire.FeedUpdate, currentAt time.Time) (changed, gap bool) {
 	eraBefore, loadedBefore := f.topic.Era(), f.topic.Loaded()
 	ignored := f.topic.Ignores(update)
 	newer, gap := f.topic.Apply(update)
 	if !loadedBefore && f.topic.Loaded() {
-		f.admitFrom = now.Add(returnTime)
+		f.admitFrom = time.Now().Add(returnTime)
 	}
 	restored := loadedBefore && f.topic.Era() != eraBefore
 	if restored {
@@ -280,7 +283,7 @@
 		f.changes[record.Offset] = true
 	}
 	if !gap && !ignored && update.Era == f.topic.Era() {
-		f.readSchedule.MarkCurrent(now)
+		f.readSchedule.MarkCurrent(currentAt)
 	}
 	f.forgetTombstones()
 	for offset := range f.changes {
@@ -376,27 +379,43 @@
 		Msg("topic loaded from the copy")
 }
 
-// handleUpdate merges a peer's update; gap reports that records are missing and the whole topic must be fetched from
-// that peer.
+// handleUpdate merges an update that a peer has pushed; gap reports that records are missing and the whole topic must be
+// fetched from that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
 	update.Records = f.readable(update.Records)
 	return f.applyUpdate(update, time.Now())
 }
 
-// applyUpdate merges an update that is current as of now for this node alone.
-func (f *follower) applyUpdate(update wire.FeedUpdate, now time.Time) (gap bool) {
+// handleSnapshot merges a snapshot that a peer has returned to a fetch which began at a time. It is as old as it was at the peer,
+// and of unknown age if the peer doesn't tell.
+func (f *follower) handleSnapshot(update wire.FeedUpdate, askedAt time.Time) {
+	update.Records = f.readable(update.Records)
+	currentAt := time.Time{}
+	if update.AgeMs != nil {
+		currentAt = askedAt.Add(-time.Duration(max(*update.AgeMs, 0)) * time.Millisecond)
+	}
+	f.applyUpdate(update, currentAt)
+}
+
+// applyUpdate merges an update that is current as of a time for this node alone.
+func (f *follower) applyUpdate(update wire.FeedUpdate, currentAt time.Time) (gap bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// An update shows that the store is reachable, even if this node's own read failed.
-	f.onStoreReachable()
-	_, gap = f.merge(update, now)
+	if currentAt.After(f.failedAt) {
+		// The update shows that the store is reachable, even if this node's own read failed.
+		f.onStoreReachable()
+	}
+	_, gap = f.merge(update, currentAt)
 	return gap
 }
 
 func (f *follower) snapshot() (wire.FeedUpdate, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.topic.Snapshot(), f.topic.Loaded()
+	update := f.topic.Snapshot()
+	age := int(f.readSchedule.Age(time.Now()) / time.Millisecond)
+	update.AgeMs = &age
+	return update, f.topic.Loaded()
 }
 
 // packSnapshot returns the packed snapshot. It is made once for all peers that ask for it until the topic changes.
@@ -408,19 +427,20 @@
 		era:  snapshot.Era,
 		next: snapshot.Next,
 	}
-	if !known || f.packed.update.Packed != "" && f.packed.position == at && f.packed.freshFrom == snapshot.FreshFrom {
-		return f.packed.update, known, nil
-	}
-	packed, err := feed.Pack(snapshot)
-	if err != nil {
-		return wire.FeedUpdate{}, known, err
-	}
-	f.packed = packedSnapshot{
-		position:  at,
-		freshFrom: snapshot.FreshFrom,
-		update:    packed,
+	if known && (f.packed.update.Packed == "" || f.packed.position != at || f.packed.freshFrom != snapshot.FreshFrom) {
+		packed, err := feed.Pack(snapshot)
+		if err != nil {
+			return wire.FeedUpdate{}, known, err
+		}
+		f.packed = packedSnapshot{
+			position:  at,
+			freshFrom: snapshot.FreshFrom,
+			update:    packed,
+		}
 	}
-	return packed, known, nil
+	update = f.packed.update
+	update.AgeMs = snapshot.AgeMs
+	return update, known, nil
 }
 
 func (f *follower) loaded() bool {
@@ -469,6 +489,18 @@
 	return f.readSchedule.CurrentAt()
 }
 
+// wasCurrent reports whether the topic was known to be current at a time or later.
+func (f *follower) wasCurrent(since time.Time) bool {
+	return !f.currentAt().Before(since)
+}
+
+// isUnavailable reports whether the store has answered the last read that the topic can't be read.
+func (f *follower) isUnavailable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeAnswered
+}
+
 func (f *follower) due(rank int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -496,6 +528,8 @@
 	}
 	f.mu.Lock()
 	f.readSchedule.MarkFailed(now)
+	f.failedAt = now
+	f.storeAnswered = !errors.Is(err, ErrNoAnswer) && !errors.Is(err, context.DeadlineExceeded)
 	f.mu.Unlock()
 	f.logReachability(err)
 	f.onStoreUnreachable()
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -27,13 +27,24 @@
 	// upstreamsReadPeriod is the time between two reads of the upstreams by all nodes together: half of the bound within
 	// which every node must know that an upstream is leaving, so that one read may fail.
 	upstreamsReadPeriod = 1500 * time.Millisecond
+	// storeReadDelay is how long a starting node waits for its peers before it reads the topics from the store, which sends
+	// them whole and uncompressed; after a peer's snapshot it returns only what has changed since. A peer in another region
+	// answers within some round trips, 180 ms.
+	storeReadDelay     = 250 * time.Millisecond
+	seedsCheckInterval = 10 * time.Millisecond
 	// copyReadDelay is how long a starting node waits for the topics before it reads the copies; the store answers within
 	// milliseconds, plus a round trip between regions.
-	copyReadDelay = 250 * time.Millisecond
+	copyReadDelay = storeReadDelay + 250*time.Millisecond
 	// pushWait is how long a node that was told of newer records waits for them, since large ones are passed on from node to node,
 	// before it fetches them. What remains of the two seconds in which the routes are to be in force suffices for that.
 	pushWait          = 500 * time.Millisecond
 	pushCheckInterval = 50 * time.Millisecond
+	// MaxStartAge is how old, at the start of a node, what it learns of the topics may be for it to be ready: no older than at a
+	// node that runs, which learns of each read by another one, fallbacks included.
+	MaxStartAge = 2500 * time.Millisecond
+	// startLimit is how long a starting node waits for topics that are current. Then it serves by the last ones that it has
+	// found: callers of a site whose store is unavailable are better served by old routes than by none.
+	startLimit = 2 * time.Second
 	// copySaveDelay is how long a node runs before it saves the copies, so that nodes that start together have agreed on
 	// one reader.
 	copySaveDelay = 4 * time.Second
@@ -51,7 +62,8 @@
 	Push(update wire.FeedUpdate)
 	// Fetch requests a snapshot of a topic from the peer at an address.
 	Fetch(ctx context.Context, address, topic string) (wire.FeedUpdate, error)
-	// FetchFromSeeds requests a snapshot of a topic from the peers in the settings.
+	// FetchFromSeeds requests a snapshot of a topic from the peers in the settings, and prefers one that is no older than
+	// MaxStartAge.
 	FetchFromSeeds(ctx context.Context, topic string) (wire.FeedUpdate, error)
 	// ReaderRank returns this node's rank in the order in which the nodes read the store. The node of rank 0 is the
 	// reader; the others read only if its updates don't reach them.
@@ -98,6 +110,9 @@
 	decodeErrors map[string]string
 	// upstreamsLoaded is set once Table was updated for the first time.
 	upstreamsLoaded atomic.Bool
+	// startedAt is when the service was prepared, and ready is set once it was ready.
+	startedAt time.Time
+	ready     atomic.Bool
 	// seedsAsked is set once the peers in the settings have answered or failed to.
 	seedsAsked atomic.Bool
 	tasks      schedule.Tasks
@@ -105,6 +120,7 @@
 
 // Prepare initializes the service so that it can handle updates of peers; it must be called before Run.
 func (s *Service) Prepare() {
+	s.startedAt = time.Now()
 	s.roster.Hold = roster.DefaultHold
 	s.decodeErrors = map[string]string{}
 	s.routes = s.newFollower(TopicRoutes, s.applyRoutes)
@@ -140,11 +156,28 @@
 // CurrentRoutes returns the routes in force, or nil if there are none yet.
 func (s *Service) CurrentRoutes() *route.Table { return s.currentRoutes.Load() }
 
-// Ready reports whether the routes and the upstreams are known. Where the store was restored from an older copy, the
-// peers must have been asked as well.
+// Ready reports whether the routes and the upstreams are known and current. Where the store was restored from an older copy,
+// the peers must have been asked as well.
 func (s *Service) Ready() bool {
-	return s.upstreamsLoaded.Load() && s.currentRoutes.Load() != nil &&
-		(s.seedsAsked.Load() || s.routes.era() == 0 && s.upstreams.era() == 0)
+	if s.ready.Load() {
+		return true
+	}
+	ready := s.upstreamsLoaded.Load() && s.currentRoutes.Load() != nil &&
+		(s.seedsAsked.Load() || s.routes.era() == 0 && s.upstreams.era() == 0) && s.startIsOver(time.Now())
+	if ready {
+		s.ready.Store(true)
+	}
+	return ready
+}
+
+// startIsOver reports whether both topics are current, or this node has to serve by what it has: it has waited for long, or
+// neither the store nor a peer can supply the rest.
+func (s *Service) startIsOver(now time.Time) bool {
+	since := s.startedAt.Add(-MaxStartAge)
+	settled := func(f *follower) bool {
+		return f.wasCurrent(since) || s.seedsAsked.Load() && f.isUnavailable()
+	}
+	return settled(s.routes) && settled(s.upstreams) || now.Sub(s.startedAt) >= startLimit
 }
 
 // RoutesVersion returns the version of the routes in force, 0 if there are none yet; the other nodes compare it with
@@ -192,11 +225,12 @@
 	var group sync.WaitGroup
 	for _, f := range []*follower{s.routes, s.upstreams} {
 		group.Go(func() {
+			askedAt := time.Now()
 			update, err := s.Peers.FetchFromSeeds(ctx, f.topic.Name)
 			if err != nil || f.loaded() && f.era() == 0 {
 				return
 			}
-			f.handleUpdate(update)
+			f.handleSnapshot(update, askedAt)
 			s.Logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("offset", update.Next).
 				Int("era", update.Era).Msg("topic loaded from a peer")
 		})
@@ -216,9 +250,17 @@
 	}
 }
 
+// awaitSeeds waits for the answers of the peers in the settings, for storeReadDelay at most.
+func (s *Service) awaitSeeds(ctx context.Context) {
+	for end := s.startedAt.Add(storeReadDelay); !s.seedsAsked.Load() && time.Now().Before(end) && ctx.Err() == nil; {
+		schedule.Pause(ctx, seedsCheckInterval)
+	}
+}
+
 // followUpstreams reads the upstreams when this node is due. A node other than the reader is due only if no update has
 // reached it for a while; it then reads the routes as well, since the reader's updates of them may not reach it either.
 func (s *Service) followUpstreams(ctx context.Context) {
+	s.awaitSeeds(ctx)
 	started := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -248,6 +290,7 @@
 
 // followRoutes reads the routes and waits for their changes while this node is the reader.
 func (s *Service) followRoutes(ctx context.Context) {
+	s.awaitSeeds(ctx)
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if s.Peers.ReaderRank() != 0 {
@@ -357,9 +400,10 @@
 		if target.Version > 0 && s.hasVersion(target.Version) {
 			continue
 		}
+		askedAt := time.Now()
 		update, err := s.Peers.Fetch(ctx, target.Address, f.topic.Name)
 		if err == nil {
-			s.HandleUpdate(update)
+			f.handleSnapshot(update, askedAt)
 			failures = 0
 			continue
 		}
--- a/internal/transport/catalog/source.go
+++ b/internal/transport/catalog/source.go
@@ -19,6 +19,9 @@
 // ErrNoTopic is returned when the store does not have a topic, because nothing was appended to it yet.
 var ErrNoTopic = eris.New("store has no such topic")
 
+// ErrNoAnswer is returned when the store does not answer a call, or refuses it for now. Other nodes may still reach it.
+var ErrNoAnswer = eris.New("no answer from the store")
+
 // ErrUnreadable is returned by Source.Read if one of the records can't be decoded. Source.Newest leaves such a record out.
 var ErrUnreadable = eris.New("record can't be decoded")
 
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -120,18 +121,16 @@
 	return p.process.fetch(ctx, address, topic)
 }
 
-// FetchFromSeeds requests a snapshot of a topic from the seeds one after the other, until one answers.
-func (p catalogPeers) FetchFromSeeds(ctx context.Context, topic string) (update wire.FeedUpdate, err error) {
-	err = eris.Errorf("fetch %s: no seeds", topic)
-	for _, address := range p.process.tunables.Load().Seeds {
-		if address == p.process.Listen.Peers {
-			continue
-		}
-		if update, err = p.process.fetch(ctx, address, topic); err == nil {
-			return update, nil
-		}
-	}
-	return update, err
+// FetchFromSeeds requests a snapshot of a topic from the seeds, in a random order, since many nodes may start together.
+func (p catalogPeers) FetchFromSeeds(ctx context.Context, topic string) (wire.FeedUpdate, error) {
+	seeds := slices.DeleteFunc(slices.Clone(p.process.tunables.Load().Seeds), func(address string) bool {
+		return address == p.process.Listen.Peers
+	})
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	update, err := askSeeds(ctx, seeds, func(ctx context.Context, address string) (wire.FeedUpdate, error) {
+		return p.process.fetch(ctx, address, topic)
+	})
+	return update, eris.Wrapf(err, "fetch %s from the seeds", topic)
 }
 
 // ReaderRank returns this node's rank among the readers of the store, 0 for the first. A node that knows no live
--- /dev/null
+++ b/internal/transport/entryvm/seeds.go
@@ -0,0 +1,84 @@
+package entryvm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/catalog"
+)
+
+// seedInterval is how long a starting node waits for a seed before it asks the next one as well. A seed in another region answers
+// within some round trips, 180 ms; one that has gone doesn't.
+const seedInterval = 250 * time.Millisecond
+
+var errNoSeeds = eris.New("the settings name no other node")
+
+// seedAnswer is a seed's answer to a fetch.
+type seedAnswer struct {
+	update wire.FeedUpdate
+	err    error
+}
+
+// askSeeds fetches a topic from seeds, one after the other, until one returns a snapshot that is young enough to start with. If
+// none does, it returns the one that has come furthest, or the last error.
+func askSeeds(
+	ctx context.Context, seeds []string, fetch func(ctx context.Context, address string) (wire.FeedUpdate, error),
+) (furthest wire.FeedUpdate, err error) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan seedAnswer, len(seeds))
+	known := false
+	err = errNoSeeds
+	for asked, answered := 0, 0; answered < len(seeds); {
+		var nextDue <-chan time.Time
+		if asked < len(seeds) {
+			address := seeds[asked]
+			group.Go(func() {
+				update, err := fetch(ctx, address)
+				answers <- seedAnswer{
+					update: update,
+					err:    err,
+				}
+			})
+			asked++
+			nextDue = time.After(seedInterval)
+		}
+		select {
+		case <-nextDue:
+			continue
+		case answer := <-answers:
+			answered++
+			if answer.err != nil {
+				err = answer.err
+				continue
+			}
+			if !known || isFurther(answer.update, furthest) {
+				furthest = answer.update
+			}
+			known = true
+			if isYoung(answer.update) {
+				return answer.update, nil
+			}
+		}
+	}
+	if known {
+		return furthest, nil
+	}
+	return furthest, err
+}
+
+// isFurther reports whether a snapshot has come further than another one.
+func isFurther(a, b wire.FeedUpdate) bool {
+	return a.Era > b.Era || a.Era == b.Era && a.Next > b.Next
+}
+
+// isYoung reports whether a snapshot is young enough to start with. Nodes of former builds don't tell how old theirs are.
+func isYoung(update wire.FeedUpdate) bool {
+	return update.AgeMs != nil && time.Duration(*update.AgeMs)*time.Millisecond <= catalog.MaxStartAge
+}
--- a/test/transfers/routes_test.go
+++ b/test/transfers/routes_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,8 +19,8 @@
 )
 
 const (
-	nodeCount   = 12
-	zoneCount   = 3
+	nodeCount   = 20
+	zoneCount   = 4
 	routesAdded = 2800
 	// waitTimeout bounds waits for what takes a second or two where the machine has time.
 	waitTimeout = 30 * time.Second
@@ -103,7 +104,7 @@
 	}
 	group.Wait()
 	await(t, nodes, 1)
-	time.Sleep(5 * time.Second) // they know each other
+	time.Sleep(8 * time.Second) // they know each other, and have agreed on a reader
 
 	// sentPerNode returns what the store has sent of the routes since, as a share of their size and for each node.
 	sentPerNode := func(before, nodes int) float64 {
@@ -118,14 +119,14 @@
 	is.True(change <= 0.2)
 
 	before = store.Sent(platform.TopicOperator)
-	restarted := nodes[zoneCount+1:]
-	for _, n := range restarted {
-		n.Kill()
-	}
-	for _, n := range restarted {
-		group.Go(func() { n.Start(program, "error", io.Discard) })
+	restarted := nodes[zoneCount:]
+	for some := range slices.Chunk(restarted, zoneCount) {
+		for _, n := range some {
+			n.Kill()
+			group.Go(func() { n.Start(program, "error", io.Discard) })
+		}
+		group.Wait()
 	}
-	group.Wait()
 	await(t, nodes, 2)
 	start := sentPerNode(before, len(restarted))
 	t.Logf("sent by the store for each node, in sizes of the routes: %.2f at a start", start)
