A node with outdated routes denies nothing for good

What callers saw: 404 for routes that had been added, or 401 for new keys, which they don't try again, from a node that had been told of newer routes but hadn't got them. Change: while a member has told of a version that this node lacks, what its routes don't allow is refused with 503 and Retry-After, which promises that it hasn't run. What they allow is served as before. A version that can't be decoded doesn't count. TestRequestsThatNewerRoutesMayAllowAreRefusedForNow gets 404 and 401 without the check; TestRoutesAreOutdatedWhileAPeerHasNewerOnes covers when it holds.

--- a/internal/transport/catalog/refetch_test.go
+++ b/internal/transport/catalog/refetch_test.go
@@ -241,6 +241,37 @@
 	}
 }
 
+// TestRoutesAreOutdatedWhileAPeerHasNewerOnes checks when a node may not deny a request for good.
+func TestRoutesAreOutdatedWhileAPeerHasNewerOnes(t *testing.T) {
+	is := is.New(t)
+	service := newNode(&countingPeers{}, newTopic(), newTopic())
+	service.DecodeRoutes = func(data []byte) (*route.Table, []string, error) {
+		if string(data) == "7" {
+			return nil, nil, errors.New("unknown field")
+		}
+		return decodeVersion(data)
+	}
+	service.Prepare()
+	get := func(version string, offset int) {
+		service.HandleUpdate(wire.FeedUpdate{
+			Topic:   TopicRoutes,
+			Whole:   true,
+			Next:    offset + 1,
+			Records: []wire.FeedRecord{{Key: "config", Value: version, Offset: offset}},
+		})
+	}
+	get("5", 0)
+	is.True(!service.RoutesOutdated())
+	service.NoteVersion(6)
+	service.NoteVersion(4) // of a member that lags
+	is.True(service.RoutesOutdated())
+	get("6", 1)
+	is.True(!service.RoutesOutdated())
+	service.NoteVersion(7)
+	get("7", 2)
+	is.True(!service.RoutesOutdated()) // it will never have this one
+}
+
 // readHook calls functions before and after each read of the newest records.
 type readHook struct {
 	*fakeTopic
--- a/internal/transport/catalog/routes.go
+++ b/internal/transport/catalog/routes.go
@@ -65,3 +65,16 @@
 func (s *Service) hasVersion(version int) bool {
 	return version <= max(s.RoutesVersion(), int(s.skippedVersion.Load()))
 }
+
+// NoteVersion records that a peer has a version of the routes.
+func (s *Service) NoteVersion(version int) {
+	for {
+		known := s.newestVersion.Load()
+		if int64(version) <= known || s.newestVersion.CompareAndSwap(known, int64(version)) {
+			return
+		}
+	}
+}
+
+// RoutesOutdated reports whether a peer has newer routes than this node, which it can't have got yet.
+func (s *Service) RoutesOutdated() bool { return !s.hasVersion(int(s.newestVersion.Load())) }
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -101,8 +101,10 @@
 	// skippedVersion is the highest version of the routes that this node could not decode. It is written with the lock of
 	// the routes' follower held.
 	skippedVersion atomic.Int64
-	routes         *follower
-	upstreams      *follower
+	// newestVersion is the highest version of the routes that a peer has told of.
+	newestVersion atomic.Int64
+	routes        *follower
+	upstreams     *follower
 	// mu guards roster and decodeErrors.
 	mu     sync.Mutex
 	roster roster.List
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -245,6 +245,7 @@
 // fetchNewerRoutes fetches the routes from the sender of a membership digest if its version of them is newer than this
 // node's; the digest's Revision is the version.
 func (p *Process) fetchNewerRoutes(digest wire.Digest) {
+	p.Catalog.NoteVersion(digest.Revision)
 	if digest.Revision > p.Catalog.RoutesVersion() {
 		p.tasks.Go(func(ctx context.Context) { p.Catalog.FetchNewerRoutes(ctx, digest.From.Address, digest.Revision) })
 	}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -229,6 +229,7 @@
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
+		Outdated:    p.Catalog.RoutesOutdated,
 		Dispatcher:  p.dispatcher,
 		Connections: p.connections,
 		RetryBudget: p.budget,
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -218,6 +218,31 @@
 	}
 }
 
+// TestRequestsThatNewerRoutesMayAllowAreRefusedForNow guards against a final answer for a route or a key that had been added, from
+// a node that knew that another one had newer routes.
+func TestRequestsThatNewerRoutesMayAllowAreRefusedForNow(t *testing.T) {
+	for path, denied := range map[string]int{
+		"/none/x":  http.StatusNotFound,
+		"/keyed/x": http.StatusUnauthorized,
+	} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+				outdated := true
+				g.gateway.Outdated = func() bool { return outdated }
+				got := g.call(t.Context(), path, "", nil)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.True(got.header.Get("Retry-After") != "")
+				is.Equal(len(g.receivedRequests()), 0)
+				is.Equal(g.call(t.Context(), "/safe/x", "", nil).status, http.StatusOK) // what they allow is served
+				outdated = false
+				is.Equal(g.call(t.Context(), path, "", nil).status, denied)
+			})
+		})
+	}
+}
+
 func TestRequestThatNoUpstreamTakesIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -32,6 +32,9 @@
 	Codec Codec
 	// Routes returns the current routing table, nil until one is known.
 	Routes func() *route.Table
+	// Outdated, if set, reports whether another node has newer routes. What these don't allow is then refused for now, since the
+	// newer ones may allow it.
+	Outdated func() bool
 	// Dispatcher chooses upstreams.
 	Dispatcher *dispatch.Dispatcher
 	// Connections is the pool of connections to the upstreams.
@@ -189,12 +192,24 @@
 	x.table = table
 	x.route = table.Match(x.host, x.path)
 	if x.route == nil {
+		return x.server.deny(http.StatusNotFound, "no route matches host and path")
+	}
+	return nil
+}
+
+// deny returns the answer to a request that the routes don't allow.
+func (s *Server) deny(status int, reason string) *localAnswer {
+	if s.Outdated != nil && s.Outdated() {
 		return &localAnswer{
-			status: http.StatusNotFound,
-			reason: "no route matches host and path",
+			status:     http.StatusServiceUnavailable,
+			reason:     reason + " in the routes of this node, and another one has newer routes",
+			retryAfter: retryAfterStarting,
 		}
 	}
-	return nil
+	return &localAnswer{
+		status: status,
+		reason: reason,
+	}
 }
 
 // checkHeaderSize enforces the operator's limit on the size of a request's header.
@@ -225,10 +240,7 @@
 	team := x.table.TeamByKey(x.call.Key)
 	if team == nil {
 		if x.table.NeedsKey(x.route) {
-			return &localAnswer{
-				status: http.StatusUnauthorized,
-				reason: "no team holds this API key",
-			}
+			return x.server.deny(http.StatusUnauthorized, "no team holds this API key")
 		}
 	} else {
 		x.team = team.Name
