A connect goes on after the call that began it

Cause: a connect and its handshake, three round trips, belonged to one call. A call that got a connection just before its end closed it again, since nothing had been read during the call. Change: a connection to a peer is opened once for all calls, in up to 1 s for the connect and as much for the handshake, whatever becomes of the call. What was read while a call waited for its connection counts.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -18,8 +18,9 @@
 	"lagoongw/internal/protocol/wire"
 )
 
-// DefaultDialTimeout is the time for a connection and its handshake if Client.DialTimeout is not set.
-const DefaultDialTimeout = 500 * time.Millisecond
+// DefaultDialTimeout is the time for a connection, and then for its handshake, if Client.DialTimeout is not set. It covers the
+// round trips while links are full; calls to a peer that doesn't answer end sooner.
+const DefaultDialTimeout = time.Second
 
 const maxIdleTime = 5 * time.Minute
 
@@ -32,14 +33,16 @@
 	Name string
 	// Secret is the shared secret of all nodes.
 	Secret []byte
-	// DialTimeout, if set, limits the time to connect and to authenticate in place of DefaultDialTimeout.
+	// DialTimeout, if set, limits the time to connect, and then that to authenticate, in place of DefaultDialTimeout.
 	DialTimeout time.Duration
 	// Control, if set, is called for each socket before it connects, as by net.Dialer.
 	Control func(network, address string, raw syscall.RawConn) error
 
 	mu sync.Mutex
-	// conns holds the authenticated connections by address.
+	// conns holds the authenticated connections by address, and opening those that are being opened.
 	conns     map[string]*conn
+	opening   map[string]*opening
+	closed    bool
 	receiving allowance
 	sent      atomic.Int64
 	received  atomic.Int64
@@ -54,6 +57,14 @@
 	reads atomic.Int64
 }
 
+// opening is a connection that is being opened for all calls to an address.
+type opening struct {
+	// done is closed once conn or err is set.
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
 // ByteCounts returns the number of bytes sent and received so far on the connections that this node opened.
 func (c *Client) ByteCounts() (sent, received int64) {
 	return c.sent.Load(), c.received.Load()
@@ -64,11 +75,10 @@
 // After any error but one that the peer answered with it closes the connection, so that the next call opens a new one. It
 // does so after a timeout only if the peer has sent nothing meanwhile: else other calls are being answered.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.connection(ctx, address)
+	conn, readsBefore, err := c.connection(ctx, address)
 	if err != nil {
 		return eris.Wrapf(err, "connect to peer %s", address)
 	}
-	readsBefore := conn.reads.Load()
 	if err := conn.rpc.Call(ctx, method, params, result); err != nil {
 		var answered *jsonrpc2.Error
 		slow := ctx.Err() != nil && errors.Is(err, ctx.Err()) && conn.reads.Load() != readsBefore
@@ -99,10 +109,11 @@
 
 func (c *Client) dialTimeout() time.Duration { return cmp.Or(c.DialTimeout, DefaultDialTimeout) }
 
-// Close closes every connection.
+// Close closes every connection. Calls fail from then on.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, cached := range c.conns {
 		_ = cached.rpc.Close()
 		delete(c.conns, address)
@@ -121,33 +132,60 @@
 	}
 }
 
-// connection returns the connection to an address and opens one if there is none.
-func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
+// connection returns the connection to an address, opens one if there is none, and returns how often it had been read when the
+// call began. Opening goes on after the call has ended, so that the next one doesn't begin anew: while links are full it takes
+// longer than a call may.
+func (c *Client) connection(ctx context.Context, address string) (opened *conn, reads int64, err error) {
 	c.mu.Lock()
 	cached := c.conns[address]
 	if cached != nil {
 		cached.lastUsed = time.Now()
 		c.mu.Unlock()
-		return cached, nil
+		return cached, cached.reads.Load(), nil
+	}
+	o := c.opening[address]
+	if o == nil {
+		o = &opening{done: make(chan struct{})}
+		if c.opening == nil {
+			c.opening = map[string]*opening{}
+		}
+		c.opening[address] = o
+		go c.open(address, o)
 	}
 	c.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.conn, 0, o.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// open opens the connection for all calls to an address.
+func (c *Client) open(address string, o *opening) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*c.dialTimeout())
+	defer cancel()
 	opened := &conn{lastUsed: time.Now()}
 	rpc, err := c.dial(ctx, address, func() { opened.reads.Add(1) })
-	if err != nil {
-		return nil, err
-	}
 	opened.rpc = rpc
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer close(o.done)
+	delete(c.opening, address)
+	if err == nil && c.closed {
+		_ = rpc.Close()
+		err = net.ErrClosed
+	}
+	if err != nil {
+		o.err = err
+		return
+	}
 	if c.conns == nil {
 		c.conns = map[string]*conn{}
 	}
-	if other := c.conns[address]; other != nil {
-		_ = rpc.Close()
-		return other, nil
-	}
+	opened.lastUsed = time.Now()
 	c.conns[address] = opened
-	return opened, nil
+	o.conn = opened
 }
 
 // drop closes a connection and removes it, if it is still the one kept for the address.
