An update that has waited is as old as it is

Cause: an update for a peer waits while the one before is being sent, up to 1.5 s, and may take as long itself. The receiver counted it as current when it arrived, so that its own next read of the store was put off by as much. Change: an update that has waited tells its age, and the receiver's list is as old. The time on the way isn't known to either side and still isn't counted.

--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -374,8 +374,8 @@
 // FeedUpdate carries the records of a topic that changed in a range of offsets, or
 // all of them.
 type FeedUpdate struct {
-	// AgeMs is the time in milliseconds since the answer to a fetch was last known to
-	// be current; nodes of former builds don't tell.
+	// AgeMs is the time in milliseconds since the update was current: in the answer
+	// to a fetch, or if it has waited. Nodes of former builds don't tell.
 	AgeMs *int `json:"age-ms,omitempty,omitzero"`
 
 	// Coming reports that the receiver gets the records that are left out from
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -383,7 +383,7 @@
 // fetched from that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
 	update.Records = f.readable(update.Records)
-	return f.applyUpdate(update, time.Now())
+	return f.applyUpdate(update, time.Now().Add(-ageOf(update)))
 }
 
 // handleSnapshot merges a snapshot that a peer has returned to a fetch which began at a time. It is as old as it was at the peer,
@@ -392,11 +392,19 @@
 	update.Records = f.readable(update.Records)
 	currentAt := time.Time{}
 	if update.AgeMs != nil {
-		currentAt = askedAt.Add(-time.Duration(max(*update.AgeMs, 0)) * time.Millisecond)
+		currentAt = askedAt.Add(-ageOf(update))
 	}
 	f.applyUpdate(update, currentAt)
 }
 
+// ageOf returns the age that an update tells, 0 if it tells none.
+func ageOf(update wire.FeedUpdate) time.Duration {
+	if update.AgeMs == nil {
+		return 0
+	}
+	return time.Duration(max(*update.AgeMs, 0)) * time.Millisecond
+}
+
 // applyUpdate merges an update that is current as of a time for this node alone.
 func (f *follower) applyUpdate(update wire.FeedUpdate, currentAt time.Time) (gap bool) {
 	f.mu.Lock()
--- a/internal/transport/entryvm/outgoing.go
+++ b/internal/transport/entryvm/outgoing.go
@@ -18,6 +18,9 @@
 	MaxOutgoingBytes = 4 << 20
 	// maxJoinedBytes is the largest size of an update of a topic that waits for a peer.
 	maxJoinedBytes = 64 << 10
+	// minToldAge is the time that an update has waited from which a peer is told. The bounds within which nodes must know of
+	// changes are seconds.
+	minToldAge = 100 * time.Millisecond
 )
 
 // outgoing sends messages to peers without waiting for their answers, which are empty. To each peer at most one message
@@ -35,6 +38,8 @@
 type message struct {
 	method string
 	update *wire.FeedUpdate
+	// madeAt is when the update was current.
+	madeAt time.Time
 	// encoded returns the update as JSON, which is marshalled once for all peers.
 	encoded func() (json.RawMessage, error)
 	loads   json.RawMessage
@@ -44,6 +49,7 @@
 	return message{
 		method:  peer.MethodFeedUpdate,
 		update:  &update,
+		madeAt:  time.Now(),
 		encoded: sync.OnceValues(func() (json.RawMessage, error) { return json.Marshal(update) }),
 	}
 }
@@ -61,7 +67,9 @@
 	if m.update == nil || newer.update == nil {
 		return newer
 	}
-	return updateMessage(feed.Join(*m.update, *newer.update, maxJoinedBytes))
+	joined := updateMessage(feed.Join(*m.update, *newer.update, maxJoinedBytes))
+	joined.madeAt = newer.madeAt
+	return joined
 }
 
 // Reduce returns an update without its records; loads are dropped, since newer ones follow.
@@ -69,14 +77,28 @@
 	if m.update == nil {
 		return message{}, false
 	}
-	return updateMessage(feed.Omit(*m.update)), true
+	reduced := updateMessage(feed.Omit(*m.update))
+	reduced.madeAt = m.madeAt
+	return reduced, true
 }
 
-func (m message) params() (json.RawMessage, error) {
-	if m.update != nil {
+// params returns the parameters of the call that is made now. An update that has waited tells for how long, since it is current
+// as of when it was made.
+func (m message) params(now time.Time) (json.RawMessage, error) {
+	if m.update == nil {
+		return m.loads, nil
+	}
+	waited := now.Sub(m.madeAt)
+	if waited < minToldAge {
 		return m.encoded()
 	}
-	return m.loads, nil
+	aged := *m.update
+	age := int(waited / time.Millisecond)
+	if aged.AgeMs != nil {
+		age += *aged.AgeMs
+	}
+	aged.AgeMs = &age
+	return json.Marshal(aged)
 }
 
 // timeout returns how long the call may take: an update shares the link with those to all other peers.
@@ -134,7 +156,7 @@
 }
 
 func (o *outgoing) call(ctx context.Context, row wire.Member, m message) {
-	params, err := m.params()
+	params, err := m.params(time.Now())
 	if err != nil {
 		o.process.Logger.Error().Err(err).Str("step", m.method).Msg("message not sent")
 		return
--- a/internal/transport/entryvm/peers_test.go
+++ b/internal/transport/entryvm/peers_test.go
@@ -93,12 +93,37 @@
 		Topic: "routes",
 		Next:  9,
 	})
-	first, err := m.params()
+	first, err := m.params(m.madeAt)
 	is.NoErr(err)
-	second, err := m.params()
+	second, err := m.params(m.madeAt)
 	is.NoErr(err)
 	is.True(&first[0] == &second[0])
 	var got wire.FeedUpdate
 	is.NoErr(json.Unmarshal(first, &got))
 	is.Equal(got.Next, 9)
 }
+
+// TestUpdateTellsHowLongItHasWaited guards against upstreams that got requests after they had left: an update that had waited
+// behind another one counted as current when it arrived, and put off the next read by as long.
+func TestUpdateTellsHowLongItHasWaited(t *testing.T) {
+	is := is.New(t)
+	told := func(m message, waited time.Duration) *int {
+		params, err := m.params(m.madeAt.Add(waited))
+		is.NoErr(err)
+		var got wire.FeedUpdate
+		is.NoErr(json.Unmarshal(params, &got))
+		return got.AgeMs
+	}
+	m := updateMessage(wire.FeedUpdate{Topic: "upstreams", From: 3, Next: 5})
+	is.True(told(m, 0) == nil)
+	is.Equal(*told(m, 1400*time.Millisecond), 1400)
+	newer := updateMessage(wire.FeedUpdate{Topic: "upstreams", From: 5, Next: 6})
+	newer.madeAt = m.madeAt.Add(time.Second)
+	is.Equal(m.Merge(newer).madeAt, newer.madeAt) // both were current then
+	reduced, ok := m.Reduce()
+	is.True(ok)
+	is.Equal(reduced.madeAt, m.madeAt)
+	age := 300 // it was passed on
+	passedOn := updateMessage(wire.FeedUpdate{Topic: "routes", AgeMs: &age})
+	is.Equal(*told(passedOn, time.Second), 1300)
+}
