Serve: a starting node is ready once it has read the newest rules

A follower pauses only after it has read the newest record. Looked at and left as they are: the leases and the duties, which a conditional append decides; the software versions, which a node reads from the store before it lists upstreams; the usage counts, which the holder reads from the store.

--- a/internal/transport/node/status.go
+++ b/internal/transport/node/status.go
@@ -149,14 +149,10 @@
 	return vars
 }
 
-// Ready reports whether the node knows the rules and has read the claims partitions that it holds, up to the newest
-// record at the time when it began to follow them.
+// Ready reports whether the node has read the rules and the claims partitions that it holds, up to the newest record at the time
+// when it began to follow them.
 func (n *Node) Ready() bool {
-	if !n.prepared.Load() {
-		return false
-	}
-	_, err := n.rules.State()
-	return err == nil && n.claims.Ready()
+	return n.prepared.Load() && n.rules.Ready() && n.claims.Ready()
 }
 
 // Publish appends a rule file to the log and waits for the verdict, which depends on the order of the log's records.
--- a/internal/transport/rules/service.go
+++ b/internal/transport/rules/service.go
@@ -58,6 +58,8 @@
 	revision       atomic.Int64
 	logReachable   atomic.Bool
 	lastCheckpoint time.Time
+	// startNext is the offset that followed the newest record when this node began to read; mu guards it.
+	startNext int
 }
 
 // File returns the rule file in force, nil while there is none.
@@ -96,10 +98,21 @@
 	return nonRelayPause
 }
 
-func (s *Service) setOldest(oldest, _ int) {
+func (s *Service) setOldest(oldest, next int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Fold.SetOldest(oldest)
+	if s.startNext == 0 {
+		s.startNext = next
+	}
+}
+
+// Ready reports whether the rules are known up to the newest record at the time when this node began to read. While the log can't
+// be read, those of a peer suffice.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Fold.Ready() && s.Fold.AsOf()+1 >= s.startNext
 }
 
 func (s *Service) applyRecord(entry wire.LogRecord) {
--- a/internal/transport/tail/tail.go
+++ b/internal/transport/tail/tail.go
@@ -27,7 +27,7 @@
 	Stream string
 	// Wait is how long a read waits for new records; the first read does not wait.
 	Wait time.Duration
-	// Pause, if set, returns how long to pause after a successful read, 0 to read again at once.
+	// Pause, if set, returns how long to pause after a read of the newest record, 0 to read again at once.
 	Pause func() time.Duration
 	// OnReset is called at the first successful read, and again when records were truncated before they were read, with
 	// the offsets of the oldest record and of the next one to be appended.
@@ -41,6 +41,8 @@
 	next int
 	// started is set by the first successful read.
 	started bool
+	// behind is set while the last read didn't return the newest record.
+	behind bool
 }
 
 // Run follows the stream until the context ends.
@@ -63,7 +65,7 @@
 }
 
 func (f *Follower) pauseAfterRead() time.Duration {
-	if f.Pause == nil {
+	if f.Pause == nil || f.behind {
 		return 0
 	}
 	return f.Pause()
@@ -90,5 +92,6 @@
 		f.next = entry.Offset + 1
 		f.OnRecord(entry)
 	}
+	f.behind = len(answer.Records) > 0 && f.next < answer.Next
 	return nil
 }
