--- a/internal/transport/catalog/start_test.go
+++ b/internal/transport/catalog/start_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/internal/protocol/wire"
 )
 
 // silentTopic is a topic of a store that doesn't answer until a time.
@@ -96,6 +99,79 @@
 	})
 }
 
+// wholeReads counts the reads of whole topics.
+type wholeReads struct {
+	*fakeTopic
+	count *atomic.Int64
+}
+
+func (r wholeReads) Newest(ctx context.Context) (Batch, error) {
+	r.count.Add(1)
+	return r.fakeTopic.Newest(ctx)
+}
+
+// slowSeeds returns the seeds' answers after a delay.
+type slowSeeds struct {
+	sitePeers
+	delay time.Duration
+}
+
+func (p slowSeeds) FetchFromSeeds(ctx context.Context, topic string) (wire.FeedUpdate, error) {
+	pause(ctx, p.delay)
+	return p.sitePeers.FetchFromSeeds(ctx, topic)
+}
+
+// TestStartingNodeReadsWholeTopicsFromPeers guards against the fault that filled the links between regions: each node that started
+// read both topics whole from the store, uncompressed, at the same time as from a peer.
+func TestStartingNodeReadsWholeTopicsFromPeers(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		alone bool
+		reads int64
+		ready time.Duration
+	}{
+		"a peer in another region": {delay: 300 * time.Millisecond, ready: 400 * time.Millisecond},
+		"a peer that is slow":      {delay: time.Second, reads: 2, ready: 700 * time.Millisecond},
+		"no peer that knows them":  {alone: true, reads: 2, ready: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, func(s *site, routes, upstreams *fakeTopic) {
+				is := is.New(t)
+				peers := slowSeeds{
+					sitePeers: sitePeers{
+						site: s,
+						self: len(s.services),
+					},
+					delay: c.delay,
+				}
+				if c.alone {
+					peers.site = newSite()
+				}
+				node := newNode(peers, routes, upstreams)
+				var count atomic.Int64
+				node.Routes = wholeReads{
+					fakeTopic: routes,
+					count:     &count,
+				}
+				node.Upstreams = wholeReads{
+					fakeTopic: upstreams,
+					count:     &count,
+				}
+				node.Prepare()
+				ctx, cancel := context.WithCancel(context.Background())
+				var group sync.WaitGroup
+				group.Go(func() { node.Run(ctx) })
+				defer group.Wait()
+				defer cancel()
+				time.Sleep(c.ready)
+				is.True(node.Ready())
+				time.Sleep(bound)
+				is.Equal(count.Load(), c.reads)
+			})
+		})
+	}
+}
+
 // TestStartingNodeServesByOldRoutesWhereNobodyKnowsNewerOnes checks that a node that can't reach the store serves by what its
 // peers have, after a bounded time.
 func TestStartingNodeServesByOldRoutesWhereNobodyKnowsNewerOnes(t *testing.T) {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -161,6 +161,8 @@
 	if err != nil || update.Packed == "" {
 		return update, err
 	}
+	p.unpacking.Lock()
+	defer p.unpacking.Unlock()
 	return feed.Unpack(update)
 }
 
@@ -169,21 +171,17 @@
 	if err := json.Unmarshal(params, &update); err != nil {
 		return nil, eris.Wrap(err, "decode feed update")
 	}
-	if update.Packed != "" {
-		unpacked, err := feed.Unpack(update)
-		if err != nil {
-			return nil, err
-		}
-		p.passOn(update)
-		update = unpacked
+	gap, err := p.applyUpdate(update)
+	if err != nil {
+		return nil, err
 	}
 	// After a gap between this node's copy and the update, the sender's snapshot supplies the missing records.
-	if p.Catalog.HandleUpdate(update) && !update.Whole {
+	if gap {
 		sender, known := p.members.Lookup(update.Sender)
 		switch {
 		case known && update.Coming:
 			p.tasks.Go(func(ctx context.Context) { p.Catalog.AwaitRecords(ctx, sender.Address, update) })
-		case known && update.Omitted:
+		case known && update.Omitted && update.Packed == "":
 			p.tasks.Go(func(ctx context.Context) { p.Catalog.CatchUp(ctx, sender.Address, update.Topic) })
 		case known:
 			p.tasks.Go(func(ctx context.Context) { p.Catalog.Refetch(ctx, sender.Address, update.Topic) })
@@ -192,6 +190,21 @@
 	return struct{}{}, nil
 }
 
+// applyUpdate applies a peer's update, and passes a packed one on; gap reports that records are missing.
+func (p *Process) applyUpdate(update wire.FeedUpdate) (gap bool, err error) {
+	if update.Packed == "" {
+		return p.Catalog.HandleUpdate(update) && !update.Whole, nil
+	}
+	p.unpacking.Lock()
+	defer p.unpacking.Unlock()
+	unpacked, err := feed.Unpack(update)
+	if err != nil {
+		return false, err
+	}
+	p.passOn(update)
+	return p.Catalog.HandleUpdate(unpacked) && !unpacked.Whole, nil
+}
+
 // topicLane makes the fetches of a topic wait for each other, but not for those of the other topic. Packed answers are small, so
 // that several are sent at once.
 func topicLane(method string, params json.RawMessage) peer.Lane {
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -123,13 +123,15 @@
 	memoryReporter memoryReporter
 	outgoing       outgoing
 	fetchTimes     fetchTimes
-	memoryBudget   *memory.Budget
-	callers        connectionLimit
-	budgetsMu      sync.Mutex
-	budgets        map[string]*retry.WindowBudget
-	drainer        shutdown.Drainer
-	tasks          schedule.Tasks
-	stability      stability
+	// unpacking is held while a packed update is unpacked, which makes a few kilobytes several megabytes at most.
+	unpacking    sync.Mutex
+	memoryBudget *memory.Budget
+	callers      connectionLimit
+	budgetsMu    sync.Mutex
+	budgets      map[string]*retry.WindowBudget
+	drainer      shutdown.Drainer
+	tasks        schedule.Tasks
+	stability    stability
 }
 
 // Run serves until a drain has finished or the context is done. It returns an error if a listener can't be started.
