A starting node waits less for peers that have ended

Cause: a starting node gave its seeds 0.6 s before it read the store, and asked them one after the other, three round trips to another region each, where all refuse. Change: the next seed is asked after 50 ms, and the store is read after 0.35 s or once all seeds have refused.

--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -29,9 +29,9 @@
 	upstreamsReadPeriod = 1500 * time.Millisecond
 	// storeReadDelay is how long a starting node waits for its peers before it reads the topics from the store, which sends
 	// them whole and uncompressed; after a peer's snapshot it returns only what has changed since. A peer in another region
-	// answers within some round trips, 180 ms, and a small or busy node needs as long again to send 2,500 routes. Peers that
-	// are starting as well refuse at once.
-	storeReadDelay     = 600 * time.Millisecond
+	// answers within some round trips, 180 ms, and needs some more to send large routes. Callers that come meanwhile are
+	// refused.
+	storeReadDelay     = 350 * time.Millisecond
 	seedsCheckInterval = 10 * time.Millisecond
 	// copyReadDelay is how long a starting node waits for the topics before it reads the copies; the store answers within
 	// milliseconds, plus a round trip between regions.
--- a/internal/transport/entryvm/seeds.go
+++ b/internal/transport/entryvm/seeds.go
@@ -11,9 +11,9 @@
 	"lagoongw/internal/transport/catalog"
 )
 
-// seedInterval is how long a starting node waits for a seed before it asks the next one as well. A seed in another region answers
-// within some round trips, 180 ms; one that has gone doesn't.
-const seedInterval = 250 * time.Millisecond
+// seedInterval is how long a starting node waits for a seed before it asks the next one as well. A seed in the same region answers
+// within milliseconds. Where all nodes have ended, it soon knows that all seeds refuse, and reads the store.
+const seedInterval = 50 * time.Millisecond
 
 var errNoSeeds = eris.New("the settings name no other node")
 
--- a/internal/transport/entryvm/seeds_test.go
+++ b/internal/transport/entryvm/seeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,12 +47,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				asked := 0
+				var asked atomic.Int64
 				addresses := make([]string, len(c.seeds))
 				start := time.Now()
 				got, err := askSeeds(t.Context(), addresses, func(ctx context.Context, _ string) (wire.FeedUpdate, error) {
-					answer := c.seeds[asked]
-					asked++
+					answer := c.seeds[asked.Add(1)-1]
 					switch answer := answer.(type) {
 					case error:
 						return wire.FeedUpdate{}, answer
@@ -65,7 +65,7 @@
 				})
 				is.True(errors.Is(err, c.err))
 				is.Equal(got, c.want)
-				is.Equal(asked, c.asked)
+				is.Equal(int(asked.Load()), c.asked)
 				is.True(time.Since(start) <= c.limit)
 			})
 		})
