Test: a node that only knows of newer routes doesn't count as having them

TestLargeRoutesAreNotReadByEachNode took 503 on a new route for the routes in force. Since a node that was told of newer routes and lacks them answers 503 there too, so that the test could have stopped waiting too soon. It asks for the last route of the version before instead, which only the newer version answers with 404.

--- a/test/transfers/routes_test.go
+++ b/test/transfers/routes_test.go
@@ -42,9 +42,10 @@
 
 func lastPath(version int) string { return fmt.Sprintf("/last-%d/", version) }
 
-// has reports whether a node has a version of the routes in force: it answers 404 for a route that it doesn't know.
+// has reports whether a node has a version of the routes in force: it answers 404 for the last route of the version before, which
+// is gone. A node that knows that it lacks the version answers 503 for a route that it doesn't know.
 func has(n *site.Node, version int) bool {
-	request, err := http.NewRequest(http.MethodGet, "http://"+n.Callers+lastPath(version), nil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.Callers+lastPath(version-1), nil)
 	if err != nil {
 		return false
 	}
@@ -56,7 +57,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable
+	return response.StatusCode == http.StatusNotFound
 }
 
 // await waits until all nodes have a version of the routes.
