--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -58,7 +58,7 @@
 	lanes map[string]*lane
 }
 
-// Lane limits the requests of a kind. One is in work until its answer was written.
+// Lane limits the requests of a kind, each of which is in work until its answer was written.
 type Lane struct {
 	// Kind is the kind of the requests, "" if any number of them may be in work.
 	Kind string
