A node that isn't ready denies nothing for good

Cause: refuses for now what outdated routes don't allow, but only once a member has told of a newer version. A node that starts has its first routes before anybody tells it anything, and answered 404 and 401 by them. Change: until a node is ready, that is until it knows its routes to be current, what they don't allow is refused with 503 and Retry-After. What they allow is served as before. TestNodeThatIsNotReadyDeniesNothingForGood got 404 before: its store tells the routes and not the upstreams, so that the node is never ready.

--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -231,7 +231,7 @@
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
-		Outdated:    p.Catalog.RoutesOutdated,
+		Outdated:    p.routesOutdated,
 		Dispatcher:  p.dispatcher,
 		Connections: p.connections,
 		RetryBudget: p.budget,
@@ -335,6 +335,10 @@
 	}
 }
 
+// routesOutdated reports whether newer routes than those of this node may be in force: another node has some, or this one is
+// starting and doesn't know yet whether its routes are current.
+func (p *Process) routesOutdated() bool { return !p.Catalog.Ready() || p.Catalog.RoutesOutdated() }
+
 // joinWhenReady joins the members once this node can serve.
 func (p *Process) joinWhenReady(ctx context.Context) {
 	p.awaitCatalog(ctx)
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -32,8 +32,8 @@
 	Codec Codec
 	// Routes returns the current routing table, nil until one is known.
 	Routes func() *route.Table
-	// Outdated, if set, reports whether another node has newer routes. What these don't allow is then refused for now, since the
-	// newer ones may allow it.
+	// Outdated, if set, reports whether newer routes than those of this node may be in force. What these don't allow is then
+	// refused for now, since the newer ones may allow it.
 	Outdated func() bool
 	// Dispatcher chooses upstreams.
 	Dispatcher *dispatch.Dispatcher
@@ -202,7 +202,7 @@
 	if s.Outdated != nil && s.Outdated() {
 		return &localAnswer{
 			status:     http.StatusServiceUnavailable,
-			reason:     reason + " in the routes of this node, and another one has newer routes",
+			reason:     reason + " in the routes of this node, which may be outdated",
 			retryAfter: retryAfterStarting,
 		}
 	}
