Requests wait for a starting node

Cause: a starting node first asks its peers for the topics, which spares the links. Where all nodes start, the peers refuse, the routes are in force 0.3 s (median) after the node listens, and every request of that time was refused, to return after 0.3 s on a new connection. Change: a request waits for the node to be ready, 0.5 s at most, and is then served or refused as before. Ruled out: reading the store beside the peers again, which is what filled the links. TestRequestsWaitForTheRoutesOfAStartingNode and TestRequestsWaitForAStartingNode are new; the waits of package catalog share schedule.Await.

--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -46,6 +46,10 @@
 	// startLimit is how long a starting node waits for topics that are current. Then it serves by the last ones that it has
 	// found: callers of a site whose store is unavailable are better served by old routes than by none.
 	startLimit = 2 * time.Second
+	// readyWait is how long a request waits for a starting node. A caller gives up a connection on which its request isn't read
+	// within a second, and one that is refused is told to return after about as long.
+	readyWait          = 500 * time.Millisecond
+	readyCheckInterval = 5 * time.Millisecond
 	// copySaveDelay is how long a node runs before it saves the copies, so that nodes that start together have agreed on
 	// one reader.
 	copySaveDelay = 4 * time.Second
@@ -173,6 +177,11 @@
 	return ready
 }
 
+// AwaitReady waits until the service is ready, for readyWait at most.
+func (s *Service) AwaitReady(ctx context.Context) {
+	schedule.Await(ctx, readyWait, readyCheckInterval, s.Ready)
+}
+
 // startIsOver reports whether both topics are current, or this node has to serve by what it has: it has waited for long, or
 // neither the store nor a peer can supply the rest.
 func (s *Service) startIsOver(now time.Time) bool {
@@ -255,9 +264,7 @@
 
 // awaitSeeds waits for the answers of the peers in the settings, for storeReadDelay at most.
 func (s *Service) awaitSeeds(ctx context.Context) {
-	for end := s.startedAt.Add(storeReadDelay); !s.seedsAsked.Load() && time.Now().Before(end) && ctx.Err() == nil; {
-		schedule.Pause(ctx, seedsCheckInterval)
-	}
+	schedule.Await(ctx, time.Until(s.startedAt.Add(storeReadDelay)), seedsCheckInterval, s.seedsAsked.Load)
 }
 
 // followUpstreams reads the upstreams when this node is due. A node other than the reader is due only if no update has
@@ -350,12 +357,7 @@
 
 // awaitUpdate waits up to pushWait for an update that is on its way, and reports whether it has come.
 func awaitUpdate(ctx context.Context, hasCome func() bool) bool {
-	for end := time.Now().Add(pushWait); !hasCome() && ctx.Err() == nil; schedule.Pause(ctx, pushCheckInterval) {
-		if !time.Now().Before(end) {
-			return false
-		}
-	}
-	return true
+	return schedule.Await(ctx, pushWait, pushCheckInterval, hasCome)
 }
 
 // CatchUp reads the records that a peer's update left out from the store, or fetches the whole topic from the peer at an
--- a/internal/transport/catalog/start_test.go
+++ b/internal/transport/catalog/start_test.go
@@ -193,3 +193,25 @@
 		is.True(node.UpstreamsAge() >= 10*time.Second)
 	})
 }
+
+// TestRequestsWaitForAStartingNode guards against requests that a starting node refused, though it was to be ready soon, and checks
+// that the wait is bounded.
+func TestRequestsWaitForAStartingNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence, wait time.Duration
+		ready         bool
+	}{
+		"store that answers soon": {silence: 0, wait: 400 * time.Millisecond, ready: true},
+		"silent store":            {silence: time.Hour, wait: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runStart(t, c.silence, func(t *testing.T, node *Service) {
+				is := is.New(t)
+				start := time.Now()
+				node.AwaitReady(t.Context())
+				is.True(time.Since(start) <= c.wait)
+				is.Equal(node.Ready(), c.ready)
+			})
+		})
+	}
+}
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -231,6 +231,7 @@
 	p.gateway = &gateway.Server{
 		Codec:       p.Codec,
 		Routes:      p.Catalog.CurrentRoutes,
+		AwaitReady:  p.Catalog.AwaitReady,
 		Outdated:    p.routesOutdated,
 		Dispatcher:  p.dispatcher,
 		Connections: p.connections,
--- a/internal/transport/gateway/contract_test.go
+++ b/internal/transport/gateway/contract_test.go
@@ -15,6 +15,7 @@
 	"lagoongw/internal/coordination/drain"
 	"lagoongw/internal/coordination/memory"
 	"lagoongw/internal/coordination/origin"
+	"lagoongw/internal/state/route"
 )
 
 const (
@@ -243,6 +244,40 @@
 	}
 }
 
+// TestRequestsWaitForTheRoutesOfAStartingNode guards against requests that are refused by a node that knows its routes a moment
+// later, as by all nodes after all were lost.
+func TestRequestsWaitForTheRoutesOfAStartingNode(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		known  bool
+		status int
+	}{
+		"routes that come": {known: true, status: http.StatusOK},
+		"none that come":   {status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newTestGateway(t, map[string]script{"u1": answer(200, "good")})
+				routes, known := g.gateway.Routes, false
+				g.gateway.Routes = func() *route.Table {
+					if !known {
+						return nil
+					}
+					return routes()
+				}
+				g.gateway.AwaitReady = func(context.Context) {
+					time.Sleep(wait)
+					known = c.known
+				}
+				start := time.Now()
+				is.Equal(g.call(t.Context(), "/safe/x", "", nil).status, c.status)
+				is.True(time.Since(start) >= wait)
+			})
+		})
+	}
+}
+
 func TestRequestThatNoUpstreamTakesIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -32,6 +32,8 @@
 	Codec Codec
 	// Routes returns the current routing table, nil until one is known.
 	Routes func() *route.Table
+	// AwaitReady, if set, waits while this node starts, for a bounded time, for its routes and upstreams to be current.
+	AwaitReady func(ctx context.Context)
 	// Outdated, if set, reports whether newer routes than those of this node may be in force. What these don't allow is then
 	// refused for now, since the newer ones may allow it.
 	Outdated func() bool
@@ -130,6 +132,7 @@
 	steps := []func(*http.Request) *localAnswer{
 		x.reserve,
 		x.decode,
+		x.awaitReady,
 		x.matchRoute,
 		x.checkHeaderSize,
 		x.identify,
@@ -180,6 +183,14 @@
 	return nil
 }
 
+// awaitReady waits for a node that is starting, which is soon able to serve the request.
+func (x *exchange) awaitReady(r *http.Request) *localAnswer {
+	if x.server.AwaitReady != nil {
+		x.server.AwaitReady(r.Context())
+	}
+	return nil
+}
+
 func (x *exchange) matchRoute(*http.Request) *localAnswer {
 	table := x.server.Routes()
 	if table == nil {
--- a/internal/transport/schedule/schedule.go
+++ b/internal/transport/schedule/schedule.go
@@ -31,3 +31,14 @@
 	case <-timer.C:
 	}
 }
+
+// Await blocks until done returns true, which it checks once per interval, for a limit at most, or until the context ends. It
+// reports whether done returned true.
+func Await(ctx context.Context, limit, interval time.Duration, done func() bool) bool {
+	for end := time.Now().Add(limit); !done(); Pause(ctx, interval) {
+		if !time.Now().Before(end) || ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/transport/schedule/schedule_test.go
+++ b/internal/transport/schedule/schedule_test.go
@@ -32,3 +32,19 @@
 		is.Equal(time.Since(begin), time.Second)
 	})
 }
+
+func TestAwaitEndsAtTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		after := func(d time.Duration) func() bool { return func() bool { return time.Since(begin) >= d } }
+		is.True(Await(t.Context(), time.Second, 10*time.Millisecond, after(500*time.Millisecond)))
+		is.Equal(time.Since(begin), 500*time.Millisecond)
+		is.True(!Await(t.Context(), time.Second, 10*time.Millisecond, after(time.Hour)))
+		is.Equal(time.Since(begin), 1500*time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.True(!Await(ctx, time.Second, 10*time.Millisecond, after(time.Hour)))
+		is.Equal(time.Since(begin), 1500*time.Millisecond)
+	})
+}
