--- a/test/stops/caller_test.go
+++ b/test/stops/caller_test.go
@@ -130,7 +130,11 @@
 		node:  c.node,
 		limit: plainLimit,
 	}
-	r.kind = []string{"order", "order", "status", "status", "advice", "quote"}[c.random.IntN(6)]
+	kinds := c.fixture.play.kinds
+	if kinds == nil {
+		kinds = []string{"order", "order", "status", "status", "advice", "quote"}
+	}
+	r.kind = kinds[c.random.IntN(len(kinds))]
 	if r.kind == "advice" || r.kind == "quote" {
 		r.limit = streamLimit
 		r.events = 5 + c.random.IntN(maxEvents-5)
--- a/test/stops/stops_test.go
+++ b/test/stops/stops_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -56,12 +57,13 @@
 	lossSlack = 200 * time.Millisecond
 )
 
-// Variables of long runs: another build, the first seed and the number of seeds, and the number of nodes.
+// Variables of long runs: another build, the first seed and the number of seeds, and the numbers of nodes and callers.
 const (
 	programVariable = "LAGOONGW_PROGRAM"
 	seedVariable    = "LAGOONGW_SEED"
 	seedsVariable   = "LAGOONGW_SEEDS"
 	nodesVariable   = "LAGOONGW_NODES"
+	callersVariable = "LAGOONGW_CALLERS"
 )
 
 // play is one run of a site.
@@ -73,6 +75,10 @@
 	length       time.Duration
 	// rough plays have kills, freezes and faulty upstreams besides planned work.
 	rough bool
+	// kinds, if set, are the kinds of request that callers send.
+	kinds []string
+	// slow upstreams take the longest time for each request, and restarts are one node after another instead of other trouble.
+	slow, restarts bool
 }
 
 // trouble is what happens to a node for a time; planned work is a stop or a changed settings file.
@@ -111,6 +117,7 @@
 		upstreams: &upstreams{
 			store:   &site.Store{},
 			faulty:  p.rough,
+			slow:    p.slow,
 			runs:    map[string][]*run{},
 			refused: map[string]bool{},
 		},
@@ -154,7 +161,11 @@
 		}
 		group.Go(func() { c.run(ctx) })
 	}
+	group.Go(func() { f.silence(ctx, rand.New(rand.NewPCG(f.play.seed, 1<<33))) })
 	random := rand.New(rand.NewPCG(f.play.seed, 1<<32))
+	for i := 0; f.play.restarts && ctx.Err() == nil; i++ {
+		f.restart(t, f.nodes[i%len(f.nodes)])
+	}
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
 		names := []string{"term", "term", "zone", "hup"}
@@ -225,6 +236,8 @@
 // counts are how many requests ended in which way.
 type counts struct {
 	requests, answered, refused, failed, broken int
+	// repeats tells of the most repeats that came to each pool in a window.
+	repeats []string
 }
 
 // check returns what broke a promise, by rule.
@@ -246,6 +259,11 @@
 			faults[rule] = append(faults[rule], f.describe(r))
 		}
 	}
+	over, most := f.overBudget()
+	if len(over) > 0 {
+		faults["BUDGET"] = over
+	}
+	c.repeats = slices.Sorted(maps.Values(most))
 	return faults, c
 }
 
@@ -366,7 +384,7 @@
 			nodes:   number(t, nodesVariable, 4),
 			zones:   2,
 			grace:   []time.Duration{8 * time.Second, 4 * time.Second, 12 * time.Second}[seed/2%3],
-			callers: 60,
+			callers: number(t, callersVariable, 60),
 			length:  15 * time.Second,
 			rough:   seed%2 == 0,
 		}
@@ -376,8 +394,8 @@
 			f := start(t, program, p)
 			f.run(t)
 			faults, c := f.check()
-			t.Logf("grace %v, %d troubles; requests %d: %d answered, %d refused, %d failed, %d broken off",
-				p.grace, len(f.troubles), c.requests, c.answered, c.refused, c.failed, c.broken)
+			t.Logf("grace %v, %d troubles; requests %d: %d answered, %d refused, %d failed, %d broken off; %v",
+				p.grace, len(f.troubles), c.requests, c.answered, c.refused, c.failed, c.broken, c.repeats)
 			for rule, cases := range faults {
 				t.Errorf("%s broken %d times; the first: %s", rule, len(cases), strings.Join(cases[:min(len(cases), 3)], "\n"))
 			}
--- a/test/stops/upstream_test.go
+++ b/test/stops/upstream_test.go
@@ -31,11 +31,17 @@
 	store *site.Store
 	// faulty reports whether they break off, refuse, hold and copy some answers.
 	faulty bool
+	// slow reports whether each run takes the longest time.
+	slow bool
 
 	mu   sync.Mutex
 	runs map[string][]*run
 	// refused holds the requests that an upstream has turned away.
 	refused map[string]bool
+	// arrivals are the requests that have reached the upstreams of each pool, in their order, and arrived their IDs.
+	arrivals map[string][]arrival
+	arrived  map[string]bool
+	all      []*upstream
 }
 
 // fault is what an upstream does instead of a sound answer.
@@ -61,6 +67,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// silentUntil, guarded by the lock of upstreams, is when the upstream reads and writes again.
+	silentUntil time.Time
 }
 
 // start starts an upstream and registers it.
@@ -77,6 +85,7 @@
 		pool:      pool,
 		random:    rand.New(rand.NewPCG(seed, 0)),
 	}
+	u.all = append(u.all, server)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -98,7 +107,11 @@
 	if u.faulty && u.random.IntN(8) == 0 {
 		kind = fault(u.random.IntN(int(faults)))
 	}
-	return time.Duration(u.random.Int64N(int64(longest))), kind
+	wait := time.Duration(u.random.Int64N(int64(longest)))
+	if u.slow {
+		wait = longest
+	}
+	return wait, kind
 }
 
 func (u *upstream) serve(conn net.Conn) {
@@ -112,6 +125,8 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
+		u.await()
+		u.arrive(r.Header.Get("X-Lagoongw-Attempt-Id"))
 		if !u.answer(halfClosable{Conn: conn, reader: reader}, r) {
 			return
 		}
@@ -198,6 +213,7 @@
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head)
 	for event := after + 1; event <= count && err == nil; event++ {
 		time.Sleep(eventPause)
+		u.await()
 		text := fmt.Sprintf("id: %d\ndata: %d of %s\n\n", event, event, r.Header.Get("X-Stream"))
 		if event == after+2 && (kind == resets || kind == stopsInBody) {
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(text), text[:5])
