Retries: a node that starts has no share of the slack for a window

Cause: a node counts its retries in memory and takes its share of the slack, which is the slack divided by the members it knows. After a start it had the whole share again, though its last run had used it within the same window; and until its first digest it knew only itself, so that its share was that of all nodes. Each start added up to 56. The class of fault: state that a promise needs is kept by one process and forgotten at its end. Callers' requests earn retries as before, also after a start. Change: a node has no slack until a window after its start, when what its last run may have used has left every window; the nodes are at least those of its settings. Ruled out: a share that grows during that window, which still adds up to too much; telling peers what was used, which a kill of all nodes forgets as well.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -36,6 +36,9 @@
 	Allowance func() Allowance
 	// Nodes returns the number of nodes that share Allowance.Slack evenly.
 	Nodes func() int
+	// NodeStartedAt is when this node started, zero if long ago. Its last run may have used its share of the slack until then, so
+	// that it has none until a window later.
+	NodeStartedAt time.Time
 
 	mu        sync.Mutex
 	startedAt time.Time
@@ -83,7 +86,10 @@
 		}
 	}
 	allowance := w.Allowance()
-	allowed := nodeRatioShare*allowance.Ratio*float64(requests) + allowance.Slack/float64(max(w.Nodes(), 1))
+	allowed := nodeRatioShare * allowance.Ratio * float64(requests)
+	if now.Sub(w.NodeStartedAt) > allowance.Length {
+		allowed += allowance.Slack / float64(max(w.Nodes(), 1))
+	}
 	return float64(retries+1) <= allowed
 }
 
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -48,10 +48,29 @@
 	is.True(w.Take(testStart.Add(13 * time.Second)))
 }
 
+// TestNodeThatStartsHasNoSlackForAWindow guards against a restart that renews a share of the slack.
+func TestNodeThatStartsHasNoSlackForAWindow(t *testing.T) {
+	is := is.New(t)
+	w := newWindow(8)
+	w.NodeStartedAt = testStart
+	is.True(!w.Take(testStart))
+	for range 10 {
+		w.RecordRequest(testStart)
+	}
+	is.True(w.Take(testStart)) // its requests earn retries at once
+	is.True(!w.Take(testStart.Add(10 * time.Second)))
+	is.True(w.Take(testStart.Add(10*time.Second + time.Millisecond)))
+}
+
 // TestNoWindowOfAllNodesHasTooManyRetries draws requests and retries at all nodes and checks each window that ends
 // with a retry. Over all nodes, such a window may hold at most the slack, plus the ratio times the requests of this
 // window, of the one before it, or of the one that begins half a window earlier, whichever has the most.
-func TestNoWindowOfAllNodesHasTooManyRetries(t *testing.T) {
+func TestNoWindowOfAllNodesHasTooManyRetries(t *testing.T) { checkWindows(t, false) }
+
+// TestNoWindowHasTooManyRetriesAlthoughNodesRestart guards against nodes that had their share of the slack again at each start.
+func TestNoWindowHasTooManyRetriesAlthoughNodesRestart(t *testing.T) { checkWindows(t, true) }
+
+func checkWindows(t *testing.T, restarts bool) {
 	const length = 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 5).Draw(t, "nodes")
@@ -63,7 +82,12 @@
 		now := testStart
 		for range rapid.IntRange(10, 400).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
-			node := nodes[rapid.IntRange(0, count-1).Draw(t, "node")]
+			number := rapid.IntRange(0, count-1).Draw(t, "node")
+			if restarts && rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				nodes[number] = newWindow(count)
+				nodes[number].NodeStartedAt = now
+			}
+			node := nodes[number]
 			if rapid.Bool().Draw(t, "request") {
 				node.RecordRequest(now)
 				requests = append(requests, now)
--- a/internal/transport/entryvm/process.go
+++ b/internal/transport/entryvm/process.go
@@ -129,6 +129,7 @@
 	callers      connectionLimit
 	budgetsMu    sync.Mutex
 	budgets      map[string]*retry.WindowBudget
+	startedAt    time.Time
 	drainer      shutdown.Drainer
 	tasks        schedule.Tasks
 	stability    stability
@@ -223,6 +224,7 @@
 	p.Catalog.Versions = p.origins
 	p.Catalog.Prepare()
 	p.budgets = map[string]*retry.WindowBudget{}
+	p.startedAt = time.Now()
 	p.memoryReporter.process = p
 	p.memoryBudget = memory.NewBudget(p.MemoryLimit)
 	p.callers.limit = maxConnections(p.memoryBudget, p.Descriptors)
@@ -369,7 +371,9 @@
 	if b == nil {
 		b = &retry.WindowBudget{
 			Allowance: p.allowance,
-			Nodes:     func() int { return len(p.members.Members()) },
+			// A node that knows no others yet still knows how many its settings name.
+			Nodes:         func() int { return max(len(p.members.Members()), len(p.tunables.Load().Seeds)) },
+			NodeStartedAt: p.startedAt,
 		}
 		p.budgets[pool] = b
 	}
