Serve: the head of an upstream's answer is bounded by 16 KB

What users reported of a system like this one: a faulty replica sends bytes that are no answer, without end, in a head or in a body; the machine keeps them all and runs out of memory, with the requests of its other callers. Looked at: entry VMs bound heads, interim answers, bodies, trailers, chunk sizes and events already, each with a test. `serve` bounds bodies and events, but not heads: its HTTP client keeps up to 10 MB of a head for each request.

--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/connection"
 )
 
 const (
@@ -49,10 +50,11 @@
 func (c *Client) Open() {
 	breaker.NoBreakerFor(serviceName)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: 8,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    8,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: connection.MaxHeadBytes,
 	}
 	c.service = httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport})
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/connection"
 )
 
 // Request and response headers between a node and an upstream.
@@ -85,11 +86,12 @@
 // with disableKeepAlives never resends.
 func newService(disableKeepAlives bool) httpc.Service {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: connection.MaxHeadBytes,
+		DisableKeepAlives:      disableKeepAlives,
 	}
 	return httpc.NewServiceWithClient(serviceName, &http.Client{
 		Transport: transport,
