--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -34,8 +34,8 @@
 	storeReadDelay     = 350 * time.Millisecond
 	seedsCheckInterval = 10 * time.Millisecond
 	// seedsStartLimit is how long a starting node waits for seeds that are starting too. Where all nodes start together, only the
-	// seeds then read the store, whose answers to all others would fill the links between regions. After as long callers have
-	// given up.
+	// seeds then read the store, whose answers to all others would fill the links between regions. After that time the node
+	// reads the store itself, since its seeds may be unable to.
 	seedsStartLimit = 4 * time.Second
 	// seedRetryInterval is the first time between two requests to seeds that are starting, which doubles up to
 	// maxSeedRetryInterval: a seed answers those of hundreds of nodes.
--- a/internal/transport/catalog/start_test.go
+++ b/internal/transport/catalog/start_test.go
@@ -73,14 +73,7 @@
 			fakeTopic: upstreams,
 			until:     until,
 		}
-		node.Prepare()
-		ctx, cancel := context.WithCancel(context.Background())
-		var group sync.WaitGroup
-		group.Go(func() { node.Run(ctx) })
-		defer func() {
-			cancel()
-			group.Wait()
-		}()
+		defer runNode(node)()
 		test(t, node)
 	})
 }
@@ -110,6 +103,32 @@
 	return r.fakeTopic.Newest(ctx)
 }
 
+// countWholeReads returns the number of reads of whole topics that a node will make.
+func countWholeReads(node *Service, routes, upstreams *fakeTopic) *atomic.Int64 {
+	var count atomic.Int64
+	node.Routes = wholeReads{
+		fakeTopic: routes,
+		count:     &count,
+	}
+	node.Upstreams = wholeReads{
+		fakeTopic: upstreams,
+		count:     &count,
+	}
+	return &count
+}
+
+// runNode runs a node, and returns what stops it.
+func runNode(node *Service) (stop func()) {
+	node.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { node.Run(ctx) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // slowSeeds returns the seeds' answers after a delay.
 type slowSeeds struct {
 	sitePeers
@@ -148,21 +167,8 @@
 					peers.site = newSite()
 				}
 				node := newNode(peers, routes, upstreams)
-				var count atomic.Int64
-				node.Routes = wholeReads{
-					fakeTopic: routes,
-					count:     &count,
-				}
-				node.Upstreams = wholeReads{
-					fakeTopic: upstreams,
-					count:     &count,
-				}
-				node.Prepare()
-				ctx, cancel := context.WithCancel(context.Background())
-				var group sync.WaitGroup
-				group.Go(func() { node.Run(ctx) })
-				defer group.Wait()
-				defer cancel()
+				count := countWholeReads(node, routes, upstreams)
+				defer runNode(node)()
 				time.Sleep(c.ready)
 				is.True(node.Ready())
 				time.Sleep(bound)
@@ -258,21 +264,8 @@
 				}
 				node := newNode(peers, routes, upstreams)
 				peers.node = node
-				var count atomic.Int64
-				node.Routes = wholeReads{
-					fakeTopic: routes,
-					count:     &count,
-				}
-				node.Upstreams = wholeReads{
-					fakeTopic: upstreams,
-					count:     &count,
-				}
-				node.Prepare()
-				ctx, cancel := context.WithCancel(context.Background())
-				var group sync.WaitGroup
-				group.Go(func() { node.Run(ctx) })
-				defer group.Wait()
-				defer cancel()
+				count := countWholeReads(node, routes, upstreams)
+				defer runNode(node)()
 				time.Sleep(c.ready)
 				is.True(node.Ready())
 				is.Equal(count.Load(), c.reads)
