--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -277,7 +277,7 @@
 
 // awaitsSeeds reports whether a topic is to come from a seed that is starting.
 func (s *Service) awaitsSeeds() bool {
-	return s.seedsStarting.Load() && time.Since(s.startedAt) < seedsStartLimit && !(s.routes.loaded() && s.upstreams.loaded())
+	return s.seedsStarting.Load() && time.Since(s.startedAt) < seedsStartLimit && (!s.routes.loaded() || !s.upstreams.loaded())
 }
 
 // loadFrom loads a topic with the snapshot that fetch returns, if it is needed, and reports whether fetch has returned one.
