Feed: late updates no longer make every node push to all others

Change: the first nine of the order send what they read, as before. A node further down reads for itself alone, unless no peer has sent the topic for so long that none before it can reach the store. Sites of up to nine nodes are as before.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -9,6 +9,9 @@
 	fallbackStep  = 150 * time.Millisecond
 	// maxFallbackSteps limits the delay, so that every node's copy stays younger than three seconds.
 	maxFallbackSteps = 4
+	// maxPushRank is the last rank from which a node sends what it reads to all others in any case. On a site of hundreds of nodes
+	// all further ones read at the same time once updates are late, and would make them later.
+	maxPushRank = 8
 	// minBackoff is the pause after the first failed read.
 	minBackoff = 300 * time.Millisecond
 	// MaxBackoff is the pause after many failed reads. It limits the load on a store that is unavailable. Together with
@@ -31,6 +34,12 @@
 	return !now.Before(s.retryAt) && s.Age(now) >= s.Period+s.rankDelay(rank)
 }
 
+// PushDue reports whether this node has to send what it reads to the other nodes. A node far down the order does so only where it
+// has heard of no other reader for so long that those before it don't reach the store; heardAt is when a peer's update came last.
+func (s *ReadSchedule) PushDue(rank int, heardAt, now time.Time) bool {
+	return rank <= maxPushRank || now.Sub(heardAt) >= s.Period+fallbackDelay+time.Duration(rank-1)*fallbackStep
+}
+
 func (s *ReadSchedule) rankDelay(rank int) time.Duration {
 	if rank <= 0 {
 		return 0
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -72,8 +72,10 @@
 	// failedAt is when this node's last failed read of the store ended, and storeAnswered is set if the store answered it.
 	failedAt      time.Time
 	storeAnswered bool
-	// pushedAt is when what was read last was sent to the peers.
+	// pushedAt is when what was read last was sent to the peers, and heardAt when a peer has sent something last, or this node has
+	// started.
 	pushedAt time.Time
+	heardAt  time.Time
 	// packing guards packed, the last snapshot that was packed.
 	packing sync.Mutex
 	packed  packedSnapshot
@@ -86,15 +88,16 @@
 	update    wire.FeedUpdate
 }
 
-// read reads the store once and sends what changed to the peers.
-func (f *follower) read(ctx context.Context, wait time.Duration) error {
+// read reads the store once and sends what changed to the peers, unless this node is far down the order of readers, in which it has
+// a rank.
+func (f *follower) read(ctx context.Context, rank int, wait time.Duration) error {
 	update, err := f.fetch(ctx, wait)
 	if err != nil {
 		f.recordFailure(ctx, err, time.Now())
 		return err
 	}
 	f.logReachability(nil)
-	f.accept(ctx, update)
+	f.accept(ctx, rank, update)
 	return nil
 }
 
@@ -131,15 +134,23 @@
 	f.push(update)
 }
 
-// accept applies an update that was read from the store and sends what changed to the peers.
-func (f *follower) accept(ctx context.Context, update wire.FeedUpdate) {
+// accept applies an update that was read from the store and sends what changed to the peers if that is due.
+func (f *follower) accept(ctx context.Context, rank int, update wire.FeedUpdate) {
 	f.onStoreReachable()
 	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) {
 		pushed, _ := f.applyRead(update, now)
-		f.pushRead(pushed)
+		if f.isPushDue(rank, now) {
+			f.pushRead(pushed)
+		}
 	})
 }
 
+func (f *follower) isPushDue(rank int, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readSchedule.PushDue(rank, f.heardAt, now)
+}
+
 // readAlone reads the store once for this node alone.
 func (f *follower) readAlone(ctx context.Context) error {
 	update, err := f.fetch(ctx, 0)
@@ -382,6 +393,7 @@
 // handleUpdate merges an update that a peer has pushed; gap reports that records are missing and the whole topic must be
 // fetched from that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
+	f.hear()
 	update.Records = f.readable(update.Records)
 	return f.applyUpdate(update, time.Now().Add(-ageOf(update)))
 }
@@ -389,6 +401,7 @@
 // handleSnapshot merges a snapshot that a peer has returned to a fetch which began at a time. It is as old as it was at the peer,
 // and of unknown age if the peer doesn't tell.
 func (f *follower) handleSnapshot(update wire.FeedUpdate, askedAt time.Time) {
+	f.hear()
 	update.Records = f.readable(update.Records)
 	currentAt := time.Time{}
 	if update.AgeMs != nil {
@@ -397,6 +410,13 @@
 	f.applyUpdate(update, currentAt)
 }
 
+// hear notes that a peer has sent something of the topic.
+func (f *follower) hear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heardAt = time.Now()
+}
+
 // ageOf returns the age that an update tells, 0 if it tells none.
 func ageOf(update wire.FeedUpdate) time.Duration {
 	if update.AgeMs == nil {
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -170,6 +170,7 @@
 		tasks:              &s.tasks,
 		topic:              feed.Topic{Name: topic},
 		readSchedule:       feed.ReadSchedule{Period: upstreamsReadPeriod},
+		heardAt:            time.Now(),
 	}
 }
 
@@ -330,10 +331,10 @@
 		now := time.Now()
 		rank := s.Peers.ReaderRank()
 		if s.upstreams.due(rank, now) {
-			if s.upstreams.read(ctx, 0) != nil {
+			if s.upstreams.read(ctx, rank, 0) != nil {
 				s.upstreams.loadCopy(ctx)
 			}
-			if rank != 0 && s.routes.read(ctx, 0) != nil {
+			if rank != 0 && s.routes.read(ctx, rank, 0) != nil {
 				s.routes.loadCopy(ctx)
 			}
 			s.saveCopies(ctx, rank, now.Sub(started))
@@ -362,7 +363,7 @@
 			schedule.Pause(ctx, pollInterval)
 			continue
 		}
-		if s.routes.read(ctx, wait) != nil {
+		if s.routes.read(ctx, 0, wait) != nil {
 			s.routes.loadCopy(ctx)
 			wait = 0
 			schedule.Pause(ctx, s.routes.backoff())
--- a/internal/transport/catalog/service_test.go
+++ b/internal/transport/catalog/service_test.go
@@ -87,7 +87,7 @@
 		upstreams.put("u1", "draining")
 		update, err := reader.fetch(context.Background(), 0)
 		is.NoErr(err)
-		is.NoErr(other.read(context.Background(), 0))
+		is.NoErr(other.read(context.Background(), 0, 0))
 		snapshot, _ := other.snapshot()
 		reader.handleUpdate(snapshot)
 		pushed, _ := reader.applyRead(update, time.Now())
