--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -139,13 +139,14 @@
 	f.onStoreReachable()
 	f.admit(ctx, update, func(update wire.FeedUpdate, now time.Time) {
 		pushed, _ := f.applyRead(update, now)
-		if f.isPushDue(rank, now) {
+		if f.pushesAt(rank, now) {
 			f.pushRead(pushed)
 		}
 	})
 }
 
-func (f *follower) isPushDue(rank int, now time.Time) bool {
+// pushesAt reports whether this node, with a rank in the order of readers, sends what it reads to the peers.
+func (f *follower) pushesAt(rank int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.readSchedule.PushDue(rank, f.heardAt, now)
