Catalog: a ready node doesn't read the clock for each request

Each request asked AwaitReady, which set up a wait with two readings of the clock before it looked whether the node is ready. Two comments still said that callers of a starting node are refused at once.

--- a/internal/transport/catalog/start.go
+++ b/internal/transport/catalog/start.go
@@ -12,8 +12,8 @@
 const (
 	// storeReadDelay is how long a starting node waits for its peers before it reads the topics from the store, which sends
 	// them whole and uncompressed; after a peer's snapshot it returns only what has changed since. A peer in another region
-	// answers within some round trips, 180 ms, and needs some more to send large routes. Callers that come meanwhile are
-	// refused.
+	// answers within some round trips, 180 ms, and needs some more to send large routes. Callers that come meanwhile wait
+	// for up to readyWait.
 	storeReadDelay     = 350 * time.Millisecond
 	seedsCheckInterval = 10 * time.Millisecond
 	// seedsStartLimit is how long a starting node waits for seeds that are starting too. Where all nodes start together, only the
@@ -34,7 +34,7 @@
 	// found: callers of a site whose store is unavailable are better served by old routes than by none.
 	startLimit = 2 * time.Second
 	// readyWait is how long a request waits for a starting node. A caller gives up a connection on which its request isn't read
-	// within a second, and one that is refused is told to return after about as long.
+	// within a second, and needs a new connection to return after a refusal.
 	readyWait          = 500 * time.Millisecond
 	readyCheckInterval = 5 * time.Millisecond
 )
@@ -55,6 +55,9 @@
 
 // AwaitReady waits until the service is ready, for readyWait at most.
 func (s *Service) AwaitReady(ctx context.Context) {
+	if s.ready.Load() {
+		return // as for nearly every request
+	}
 	schedule.Await(ctx, readyWait, readyCheckInterval, s.Ready)
 }
 
