Feed: the read schedule keeps when a peer was heard, and one delay by rank

Whether a node pushes what it reads is decided by package feed, while the follower kept the time that the decision needs, and the delay of a rank was written twice. Both are of the read schedule now. No figure and no decision changes; the tests are as they were.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -25,8 +25,10 @@
 	Period time.Duration
 
 	currentAt time.Time
-	retryAt   time.Time
-	backoff   time.Duration
+	// heardAt is when a peer has sent something of the topic last, or this node has started.
+	heardAt time.Time
+	retryAt time.Time
+	backoff time.Duration
 }
 
 // Due reports whether this node has to read the store now; rank is its position in the order of readers, 0 first.
@@ -35,18 +37,26 @@
 }
 
 // PushDue reports whether this node has to send what it reads to the other nodes. A node far down the order does so only where it
-// has heard of no other reader for so long that those before it don't reach the store; heardAt is when a peer's update came last.
-func (s *ReadSchedule) PushDue(rank int, heardAt, now time.Time) bool {
-	return rank <= maxPushRank || now.Sub(heardAt) >= s.Period+fallbackDelay+time.Duration(rank-1)*fallbackStep
+// has heard of no other reader for so long that those before it don't reach the store.
+func (s *ReadSchedule) PushDue(rank int, now time.Time) bool {
+	return rank <= maxPushRank || now.Sub(s.heardAt) >= s.Period+fallbackAfter(rank-1)
 }
 
 func (s *ReadSchedule) rankDelay(rank int) time.Duration {
 	if rank <= 0 {
 		return 0
 	}
-	return fallbackDelay + time.Duration(min(rank-1, maxFallbackSteps))*fallbackStep
+	return fallbackAfter(min(rank-1, maxFallbackSteps))
 }
 
+// fallbackAfter returns the delay of the node that comes a number of steps after the second one in the order of readers.
+func fallbackAfter(steps int) time.Duration {
+	return fallbackDelay + time.Duration(steps)*fallbackStep
+}
+
+// MarkHeard records that a peer has sent something of the topic.
+func (s *ReadSchedule) MarkHeard(now time.Time) { s.heardAt = now }
+
 // MarkCurrent records that the copy is current as of a time, after a read or a peer's update. One that is older than the copy
 // before tells nothing.
 func (s *ReadSchedule) MarkCurrent(at time.Time) {
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -72,10 +72,8 @@
 	// failedAt is when this node's last failed read of the store ended, and storeAnswered is set if the store answered it.
 	failedAt      time.Time
 	storeAnswered bool
-	// pushedAt is when what was read last was sent to the peers, and heardAt when a peer has sent something last, or this node has
-	// started.
+	// pushedAt is when what was read last was sent to the peers.
 	pushedAt time.Time
-	heardAt  time.Time
 	// packing guards packed, the last snapshot that was packed.
 	packing sync.Mutex
 	packed  packedSnapshot
@@ -149,7 +147,7 @@
 func (f *follower) pushesAt(rank int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.readSchedule.PushDue(rank, f.heardAt, now)
+	return f.readSchedule.PushDue(rank, now)
 }
 
 // readAlone reads the store once for this node alone.
@@ -415,7 +413,7 @@
 func (f *follower) hear() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heardAt = time.Now()
+	f.readSchedule.MarkHeard(time.Now())
 }
 
 // ageOf returns the age that an update tells, 0 if it tells none.
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -134,7 +134,7 @@
 }
 
 func (s *Service) newFollower(topic string, applyRecords func(records []wire.FeedRecord) []wire.FeedRecord) *follower {
-	return &follower{
+	f := &follower{
 		applyRecords:       applyRecords,
 		onStoreReachable:   func() {},
 		onStoreUnreachable: func() {},
@@ -143,8 +143,9 @@
 		tasks:              &s.tasks,
 		topic:              feed.Topic{Name: topic},
 		readSchedule:       feed.ReadSchedule{Period: upstreamsReadPeriod},
-		heardAt:            time.Now(),
 	}
+	f.hear()
+	return f
 }
 
 // CurrentRoutes returns the routes in force, or nil if there are none yet.
