Catalog: the tests build their sites in one place

runLateSite had copied runSiteOf with another number of nodes, and three files a pause that package schedule has. runNodes serves both; every assertion is as it was. With pushes of all nodes allowed again TestLateUpdatesCauseNoStorm still fails.

--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -16,6 +16,7 @@
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
+	"lagoongw/internal/transport/schedule"
 )
 
 var errStoreUnavailable = errors.New("store unavailable")
@@ -124,7 +125,7 @@
 	s.mu.Unlock()
 	switch {
 	case hang:
-		pause(ctx, wait+timeout)
+		schedule.Pause(ctx, wait+timeout)
 		return Batch{}, context.DeadlineExceeded
 	case unavailable:
 		return Batch{}, errStoreUnavailable
@@ -159,13 +160,6 @@
 
 func (s *fakeTopic) Receiving() bool { return false }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // site is a set of nodes, one service each, that push updates to each other without delay; a node's rank as a reader is
 // its index.
 type site struct {
@@ -300,19 +294,29 @@
 
 // runSiteOf is runSite with a function that configures each node.
 func runSiteOf(t *testing.T, configure func(s *Service), test func(s *site, routes, upstreams *fakeTopic)) {
+	runNodes(t, 3, 5*time.Second, func(s *Service, _ sitePeers, _, _ *fakeTopic) { configure(s) }, test)
+}
+
+// runNodes runs a test against a number of nodes that have run for a time on a store with version 1 of the routes and one upstream,
+// with a function that configures each node.
+func runNodes(
+	t *testing.T, count int, uptime time.Duration, configure func(s *Service, peers sitePeers, routes, upstreams *fakeTopic),
+	test func(s *site, routes, upstreams *fakeTopic),
+) {
 	synctest.Test(t, func(*testing.T) {
 		routes, upstreams := newTopic(), newTopic()
 		routes.put("config", "1")
 		upstreams.put("u1", "ready")
 		routesCopy, upstreamsCopy := newTopic(), newTopic()
 		s := newSite()
-		for i := range 3 {
-			service := newNode(sitePeers{
+		for i := range count {
+			peers := sitePeers{
 				site: s,
 				self: i,
-			}, routes, upstreams)
+			}
+			service := newNode(peers, routes, upstreams)
 			service.RoutesCopy, service.UpstreamsCopy = routesCopy, upstreamsCopy
-			configure(service)
+			configure(service, peers, routes, upstreams)
 			s.services = append(s.services, service)
 		}
 		for _, service := range s.services {
@@ -327,7 +331,7 @@
 			cancel()
 			group.Wait()
 		}()
-		time.Sleep(5 * time.Second)
+		time.Sleep(uptime)
 		test(s, routes, upstreams)
 	})
 }
--- a/internal/transport/catalog/start_test.go
+++ b/internal/transport/catalog/start_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/schedule"
 )
 
 // silentTopic is a topic of a store that doesn't answer until a time.
@@ -23,7 +24,7 @@
 func (s silentTopic) await(ctx context.Context) error {
 	const timeout = 700 * time.Millisecond
 	if silent := time.Until(s.until); silent > 0 {
-		pause(ctx, min(silent, timeout))
+		schedule.Pause(ctx, min(silent, timeout))
 		return context.DeadlineExceeded
 	}
 	return nil
@@ -136,7 +137,7 @@
 }
 
 func (p slowSeeds) FetchFromSeeds(ctx context.Context, topic string) (wire.FeedUpdate, error) {
-	pause(ctx, p.delay)
+	schedule.Pause(ctx, p.delay)
 	return p.sitePeers.FetchFromSeeds(ctx, topic)
 }
 
--- a/internal/transport/catalog/storm_test.go
+++ b/internal/transport/catalog/storm_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -47,68 +45,42 @@
 	return c.fakeTopic.Read(ctx, from, wait)
 }
 
-// lateSite is a site of many nodes whose updates are late.
-type lateSite struct {
-	*site
-	upstreams *fakeTopic
-	// pushes counts the pushes of all nodes, and cut makes all but the last two lose the store.
-	pushes atomic.Int64
-	cut    atomic.Bool
-}
-
-// runLateSite runs a test against a site that has run for 10 s.
-func runLateSite(t *testing.T, nodes int, delay time.Duration, test func(s *lateSite)) {
-	synctest.Test(t, func(*testing.T) {
-		routes, upstreams := newTopic(), newTopic()
-		routes.put("config", "1")
-		upstreams.put("u1", "ready")
-		s := &lateSite{
-			site:      newSite(),
-			upstreams: upstreams,
+// runLateSite runs a test against a site whose updates are late; pushes counts those of all nodes, and cut makes all nodes but the
+// last two lose the store.
+func runLateSite(
+	t *testing.T, nodes int, delay time.Duration, test func(s *site, upstreams *fakeTopic, pushes *atomic.Int64, cut *atomic.Bool),
+) {
+	var pushes atomic.Int64
+	var cut atomic.Bool
+	runNodes(t, nodes, 10*time.Second, func(s *Service, peers sitePeers, routes, upstreams *fakeTopic) {
+		s.Peers = latePeers{
+			sitePeers: peers,
+			delay:     delay,
+			pushes:    &pushes,
 		}
-		for i := range nodes {
-			node := newNode(latePeers{
-				sitePeers: sitePeers{
-					site: s.site,
-					self: i,
-				},
-				delay:  delay,
-				pushes: &s.pushes,
-			}, routes, upstreams)
-			if i < nodes-2 {
-				node.Routes = cutTopic{
-					fakeTopic: routes,
-					cut:       &s.cut,
-				}
-				node.Upstreams = cutTopic{
-					fakeTopic: upstreams,
-					cut:       &s.cut,
-				}
-			}
-			node.Prepare()
-			s.services = append(s.services, node)
+		if peers.self >= nodes-2 {
+			return
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		var group sync.WaitGroup
-		for _, node := range s.services {
-			group.Go(func() { node.Run(ctx) })
+		s.Routes = cutTopic{
+			fakeTopic: routes,
+			cut:       &cut,
 		}
-		defer group.Wait()
-		defer cancel()
-		time.Sleep(10 * time.Second)
-		test(s)
-	})
+		s.Upstreams = cutTopic{
+			fakeTopic: upstreams,
+			cut:       &cut,
+		}
+	}, func(s *site, _, upstreams *fakeTopic) { test(s, upstreams, &pushes, &cut) })
 }
 
 // TestLateUpdatesCauseNoStorm guards against every node of a large site reading the store and pushing what it read to all others
 // once updates were late, which made them later.
 func TestLateUpdatesCauseNoStorm(t *testing.T) {
 	const nodes, periods = 60, 10
-	runLateSite(t, nodes, 1200*time.Millisecond, func(s *lateSite) {
+	runLateSite(t, nodes, 1200*time.Millisecond, func(_ *site, _ *fakeTopic, pushes *atomic.Int64, _ *atomic.Bool) {
 		is := is.New(t)
-		before := s.pushes.Load()
+		before := pushes.Load()
 		time.Sleep(periods * upstreamsReadPeriod)
-		is.True(s.pushes.Load()-before <= 2*10*periods) // those of ten of the nodes, of two topics
+		is.True(pushes.Load()-before <= 2*10*periods) // those of ten of the nodes, of two topics
 	})
 }
 
@@ -116,10 +88,10 @@
 // readers reach the store.
 func TestNodeFarDownTheOrderPushesWhereNobodyElseDoes(t *testing.T) {
 	const nodes = 14
-	runLateSite(t, nodes, 10*time.Millisecond, func(s *lateSite) {
+	runLateSite(t, nodes, 10*time.Millisecond, func(s *site, upstreams *fakeTopic, _ *atomic.Int64, cut *atomic.Bool) {
 		is := is.New(t)
-		s.cut.Store(true)
-		s.upstreams.put("u1", "draining")
+		cut.Store(true)
+		upstreams.put("u1", "draining")
 		time.Sleep(2 * bound)
 		for _, node := range s.services {
 			u1, known := node.Table.Load().Replica("u1")
--- a/internal/transport/catalog/versions_test.go
+++ b/internal/transport/catalog/versions_test.go
@@ -10,6 +10,7 @@
 
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
+	"lagoongw/internal/transport/schedule"
 )
 
 // slowRecord takes a while to record a version.
@@ -44,7 +45,7 @@
 func (r *slowRecord) Listed(map[string][]string) {}
 
 func (r *slowRecord) Admit(ctx context.Context, versions map[string][]string) {
-	pause(ctx, r.delay)
+	schedule.Pause(ctx, r.delay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admits++
