--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -248,28 +248,21 @@
 
 // TestEndlessHeadIsBounded guards against the head of an answer without end, which was kept up to 10 MB for each request.
 func TestEndlessHeadIsBounded(t *testing.T) {
-	for name, head := range map[string]string{
-		"one header":      "HTTP/1.1 200 X\r\nX-A: ",
-		"many headers":    "HTTP/1.1 200 X\r\nX-A: 1\r\n",
-		"interim answers": "HTTP/1.1 100 X\r\n\r\n",
+	for name, c := range map[string]struct{ head, piece string }{
+		"one header":      {head: "HTTP/1.1 200 X\r\nX-A: ", piece: strings.Repeat("x", 1<<10)},
+		"many headers":    {head: "HTTP/1.1 200 X\r\nX-A: 1\r\n", piece: strings.Repeat("X-A: 1\r\n", 1<<7)},
+		"interim answers": {head: "HTTP/1.1 100 X\r\n\r\n", piece: strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1<<6)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			const mostBytes = 1 << 20 // what the kernel holds included
-			piece := strings.Repeat("x", 1<<10)
-			switch name {
-			case "many headers":
-				piece = strings.Repeat("X-A: 1\r\n", 1<<7)
-			case "interim answers":
-				piece = strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 1<<6)
-			}
 			taken := make(chan int, 1)
 			address, _ := startServer(t, func(_ int, conn net.Conn, _ *http.Request) {
 				_ = conn.(*net.TCPConn).SetWriteBuffer(1 << 14)
-				sent, err := io.WriteString(conn, head)
+				sent, err := io.WriteString(conn, c.head)
 				for err == nil && sent < 32<<20 {
 					var n int
-					n, err = io.WriteString(conn, piece)
+					n, err = io.WriteString(conn, c.piece)
 					sent += n
 				}
 				taken <- sent
--- a/test/stops/budget_test.go
+++ b/test/stops/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -18,25 +17,21 @@
 	retrySlack  = 56
 )
 
-// arrival is a request that has reached an upstream, whether or not it runs there.
+// arrival is a request that has reached an upstream of a pool, whether or not it runs there.
 type arrival struct {
-	at     time.Time
-	repeat bool
+	pool, id string
+	at       time.Time
 }
 
 // arrive notes that a request has reached an upstream.
 func (u *upstream) arrive(id string) {
 	u.upstreams.mu.Lock()
 	defer u.upstreams.mu.Unlock()
-	if u.arrivals == nil {
-		u.arrivals = map[string][]arrival{}
-		u.arrived = map[string]bool{}
-	}
-	u.arrivals[u.pool] = append(u.arrivals[u.pool], arrival{
-		at:     time.Now(),
-		repeat: u.arrived[id],
+	u.arrivals = append(u.arrivals, arrival{
+		pool: u.pool,
+		id:   id,
+		at:   time.Now(),
 	})
-	u.arrived[id] = true
 }
 
 // overBudget returns a text for each pool that got more repeats in a window than the settings allow, and how near the others came.
@@ -45,17 +40,22 @@
 	f.upstreams.mu.Lock()
 	defer f.upstreams.mu.Unlock()
 	most = map[string]string{}
-	for pool, arrivals := range f.upstreams.arrivals {
+	for _, pool := range []string{poolModels, poolOrders} {
 		var requests, repeats []time.Time
 		for _, r := range f.requests {
 			if isModel := r.events > 0; isModel == (pool == poolModels) {
 				requests = append(requests, r.sent)
 			}
 		}
-		for _, each := range arrivals {
-			if each.repeat {
+		arrived := map[string]bool{}
+		for _, each := range f.upstreams.arrivals {
+			if each.pool != pool {
+				continue
+			}
+			if arrived[each.id] {
 				repeats = append(repeats, each.at)
 			}
+			arrived[each.id] = true
 		}
 		highest := 0.0
 		for _, end := range repeats {
@@ -99,11 +99,7 @@
 // its whole share again, and that of all others until it knew them (BUDGET).
 func TestRestartsDontRaiseTheRetriesOfAllNodes(t *testing.T) {
 	is := is.New(t)
-	program := os.Getenv(programVariable)
-	if program == "" {
-		program = site.Build(t)
-	}
-	f := start(t, program, play{
+	f := start(t, programToTest(t), play{
 		seed:     1,
 		nodes:    4,
 		zones:    2,
--- a/test/stops/silence_test.go
+++ b/test/stops/silence_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lagoongw/internal/transport/schedule"
 	"lagoongw/platform"
 )
 
@@ -19,10 +20,10 @@
 // silence makes the upstreams of one pool after another, or some of them, stand still for about a second, while the routes change.
 func (f *fixture) silence(ctx context.Context, random *rand.Rand) {
 	for version := 2; ctx.Err() == nil; version++ {
-		pause(ctx, time.Duration(random.Int64N(int64(longestPause))))
+		schedule.Pause(ctx, time.Duration(random.Int64N(int64(longestPause))))
 		f.upstreams.store.Put(platform.TopicOperator, platform.ManifestKey,
 			strings.Replace(manifest, `"version": 1,`, fmt.Sprintf(`"version": %d,`, version), 1))
-		pause(ctx, 600*time.Millisecond)
+		schedule.Pause(ctx, 600*time.Millisecond)
 		pool := []string{poolModels, poolOrders}[random.IntN(2)]
 		f.upstreams.mu.Lock()
 		for _, u := range f.upstreams.all {
@@ -34,13 +35,6 @@
 	}
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
-
 // await waits for the end of a silence.
 func (u *upstream) await() {
 	for {
--- a/test/stops/stops_test.go
+++ b/test/stops/stops_test.go
@@ -369,14 +369,20 @@
 	return value
 }
 
+// programToTest returns the program that the environment names, or this build.
+func programToTest(t *testing.T) string {
+	t.Helper()
+	if program := os.Getenv(programVariable); program != "" {
+		return program
+	}
+	return site.Build(t)
+}
+
 // TestStopsAndTroublesKeepPromises guards against requests that are lost or thrown away around planned stops (LOST), run twice
 // (TWICE), run after a refusal (REFUSED), or get an answer that is not theirs (ORDER), while processes are stopped alone, in
 // overlap and by whole zones, and in rough plays also killed and frozen, with upstreams that are slow and faulty.
 func TestStopsAndTroublesKeepPromises(t *testing.T) {
-	program := os.Getenv(programVariable)
-	if program == "" {
-		program = site.Build(t)
-	}
+	program := programToTest(t)
 	first, count := number(t, seedVariable, 1), number(t, seedsVariable, 4)
 	for seed := first; seed < first+count; seed++ {
 		p := play{
--- a/test/stops/upstream_test.go
+++ b/test/stops/upstream_test.go
@@ -38,9 +38,8 @@
 	runs map[string][]*run
 	// refused holds the requests that an upstream has turned away.
 	refused map[string]bool
-	// arrivals are the requests that have reached the upstreams of each pool, in their order, and arrived their IDs.
-	arrivals map[string][]arrival
-	arrived  map[string]bool
+	// arrivals are the requests that have reached the upstreams, in their order.
+	arrivals []arrival
 	all      []*upstream
 }
 
