Entry VM, retry: names for what a newcomer would take for something else

The window had startedAt, the beginning of its buckets, beside NodeStartedAt; whether this node is a seed was told from two lengths. No change of logic.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -40,12 +40,13 @@
 	// that it has none until a window later.
 	NodeStartedAt time.Time
 
-	mu        sync.Mutex
-	startedAt time.Time
+	mu sync.Mutex
+	// countedFrom is when the first bucket began.
+	countedFrom time.Time
 	// requests and retries are rings of counts per bucket, indexed by the number of the bucket modulo ringBuckets.
 	requests [ringBuckets]int
 	retries  [ringBuckets]int
-	// bucket is the number of the newest bucket, counted from startedAt.
+	// bucket is the number of the newest bucket, counted from countedFrom.
 	bucket int64
 }
 
@@ -95,10 +96,10 @@
 
 // advance moves on to the bucket of the given time and clears the buckets that it reuses.
 func (w *WindowBudget) advance(now time.Time) {
-	if w.startedAt.IsZero() {
-		w.startedAt = now
+	if w.countedFrom.IsZero() {
+		w.countedFrom = now
 	}
-	bucket := int64(now.Sub(w.startedAt)) * bucketsPerWindow / int64(w.Allowance().Length)
+	bucket := int64(now.Sub(w.countedFrom)) * bucketsPerWindow / int64(w.Allowance().Length)
 	for range min(bucket-w.bucket, ringBuckets) {
 		w.bucket++
 		w.requests[w.bucket%ringBuckets] = 0
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -121,16 +121,17 @@
 	return p.process.fetch(ctx, address, topic)
 }
 
-// FetchFromSeeds requests a snapshot of a topic from the seeds, in a random order, since many nodes may start together.
-// A node that is no seed itself had better wait for a seed that refuses, which is starting or busy.
+// FetchFromSeeds requests a snapshot of a topic from the seeds, in a random order, since many nodes may start together. A node that
+// is no seed itself had better wait for a seed that refuses, which is starting or busy.
 func (p catalogPeers) FetchFromSeeds(ctx context.Context, topic string) (wire.FeedUpdate, error) {
 	all := p.process.tunables.Load().Seeds
 	seeds := slices.DeleteFunc(slices.Clone(all), func(address string) bool { return address == p.process.Listen.Peers })
+	isSeed := len(seeds) < len(all)
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	update, err := askSeeds(ctx, seeds, func(ctx context.Context, address string) (wire.FeedUpdate, error) {
 		began := time.Now()
 		update, err := p.process.fetch(ctx, address, topic)
-		if peer.IsRefusal(err) && len(seeds) == len(all) {
+		if peer.IsRefusal(err) && !isSeed {
 			p.process.seedTimes.note(address, time.Since(began))
 			p.process.Catalog.AwaitSeeds()
 		}
