Peer: connections refused for a while no longer count for good

Callers of a site of 300 machines were refused for tens of seconds after all had started together, and got 404 for routes that had been confirmed: most nodes had no peers at all, each took itself for the reader of the store, and all of them read it and saved copies to it until its calls timed out.

Cause: a server admits 256 connections on which nothing has come. One beyond that was closed, but stayed counted, so that after 256 of them the server closed every new connection for good.

The counter is an allowance now, which holds nothing that it has refused, as the two others of the server are.

--- a/internal/transport/peer/limits_test.go
+++ b/internal/transport/peer/limits_test.go
@@ -19,6 +19,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"lagoongw/internal/transport/schedule"
 )
 
 // TestRequestsInWorkAreLimited guards against a goroutine and an answer held for each of the requests that one peer sends
@@ -221,6 +223,29 @@
 	is.NoErr(c.Call(t.Context(), address, echo, "still connected", nil))
 }
 
+// TestServerAcceptsAgainAfterTooManyConnectionsAtOnce guards against a node that refuses all of its peers for good once more of them
+// than it admits have connected at the same moment, as after a loss of power: 300 nodes ask the same few seeds.
+func TestServerAcceptsAgainAfterTooManyConnectionsAtOnce(t *testing.T) {
+	is := is.New(t)
+	address, _ := startServer(t, map[string]Handler{echo: echoHandler})
+	var conns []net.Conn
+	for range 2 * maxUnidentified {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		conns = append(conns, conn)
+	}
+	refused := conns[len(conns)-1]
+	is.NoErr(refused.SetReadDeadline(time.Now().Add(waitTimeout)))
+	_, err := refused.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	for _, conn := range conns {
+		is.NoErr(conn.Close())
+	}
+	c := newClient(t, secret)
+	accepts := func() bool { return c.Call(t.Context(), address, echo, nil, nil) == nil }
+	is.True(schedule.Await(t.Context(), waitTimeout, 10*time.Millisecond, accepts))
+}
+
 func TestAllowanceTakesUpToItsLimit(t *testing.T) {
 	is := is.New(t)
 	var a allowance
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -48,8 +48,8 @@
 	conns    map[*jsonrpc2.Conn]struct{}
 	sent     atomic.Int64
 	received atomic.Int64
-	// unidentified is the number of connections whose first byte has not come.
-	unidentified atomic.Int64
+	// unidentified counts the connections whose first byte has not come.
+	unidentified allowance
 	// receiving, inWork and inWorkBytes count what is held for the peers.
 	receiving   allowance
 	inWork      allowance
@@ -99,7 +99,7 @@
 			continue
 		}
 		pause = minAcceptPause
-		if s.connectionCount() >= MaxConnections || s.unidentified.Add(1) > maxUnidentified {
+		if s.connectionCount() >= MaxConnections || !s.unidentified.take(1, maxUnidentified) {
 			_ = raw.Close()
 			continue
 		}
@@ -109,7 +109,7 @@
 
 // identify serves a connection by its first byte.
 func (s *Server) identify(raw net.Conn) {
-	defer s.unidentified.Add(-1)
+	defer s.unidentified.put(1)
 	var first [1]byte
 	_ = raw.SetReadDeadline(time.Now().Add(authenticateTimeout))
 	_, err := io.ReadFull(raw, first[:])
