Gateway: a request no longer holds all routes of its version

Cause: an exchange kept the table that it was matched with until its end, for three numbers and the pools. While routes change and requests last, each version in between stays in memory: half a megabyte for 1,400 routes, of which versions share only what they repeat.

An exchange drops the table once the caller is identified, and keeps the version, the limits and the pools.

--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -118,6 +118,28 @@
 	return t
 }
 
+// Settings are what a request needs of a table for as long as it lasts. They hold none of the routes and teams.
+type Settings struct {
+	Version int
+	Limits  Limits
+	pools   map[string]Pool
+}
+
+// Pool returns the pool with the given name.
+func (s Settings) Pool(name string) (Pool, bool) {
+	pool, ok := s.pools[name]
+	return pool, ok
+}
+
+// Settings returns the settings of the table.
+func (t *Table) Settings() Settings {
+	return Settings{
+		Version: t.version,
+		Limits:  t.limits,
+		pools:   t.pools,
+	}
+}
+
 // Version returns the version of the table; a higher version is newer.
 func (t *Table) Version() int { return t.version }
 
@@ -125,10 +147,7 @@
 func (t *Table) Limits() Limits { return t.limits }
 
 // Pool returns the pool with the given name.
-func (t *Table) Pool(name string) (Pool, bool) {
-	pool, ok := t.pools[name]
-	return pool, ok
-}
+func (t *Table) Pool(name string) (Pool, bool) { return t.Settings().Pool(name) }
 
 // ResumableTimeouts returns the longest timeout of the resumable routes to a pool, by pool. It must not be modified.
 func (t *Table) ResumableTimeouts() map[string]time.Duration { return t.resumable }
--- a/internal/transport/gateway/answer.go
+++ b/internal/transport/gateway/answer.go
@@ -164,7 +164,7 @@
 		Str("decision", "route").
 		Str("request-id", x.call.ID).
 		Str("route", x.route.Name()).
-		Int("routes-version", x.table.Version()).
+		Int("routes-version", x.settings.Version).
 		Str("pool", x.pool).
 		Int("tier", x.priorityLevel).
 		Int("candidates", choice.Candidates).
--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -60,7 +60,7 @@
 // readBody reads the body within the limits of the operator and of the memory. It fails when the caller stops sending,
 // or the time for the whole request is up, so that memory isn't held for longer.
 func (x *exchange) readBody(r *http.Request) *localAnswer {
-	limit := x.table.Limits().BodyBytes
+	limit := x.settings.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -49,8 +49,10 @@
 	body [][]byte
 	// bodyUnread reports whether the request has a body that was not read to its end.
 	bodyUnread bool
-	table      *route.Table
-	route      *route.Route
+	// table is nil once the request is identified: a request that lasts would hold all routes of its version.
+	table    *route.Table
+	settings route.Settings
+	route    *route.Route
 	// pool is the name of the pool that the route selects for this request.
 	pool string
 	// toEngine reports whether the upstreams of the pool are model engines.
--- a/internal/transport/gateway/server.go
+++ b/internal/transport/gateway/server.go
@@ -201,6 +201,7 @@
 		}
 	}
 	x.table = table
+	x.settings = table.Settings()
 	x.route = table.Match(x.host, x.path)
 	if x.route == nil {
 		return x.server.deny(http.StatusNotFound, "no route matches host and path")
@@ -225,7 +226,7 @@
 
 // checkHeaderSize enforces the operator's limit on the size of a request's header.
 func (x *exchange) checkHeaderSize(r *http.Request) *localAnswer {
-	limit := x.table.Limits().HeaderBytes
+	limit := x.settings.Limits.HeaderBytes
 	if limit <= 0 || headerBytes(r) <= limit {
 		return nil
 	}
@@ -257,6 +258,7 @@
 		x.team = team.Name
 	}
 	x.priorityLevel = x.table.PriorityLevel(x.route, team)
+	x.table = nil
 	return nil
 }
 
@@ -301,7 +303,7 @@
 // setPool sets the pool whose upstreams the request is sent to.
 func (x *exchange) setPool(name string) {
 	x.pool = name
-	pool, known := x.table.Pool(name)
+	pool, known := x.settings.Pool(name)
 	x.toEngine = known && pool.Engine != nil
 }
 
