Feed: nodes of a large region ask each other before they all read the store

Cause: a node whose copy is 2.5 s old reads the store itself, whatever its rank. The records of 3,000 upstreams, heartbeats included, are up to 1 MB a read. Once updates come late to a region, all of its nodes read at the same moment, over the 30 Mbit/s that also carry the updates: reads end at their time limits, each begins anew, and updates, calls of peers and connects stay late for good.

Change: the first three of a region in the order of readers read the store a little earlier; from the tenth rank of the site on, the others ask one of the first six for what is newer (feed-fetch with era and next; a node of a former build returns the whole topic). If those are out of date themselves, they read the store one after the other; if none answers, at once, as before. Small sites, of up to nine nodes, read as before.

An answer to a fetch counts as heard from another reader only if it is newer than what the node had.

--- a/internal/coordination/feed/read_schedule.go
+++ b/internal/coordination/feed/read_schedule.go
@@ -31,9 +31,18 @@
 	backoff time.Duration
 }
 
-// Due reports whether this node has to read the store now; rank is its position in the order of readers, 0 first.
-func (s *ReadSchedule) Due(rank int, now time.Time) bool {
-	return !now.Before(s.retryAt) && s.Age(now) >= s.Period+s.rankDelay(rank)
+// Due reports whether this node has to bring its copy up to date now.
+func (s *ReadSchedule) Due(order Order, now time.Time) bool {
+	return !now.Before(s.retryAt) && s.Age(now) >= s.Period+s.rankDelay(order.dueRank())
+}
+
+// ReadDue reports whether a due node has to read the store now. One that asks its region first does so if that has not helped, and
+// later than those before it in its region.
+func (s *ReadSchedule) ReadDue(order Order, now time.Time) bool {
+	if !order.AsksRegion() {
+		return true
+	}
+	return s.Age(now) >= s.Period+fallbackAfter(maxFallbackSteps+1+order.RegionRank-regionReaders)
 }
 
 // PushDue reports whether this node has to send what it reads to the other nodes. A node far down the order does so only where it
--- a/internal/coordination/feed/read_schedule_test.go
+++ b/internal/coordination/feed/read_schedule_test.go
@@ -42,7 +42,7 @@
 			if c.dead[i] {
 				continue
 			}
-			if schedule.Due(i, now) {
+			if schedule.Due(Order{Rank: i, RegionRank: i}, now) {
 				c.read(i, now)
 			}
 			c.maxAge = max(c.maxAge, schedule.Age(now))
--- a/internal/protocol/wire/wire.go
+++ b/internal/protocol/wire/wire.go
@@ -349,8 +349,15 @@
 	Type string `json:"type"`
 }
 
-// FeedFetch asks a peer for all records of a topic.
+// FeedFetch asks a peer for all records of a topic, or with era and next, for none
+// if it has nothing newer.
 type FeedFetch struct {
+	// Era is the era that the asking node has.
+	Era int `json:"era,omitempty,omitzero"`
+
+	// Next is the offset after the last record that the asking node has.
+	Next int `json:"next,omitempty,omitzero"`
+
 	// Packed asks for a packed update.
 	Packed bool `json:"packed,omitempty,omitzero"`
 
--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -81,7 +81,7 @@
 
 // packedSnapshot is a packed snapshot, and how far the topic had come.
 type packedSnapshot struct {
-	position  position
+	position  Position
 	freshFrom int
 	update    wire.FeedUpdate
 }
@@ -400,12 +400,14 @@
 // handleSnapshot merges a snapshot that a peer has returned to a fetch which began at a time. It is as old as it was at the peer,
 // and of unknown age if the peer doesn't tell.
 func (f *follower) handleSnapshot(update wire.FeedUpdate, askedAt time.Time) {
-	f.hear()
 	update.Records = f.readable(update.Records)
 	currentAt := time.Time{}
 	if update.AgeMs != nil {
 		currentAt = askedAt.Add(-ageOf(update))
 	}
+	if before := f.currentAt(); before.IsZero() || currentAt.After(before) {
+		f.hear()
+	}
 	f.applyUpdate(update, currentAt)
 }
 
@@ -450,9 +452,9 @@
 	f.packing.Lock()
 	defer f.packing.Unlock()
 	snapshot, known := f.snapshot()
-	at := position{
-		era:  snapshot.Era,
-		next: snapshot.Next,
+	at := Position{
+		Era:  snapshot.Era,
+		Next: snapshot.Next,
 	}
 	if known && (f.packed.update.Packed == "" || f.packed.position != at || f.packed.freshFrom != snapshot.FreshFrom) {
 		packed, err := feed.Pack(snapshot)
@@ -482,25 +484,25 @@
 	return f.topic.Era()
 }
 
-// position is how far a topic has come.
-type position struct {
-	era  int
-	next int
+// Position is how far a topic has come: the era of the store, and the offset after the last record.
+type Position struct {
+	Era  int
+	Next int
 }
 
-func (f *follower) position() position {
+func (f *follower) position() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return position{
-		era:  f.topic.Era(),
-		next: f.topic.Next(),
+	return Position{
+		Era:  f.topic.Era(),
+		Next: f.topic.Next(),
 	}
 }
 
 // hasCome reports whether the topic has come as far as an update.
 func (f *follower) hasCome(update wire.FeedUpdate) bool {
 	at := f.position()
-	return at.era > update.Era || at.era == update.Era && at.next >= update.Next
+	return at.Era > update.Era || at.Era == update.Era && at.Next >= update.Next
 }
 
 func (f *follower) age(now time.Time) time.Duration {
@@ -528,10 +530,17 @@
 	return f.storeAnswered
 }
 
-func (f *follower) due(rank int, now time.Time) bool {
+func (f *follower) due(order feed.Order, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readSchedule.Due(order, now)
+}
+
+// readDue reports whether the store has to be read, though this node may ask others first.
+func (f *follower) readDue(order feed.Order, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.readSchedule.Due(rank, now)
+	return f.readSchedule.ReadDue(order, now)
 }
 
 // backoff returns how long to wait after a failed read before the next one.
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -54,9 +54,12 @@
 	// FetchFromOneSeed requests a snapshot of a topic from one of the peers in the settings, another one in each round, most
 	// often from the one that answers soonest.
 	FetchFromOneSeed(ctx context.Context, topic string, round int) (wire.FeedUpdate, error)
-	// ReaderRank returns this node's rank in the order in which the nodes read the store. The node of rank 0 is the
+	// FetchFromRegion requests a topic from one of the first nodes of this region in the order of readers, another one in each round.
+	// The update is a snapshot, or one without records if that node has come no further than a position.
+	FetchFromRegion(ctx context.Context, topic string, at Position, round int) (wire.FeedUpdate, error)
+	// ReaderOrder returns this node's place in the order in which the nodes read the store. The node of rank 0 is the
 	// reader; the others read only if its updates don't reach them.
-	ReaderRank() int
+	ReaderOrder() feed.Order
 }
 
 // Service follows the topics of the routes and the upstreams; its exported fields must be set before Prepare.
@@ -108,7 +111,9 @@
 	// that is starting.
 	seedsAsked    atomic.Bool
 	seedsStarting atomic.Bool
-	tasks         schedule.Tasks
+	// regionRounds counts the requests to nodes of this region; only followUpstreams uses it.
+	regionRounds int
+	tasks        schedule.Tasks
 }
 
 // Prepare initializes the service so that it can handle updates of peers; it must be called before Run.
@@ -172,7 +177,7 @@
 // RefreshUpstreams reads the upstreams now. It replaces the next regular read of this node; the other nodes are told what
 // changed.
 func (s *Service) RefreshUpstreams(ctx context.Context) error {
-	return s.upstreams.refresh(ctx, s.Peers.ReaderRank() == 0)
+	return s.upstreams.refresh(ctx, s.Peers.ReaderOrder().Rank == 0)
 }
 
 // UpstreamsRetryIn returns how long this node waits before it reads the upstreams again after a failed read, 0 if it does not.
@@ -196,21 +201,26 @@
 	started := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
-		rank := s.Peers.ReaderRank()
-		if s.upstreams.due(rank, now) {
-			if s.upstreams.read(ctx, rank, 0) != nil {
-				s.upstreams.loadCopy(ctx)
-			}
-			if rank != 0 && s.routes.read(ctx, rank, 0) != nil {
-				s.routes.loadCopy(ctx)
-			}
-			s.saveCopies(ctx, rank, now.Sub(started))
+		order := s.Peers.ReaderOrder()
+		if s.upstreams.due(order, now) && !s.askRegion(ctx, order) {
+			s.readTopics(ctx, order.Rank)
+			s.saveCopies(ctx, order.Rank, now.Sub(started))
 		}
 		s.applyHeldRemovals()
 		schedule.Pause(ctx, pollInterval)
 	}
 }
 
+// readTopics reads the upstreams from the store, and the routes unless this node follows them as the reader.
+func (s *Service) readTopics(ctx context.Context, rank int) {
+	if s.upstreams.read(ctx, rank, 0) != nil {
+		s.upstreams.loadCopy(ctx)
+	}
+	if rank != 0 && s.routes.read(ctx, rank, 0) != nil {
+		s.routes.loadCopy(ctx)
+	}
+}
+
 // saveCopies saves the copies while this node is the reader, once it has run long enough to know of another one.
 func (s *Service) saveCopies(ctx context.Context, rank int, uptime time.Duration) {
 	if rank != 0 || uptime < copySaveDelay || !s.routes.loaded() || !s.upstreams.loaded() {
@@ -225,7 +235,7 @@
 	s.awaitSeeds(ctx)
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if s.Peers.ReaderRank() != 0 {
+		if s.Peers.ReaderOrder().Rank != 0 {
 			wait = 0
 			schedule.Pause(ctx, pollInterval)
 			continue
--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lagoongw/internal/coordination/feed"
 	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/state/replica"
 	"lagoongw/internal/state/route"
@@ -266,7 +267,31 @@
 	return p.FetchFromSeeds(ctx, topic)
 }
 
-func (p sitePeers) ReaderRank() int { return p.self }
+// FetchFromRegion requests a topic from one of the first nodes, which are those of the only region. One that doesn't reach this node
+// leaves the request unanswered.
+func (p sitePeers) FetchFromRegion(ctx context.Context, topic string, at Position, round int) (wire.FeedUpdate, error) {
+	const sources = 6
+	source := round % sources
+	if !p.site.delivers(source, p.self) {
+		<-ctx.Done()
+		return wire.FeedUpdate{}, ctx.Err()
+	}
+	update, known, err := p.site.services[source].News(topic, at)
+	switch {
+	case !known:
+		return update, errStoreUnavailable
+	case err != nil || update.Packed == "":
+		return update, err
+	}
+	return feed.Unpack(update)
+}
+
+func (p sitePeers) ReaderOrder() feed.Order {
+	return feed.Order{
+		Rank:       p.self,
+		RegionRank: p.self,
+	}
+}
 
 // newNode returns a node that follows two topics, with empty copies of its own.
 func newNode(peers Peers, routes, upstreams *fakeTopic) *Service {
--- a/internal/transport/catalog/storm_test.go
+++ b/internal/transport/catalog/storm_test.go
@@ -84,6 +84,38 @@
 	})
 }
 
+// TestLateUpdatesMakeFewNodesReadTheStore guards against every node of a large site reading the store once updates were late. Over a
+// link of 30 Mbit/s to another region their reads took so long that the node never heard of new routes.
+func TestLateUpdatesMakeFewNodesReadTheStore(t *testing.T) {
+	const nodes, periods = 60, 10
+	runLateSite(t, nodes, 1200*time.Millisecond, func(s *site, upstreams *fakeTopic, _ *atomic.Int64, _ *atomic.Bool) {
+		is := is.New(t)
+		before := upstreams.callCount()
+		is.True(s.oldestCopy(periods*upstreamsReadPeriod) < bound)
+		is.True(upstreams.callCount()-before <= 10*periods) // those of ten of the nodes
+	})
+}
+
+// oldestCopy returns the age of the oldest list of upstreams of any node within a time.
+func (s *site) oldestCopy(length time.Duration) (oldest time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pollInterval / 2) {
+		for _, node := range s.services {
+			oldest = max(oldest, node.UpstreamsAge())
+		}
+	}
+	return oldest
+}
+
+// TestNodeThatReachesNobodyOfItsRegionReadsTheStore guards against a node that waits for its region although it is cut off from it.
+func TestNodeThatReachesNobodyOfItsRegionReadsTheStore(t *testing.T) {
+	const nodes, cutOff = 40, 30
+	runNodes(t, nodes, 10*time.Second, func(*Service, sitePeers, *fakeTopic, *fakeTopic) {}, func(s *site, _, _ *fakeTopic) {
+		is := is.New(t)
+		s.isolate(cutOff)
+		is.True(s.oldestCopy(10*upstreamsReadPeriod) < bound)
+	})
+}
+
 // TestNodeFarDownTheOrderPushesWhereNobodyElseDoes checks that changes reach all nodes although only the last ones in the order of
 // readers reach the store.
 func TestNodeFarDownTheOrderPushesWhereNobodyElseDoes(t *testing.T) {
--- a/internal/transport/entryvm/peers.go
+++ b/internal/transport/entryvm/peers.go
@@ -43,6 +43,11 @@
 	readersKey = "readers"
 )
 
+// regionSources is the number of nodes of a region that are asked for topics that are out of date.
+const regionSources = 6
+
+var errNoRegionPeers = eris.New("no other node of this region is known")
+
 var errStarting = eris.New("starting: routes and upstreams are not known yet")
 
 // requireReady makes a handler fail until this node can serve, so that no peer lists it as an entry VM before.
@@ -150,31 +155,85 @@
 	return update, eris.Wrapf(err, "fetch %s from seed %s", topic, address)
 }
 
-// ReaderRank returns this node's rank among the readers of the store, 0 for the first. A node that knows no live
-// members reads for itself; one that is not among the live members, as when it leaves, comes last.
-func (p catalogPeers) ReaderRank() int {
-	names := p.process.members.LiveNames("")
+// ReaderOrder returns this node's place among the readers of the store. A node that knows no live members reads for itself; one
+// that is not among the live members, as when it leaves, comes last.
+func (p catalogPeers) ReaderOrder() feed.Order {
+	live := p.process.members.Live()
+	if len(live) == 0 {
+		return feed.Order{}
+	}
+	return feed.Order{
+		Rank:       placeOf(p.process.Name, live),
+		RegionRank: placeOf(p.process.Name, inRegion(live, p.process.Region)),
+	}
+}
+
+// placeOf returns the place of a node in the order of some readers, their number if it is none of them.
+func placeOf(name string, readers []wire.Member) int {
+	place := slices.Index(rankReaders(readers), name)
+	if place < 0 {
+		return len(readers)
+	}
+	return place
+}
+
+// rankReaders returns the names of readers in their order.
+func rankReaders(readers []wire.Member) []string {
+	names := make([]string, 0, len(readers))
+	for _, row := range readers {
+		names = append(names, row.Name)
+	}
+	return rendezvous.Rank(readersKey, names)
+}
+
+// inRegion returns the members of a region.
+func inRegion(rows []wire.Member, region string) []wire.Member {
+	return slices.DeleteFunc(slices.Clone(rows), func(row wire.Member) bool { return row.Region != region })
+}
+
+// FetchFromRegion requests a topic from one of the first readers of this region, another one in each round.
+func (p catalogPeers) FetchFromRegion(
+	ctx context.Context, topic string, at catalog.Position, round int,
+) (wire.FeedUpdate, error) {
+	others := slices.DeleteFunc(inRegion(p.process.members.Live(), p.process.Region),
+		func(row wire.Member) bool { return row.Name == p.process.Name })
+	names := rankReaders(others)
+	names = names[:min(len(names), regionSources)]
 	if len(names) == 0 {
-		return 0
+		return wire.FeedUpdate{}, errNoRegionPeers
 	}
-	rank := slices.Index(rendezvous.Rank(readersKey, names), p.process.Name)
-	if rank < 0 {
-		return len(names)
+	name := names[round%len(names)]
+	row, known := p.process.members.Lookup(name)
+	if !known {
+		return wire.FeedUpdate{}, errNoRegionPeers
 	}
-	return rank
+	update, err := p.process.download(ctx, row.Address, wire.FeedFetch{
+		Topic:  topic,
+		Packed: true,
+		Era:    at.Era,
+		Next:   at.Next,
+	})
+	return update, eris.Wrapf(err, "fetch %s from %s", topic, name)
 }
 
 func (p *Process) fetch(ctx context.Context, address, topic string) (wire.FeedUpdate, error) {
+	return p.download(ctx, address, wire.FeedFetch{
+		Topic:  topic,
+		Packed: true,
+	})
+}
+
+// download requests a topic, and unpacks it.
+func (p *Process) download(ctx context.Context, address string, request wire.FeedFetch) (wire.FeedUpdate, error) {
+	topic := request.Topic
 	limited, cancel := context.WithTimeout(ctx, p.fetchTimes.limit(topic))
 	defer cancel()
 	var update wire.FeedUpdate
-	request := wire.FeedFetch{
-		Topic:  topic,
-		Packed: true,
-	}
 	err := p.client.Download(limited, address, peer.MethodFeedFetch, request, &update, p.fetchTimes.silence(topic))
-	cutOff := errors.Is(limited.Err(), context.DeadlineExceeded) || errors.Is(err, context.Canceled) && ctx.Err() == nil
-	p.fetchTimes.ended(topic, err != nil && cutOff)
+	if ctx.Err() == nil {
+		cutOff := errors.Is(limited.Err(), context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+		p.fetchTimes.ended(topic, err != nil && cutOff)
+	}
 	if err != nil || update.Packed == "" {
 		return update, err
 	}
@@ -265,7 +324,13 @@
 
 // snapshot returns a whole topic in the form that a peer asks for; known is false until this node has loaded it.
 func (p *Process) snapshot(request wire.FeedFetch) (update wire.FeedUpdate, known bool, err error) {
-	if request.Packed {
+	switch {
+	case request.Packed && request.Next > 0:
+		return p.Catalog.News(request.Topic, catalog.Position{
+			Era:  request.Era,
+			Next: request.Next,
+		})
+	case request.Packed:
 		return p.Catalog.PackedSnapshot(request.Topic)
 	}
 	update, known = p.Catalog.Snapshot(request.Topic)
