Route: a table keeps its settings in one place

Settings() copied three fields that the table held as well. The table holds the settings themselves now, and its accessors read these. No change of behaviour; the tests of routes, gateway and manifest pass unchanged.

--- a/internal/state/route/share.go
+++ b/internal/state/route/share.go
@@ -14,8 +14,8 @@
 	for host, routes := range t.byHost {
 		shared.byHost[host] = shareRoutes(routes, earlier.byHost[host])
 	}
-	if maps.EqualFunc(t.pools, earlier.pools, Pool.equal) {
-		shared.pools = earlier.pools
+	if maps.EqualFunc(t.settings.pools, earlier.settings.pools, Pool.equal) {
+		shared.settings.pools = earlier.settings.pools
 	}
 	if maps.EqualFunc(t.teamByKey, earlier.teamByKey, (*Team).equal) {
 		shared.teamByKey = earlier.teamByKey
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -71,12 +71,10 @@
 
 // Table is one version of the operator's routing settings. It is immutable.
 type Table struct {
-	version        int
+	settings       Settings
 	byHost         map[string][]*Route
-	pools          map[string]Pool
 	teamByKey      map[string]*Team
 	hasTeams       bool
-	limits         Limits
 	priorityLevels map[priority]int
 	// resumable holds the longest timeout of the resumable routes to a pool, by pool.
 	resumable map[string]time.Duration
@@ -85,12 +83,14 @@
 // NewTable returns a table with the contents of spec.
 func NewTable(spec TableSpec) *Table {
 	t := &Table{
-		version:        spec.Version,
+		settings: Settings{
+			Version: spec.Version,
+			Limits:  spec.Limits,
+			pools:   map[string]Pool{},
+		},
 		byHost:         map[string][]*Route{},
-		pools:          map[string]Pool{},
 		teamByKey:      map[string]*Team{},
 		hasTeams:       len(spec.Teams) > 0,
-		limits:         spec.Limits,
 		priorityLevels: assignLevels(spec.Routes, spec.Teams),
 		resumable:      map[string]time.Duration{},
 	}
@@ -108,7 +108,7 @@
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix()) > len(routes[j].Prefix()) })
 	}
 	for _, pool := range spec.Pools {
-		t.pools[pool.Name] = pool
+		t.settings.pools[pool.Name] = pool
 	}
 	for i := range spec.Teams {
 		for _, key := range spec.Teams[i].Keys {
@@ -132,22 +132,16 @@
 }
 
 // Settings returns the settings of the table.
-func (t *Table) Settings() Settings {
-	return Settings{
-		Version: t.version,
-		Limits:  t.limits,
-		pools:   t.pools,
-	}
-}
+func (t *Table) Settings() Settings { return t.settings }
 
 // Version returns the version of the table; a higher version is newer.
-func (t *Table) Version() int { return t.version }
+func (t *Table) Version() int { return t.settings.Version }
 
 // Limits returns the limits for callers.
-func (t *Table) Limits() Limits { return t.limits }
+func (t *Table) Limits() Limits { return t.settings.Limits }
 
 // Pool returns the pool with the given name.
-func (t *Table) Pool(name string) (Pool, bool) { return t.Settings().Pool(name) }
+func (t *Table) Pool(name string) (Pool, bool) { return t.settings.Pool(name) }
 
 // ResumableTimeouts returns the longest timeout of the resumable routes to a pool, by pool. It must not be modified.
 func (t *Table) ResumableTimeouts() map[string]time.Duration { return t.resumable }
@@ -155,7 +149,7 @@
 // ScaledPools returns the pools with scaling, sorted by name.
 func (t *Table) ScaledPools() []Pool {
 	var scaled []Pool
-	for _, pool := range t.pools {
+	for _, pool := range t.settings.pools {
 		if pool.Scaling != nil {
 			scaled = append(scaled, pool)
 		}
