Catalog: one topic of the tests whose reads may fail for one node

silentTopic and cutTopic wrapped the same two calls, each with a check of its own before them. The bounds and the assertions are as they were.

--- a/internal/transport/catalog/site_test.go
+++ b/internal/transport/catalog/site_test.go
@@ -161,6 +161,38 @@
 
 func (s *fakeTopic) Receiving() bool { return false }
 
+// gatedTopic is a topic whose reads fail for one node when its gate does.
+type gatedTopic struct {
+	*fakeTopic
+	gate func(ctx context.Context) error
+}
+
+func (g gatedTopic) Newest(ctx context.Context) (Batch, error) {
+	if err := g.gate(ctx); err != nil {
+		return Batch{}, err
+	}
+	return g.fakeTopic.Newest(ctx)
+}
+
+func (g gatedTopic) Read(ctx context.Context, from int, wait time.Duration) (Batch, error) {
+	if err := g.gate(ctx); err != nil {
+		return Batch{}, err
+	}
+	return g.fakeTopic.Read(ctx, from, wait)
+}
+
+// gate makes the reads of a node pass a gate.
+func gate(node *Service, routes, upstreams *fakeTopic, pass func(ctx context.Context) error) {
+	node.Routes = gatedTopic{
+		fakeTopic: routes,
+		gate:      pass,
+	}
+	node.Upstreams = gatedTopic{
+		fakeTopic: upstreams,
+		gate:      pass,
+	}
+}
+
 // site is a set of nodes, one service each, that push updates to each other without delay; a node's rank as a reader is
 // its index.
 type site struct {
--- a/internal/transport/catalog/start_test.go
+++ b/internal/transport/catalog/start_test.go
@@ -14,36 +14,16 @@
 	"lagoongw/internal/transport/schedule"
 )
 
-// silentTopic is a topic of a store that doesn't answer until a time.
-type silentTopic struct {
-	*fakeTopic
-	until time.Time
-}
-
-// await waits for the store to answer, for at most the time that a call may take.
-func (s silentTopic) await(ctx context.Context) error {
+// awaitAnswer waits until a store that is silent until a time answers, for at most the time that a call may take.
+func awaitAnswer(ctx context.Context, until time.Time) error {
 	const timeout = 700 * time.Millisecond
-	if silent := time.Until(s.until); silent > 0 {
+	if silent := time.Until(until); silent > 0 {
 		schedule.Pause(ctx, min(silent, timeout))
 		return context.DeadlineExceeded
 	}
 	return nil
 }
 
-func (s silentTopic) Newest(ctx context.Context) (Batch, error) {
-	if err := s.await(ctx); err != nil {
-		return Batch{}, err
-	}
-	return s.fakeTopic.Newest(ctx)
-}
-
-func (s silentTopic) Read(ctx context.Context, from int, wait time.Duration) (Batch, error) {
-	if err := s.await(ctx); err != nil {
-		return Batch{}, err
-	}
-	return s.fakeTopic.Read(ctx, from, wait)
-}
-
 // runStart runs a test against a node that starts beside one peer while the store is silent. The peer is one that has read
 // nothing since version 1 of the routes was written; version 2 has followed.
 func runStart(t *testing.T, silence time.Duration, test func(t *testing.T, node *Service)) {
@@ -66,14 +46,7 @@
 			self: 1,
 		}, routes, upstreams)
 		until := time.Now().Add(silence)
-		node.Routes = silentTopic{
-			fakeTopic: routes,
-			until:     until,
-		}
-		node.Upstreams = silentTopic{
-			fakeTopic: upstreams,
-			until:     until,
-		}
+		gate(node, routes, upstreams, func(ctx context.Context) error { return awaitAnswer(ctx, until) })
 		defer runNode(node)()
 		test(t, node)
 	})
--- a/internal/transport/catalog/storm_test.go
+++ b/internal/transport/catalog/storm_test.go
@@ -25,26 +25,6 @@
 	time.AfterFunc(p.delay, func() { p.sitePeers.Push(update) })
 }
 
-// cutTopic is a topic of a store that a node loses.
-type cutTopic struct {
-	*fakeTopic
-	cut *atomic.Bool
-}
-
-func (c cutTopic) Newest(ctx context.Context) (Batch, error) {
-	if c.cut.Load() {
-		return Batch{}, errStoreUnavailable
-	}
-	return c.fakeTopic.Newest(ctx)
-}
-
-func (c cutTopic) Read(ctx context.Context, from int, wait time.Duration) (Batch, error) {
-	if c.cut.Load() {
-		return Batch{}, errStoreUnavailable
-	}
-	return c.fakeTopic.Read(ctx, from, wait)
-}
-
 // runLateSite runs a test against a site whose updates are late; pushes counts those of all nodes, and cut makes all nodes but the
 // last two lose the store.
 func runLateSite(
@@ -61,14 +41,12 @@
 		if peers.self >= nodes-2 {
 			return
 		}
-		s.Routes = cutTopic{
-			fakeTopic: routes,
-			cut:       &cut,
-		}
-		s.Upstreams = cutTopic{
-			fakeTopic: upstreams,
-			cut:       &cut,
-		}
+		gate(s, routes, upstreams, func(context.Context) error {
+			if cut.Load() {
+				return errStoreUnavailable
+			}
+			return nil
+		})
 	}, func(s *site, _, upstreams *fakeTopic) { test(s, upstreams, &pushes, &cut) })
 }
 
