--- a/internal/transport/catalog/follower.go
+++ b/internal/transport/catalog/follower.go
@@ -79,13 +79,6 @@
 	packed  packedSnapshot
 }
 
-// packedSnapshot is a packed snapshot, and how far the topic had come.
-type packedSnapshot struct {
-	position  Position
-	freshFrom int
-	update    wire.FeedUpdate
-}
-
 // read reads the store once and sends what changed to the peers, unless this node is far down the order of readers, in which it has
 // a rank.
 func (f *follower) read(ctx context.Context, rank int, wait time.Duration) error {
@@ -325,70 +318,6 @@
 	f.onStoreReachable()
 }
 
-// save appends the unsaved records to the copy.
-func (f *follower) save(ctx context.Context) {
-	f.mu.Lock()
-	var records []wire.FeedRecord
-	for _, record := range f.unsaved {
-		records = append(records, record)
-	}
-	f.mu.Unlock()
-	if len(records) == 0 {
-		return
-	}
-	err := f.copy.Save(ctx, records)
-	if errors.Is(err, ErrRefused) {
-		f.forgetUnsaved(records)
-		f.logger.Error().Err(err).Str("step", "save copy of "+f.topic.Name).Str("peer", "store").Int("records", len(records)).
-			Msg("copy can't hold these records; it stays as it was until they change")
-		return
-	}
-	if err != nil {
-		f.logger.Warn().Err(err).Str("step", "save copy of "+f.topic.Name).Str("peer", "store").
-			Msg("copy not saved; will retry")
-		return
-	}
-	f.forgetUnsaved(records)
-	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).Msg("copy saved")
-}
-
-// forgetUnsaved removes records from the unsaved ones, unless they have changed since.
-func (f *follower) forgetUnsaved(records []wire.FeedRecord) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, record := range records {
-		if f.unsaved[record.Key] == record {
-			delete(f.unsaved, record.Key)
-		}
-	}
-}
-
-// loadCopy applies the copy if the topic itself could not be read since the start. The topic doesn't count as loaded
-// then: peers get no snapshot of it, and every further read still requests the whole topic.
-func (f *follower) loadCopy(ctx context.Context) {
-	f.mu.Lock()
-	needed := !f.topic.Loaded() && !f.fromCopy
-	f.mu.Unlock()
-	if !needed {
-		return
-	}
-	batch, err := f.copy.Newest(ctx)
-	if err != nil || len(batch.Records) == 0 {
-		f.logger.Warn().Err(err).Str("step", "read copy of "+f.topic.Name).Str("peer", "store").Msg("no copy to load")
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.topic.Loaded() {
-		return
-	}
-	f.fromCopy = true
-	records := f.readable(batch.Records)
-	f.applyRecords(records)
-	f.logger.Info().Str("decision", "feed").Str("topic", f.topic.Name).Int("records", len(records)).
-		Msg("topic loaded from the copy")
-}
-
 // handleUpdate merges an update that a peer has pushed; gap reports that records are missing and the whole topic must be
 // fetched from that peer.
 func (f *follower) handleUpdate(update wire.FeedUpdate) (gap bool) {
@@ -438,60 +367,6 @@
 	return gap
 }
 
-func (f *follower) snapshot() (wire.FeedUpdate, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	update := f.topic.Snapshot()
-	update.AgeMs = f.ageMs()
-	return update, f.topic.Loaded()
-}
-
-// confirm returns an update without records, which tells how old the topic is, and whether it has come just as far as a position.
-func (f *follower) confirm(at Position) (update wire.FeedUpdate, same bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	update = wire.FeedUpdate{
-		Topic:     f.topic.Name,
-		Era:       f.topic.Era(),
-		FreshFrom: f.topic.FreshFrom(),
-		From:      f.topic.Next(),
-		Next:      f.topic.Next(),
-		AgeMs:     f.ageMs(),
-	}
-	return update, f.topic.Loaded() && at.Era == update.Era && at.Next == update.Next
-}
-
-// ageMs returns the age of the topic as updates tell it. The caller must hold the lock.
-func (f *follower) ageMs() *int {
-	age := int(f.readSchedule.Age(time.Now()) / time.Millisecond)
-	return &age
-}
-
-// packSnapshot returns the packed snapshot. It is made once for all peers that ask for it until the topic changes.
-func (f *follower) packSnapshot() (update wire.FeedUpdate, known bool, err error) {
-	f.packing.Lock()
-	defer f.packing.Unlock()
-	snapshot, known := f.snapshot()
-	at := Position{
-		Era:  snapshot.Era,
-		Next: snapshot.Next,
-	}
-	if known && (f.packed.update.Packed == "" || f.packed.position != at || f.packed.freshFrom != snapshot.FreshFrom) {
-		packed, err := feed.Pack(snapshot)
-		if err != nil {
-			return wire.FeedUpdate{}, known, err
-		}
-		f.packed = packedSnapshot{
-			position:  at,
-			freshFrom: snapshot.FreshFrom,
-			update:    packed,
-		}
-	}
-	update = f.packed.update
-	update.AgeMs = snapshot.AgeMs
-	return update, known, nil
-}
-
 func (f *follower) loaded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -504,27 +379,6 @@
 	return f.topic.Era()
 }
 
-// Position is how far a topic has come: the era of the store, and the offset after the last record.
-type Position struct {
-	Era  int
-	Next int
-}
-
-func (f *follower) position() Position {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return Position{
-		Era:  f.topic.Era(),
-		Next: f.topic.Next(),
-	}
-}
-
-// hasCome reports whether the topic has come as far as an update.
-func (f *follower) hasCome(update wire.FeedUpdate) bool {
-	at := f.position()
-	return at.Era > update.Era || at.Era == update.Era && at.Next >= update.Next
-}
-
 func (f *follower) age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/catalog/region.go
+++ b/internal/transport/catalog/region.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lagoongw/internal/coordination/feed"
-	"lagoongw/internal/protocol/wire"
 	"lagoongw/internal/transport/schedule"
 )
 
@@ -58,16 +57,3 @@
 	f.handleSnapshot(update, askedAt)
 	return true
 }
-
-// News returns what a peer that has come as far as a position needs: a packed snapshot, or an update without records if there is
-// nothing newer; known is false until this node has loaded the topic.
-func (s *Service) News(topic string, at Position) (update wire.FeedUpdate, known bool, err error) {
-	f := s.follower(topic)
-	if f == nil {
-		return wire.FeedUpdate{}, false, nil
-	}
-	if update, same := f.confirm(at); same {
-		return update, true, nil
-	}
-	return f.packSnapshot()
-}
--- a/internal/transport/catalog/service.go
+++ b/internal/transport/catalog/service.go
@@ -259,22 +259,6 @@
 	return false
 }
 
-// Snapshot returns a whole topic for a peer; known is false until this node has loaded it.
-func (s *Service) Snapshot(topic string) (update wire.FeedUpdate, known bool) {
-	if f := s.follower(topic); f != nil {
-		return f.snapshot()
-	}
-	return wire.FeedUpdate{}, false
-}
-
-// PackedSnapshot returns a whole topic for a peer as a packed update; known is false until this node has loaded it.
-func (s *Service) PackedSnapshot(topic string) (update wire.FeedUpdate, known bool, err error) {
-	if f := s.follower(topic); f != nil {
-		return f.packSnapshot()
-	}
-	return wire.FeedUpdate{}, false, nil
-}
-
 // AwaitRecords waits for the records that a peer's update left out since another node passes them on, and fetches the whole
 // topic from the peer at an address if they don't come in time.
 func (s *Service) AwaitRecords(ctx context.Context, address string, update wire.FeedUpdate) {
