review: show streams joined from two versions while all else is calm

Cause: confirmVersion waits for a list that was read since the connection to the next upstream was opened. For a kept connection that was long ago, so a first upstream that has started again with newer software since the last read still counts as the old one.

The stand-in for the store takes 4 ms for an answer, as the site's does.

--- a/review/harness2/case_version.go
+++ b/review/harness2/case_version.go
@@ -42,7 +42,7 @@
 	outageEnds := time.Now().Add(storeOutage)
 	for _, r := range replicas {
 		time.Sleep(time.Second)
-		if err := r.restartAs("v2"); err != nil {
+		if err := r.restartAs("v2", down); err != nil {
 			return nil, err
 		}
 	}
@@ -55,10 +55,10 @@
 	return s.joined(answers), nil
 }
 
-// restartAs has the replica crash and start again under its name and at its address with another version.
-func (r *Replica) restartAs(version string) error {
+// restartAs has the replica crash and start again, after a time, under its name and at its address with a version.
+func (r *Replica) restartAs(version string, after time.Duration) error {
 	r.Exit()
-	time.Sleep(down)
+	time.Sleep(after)
 	r.Version = version
 	return r.Start()
 }
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -15,9 +15,11 @@
 
 // cases are the cases by name; each returns a line for each time that its rule was broken.
 var cases = map[string]func(folder string) (breaks []string, err error){
-	"odd-entries":    playOddEntries,
-	"ghost-replica":  playGhostReplica,
-	"joined-version": playJoinedVersion,
+	"odd-entries":      playOddEntries,
+	"ghost-replica":    playGhostReplica,
+	"joined-version":   playJoinedVersion,
+	"incomplete-entry": playIncompleteEntry,
+	"crashing-canary":  playCrashingCanary,
 }
 
 func main() {
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -16,6 +16,9 @@
 	heartbeat = 1200 * time.Millisecond
 	// eventPause is the time between two events of a stream.
 	eventPause = 100 * time.Millisecond
+	// shortPath is the path of streams of shortEvents events.
+	shortPath   = "/quote/short"
+	shortEvents = 2
 )
 
 // Spec describes a replica.
@@ -25,6 +28,8 @@
 	// Work is how long a plain request takes, and Events how many events a stream has.
 	Work   time.Duration
 	Events int
+	// Foreign replicas don't register themselves.
+	Foreign bool
 }
 
 // Replica stands in for a replica of a service. It registers itself in the store under its name and runs what it is sent.
@@ -43,6 +48,8 @@
 	server   *http.Server
 	conns    map[net.Conn]bool
 	silenced chan struct{}
+	// active is the number of requests that run, and made the largest number of events of a stream since the start.
+	active, made int
 }
 
 // States of an entry.
@@ -66,6 +73,7 @@
 	r.address = listener.Addr().String()
 	r.born = time.Now().UnixMilli()
 	r.state, r.seq = stateReady, 0
+	r.made = 0
 	r.conns = map[net.Conn]bool{}
 	version := r.Version
 	r.server = &http.Server{
@@ -76,7 +84,9 @@
 	server := r.server
 	go func() { _ = server.Serve(listener) }()
 	r.silenced = make(chan struct{})
-	go r.beat(r.silenced)
+	if !r.Foreign {
+		go r.beat(r.silenced)
+	}
 	r.journal.Note("replica %s starts, version %s", r.Name, r.Version)
 	return nil
 }
@@ -196,6 +206,8 @@
 		return
 	}
 	r.journal.Ran(id, r.Name, version, q.Header.Get(names["last-event"]))
+	r.addActive(1)
+	defer r.addActive(-1)
 	w.Header().Set(names["stamp"], r.Name+"."+id)
 	if r.Events > 0 {
 		r.stream(w, q, version)
@@ -214,7 +226,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(q.Header.Get(names["last-event"]))
 	control := http.NewResponseController(w)
-	for i := after + 1; i <= r.Events; i++ {
+	events := r.Events
+	if q.URL.Path == shortPath {
+		events = min(events, shortEvents)
+	}
+	for i := after + 1; i <= events; i++ {
 		select {
 		case <-time.After(eventPause):
 		case <-q.Context().Done():
@@ -222,5 +238,27 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d\n\n", i, version, i)
 		_ = control.Flush()
+		r.mu.Lock()
+		r.made = max(r.made, i-after)
+		r.mu.Unlock()
+	}
+}
+
+func (r *Replica) addActive(requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active += requests
+}
+
+// Await waits until the replica runs nothing, or until a stream has made some events since its start if made is set, for
+// some time at most.
+func (r *Replica) Await(made int, within time.Duration) {
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		reached := made > 0 && r.made >= made || made == 0 && r.active == 0
+		r.mu.Unlock()
+		if reached {
+			return
+		}
 	}
 }
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 )
 
@@ -131,6 +132,25 @@
 	}
 }
 
+// Burst sends requests at the same moment, to one node after the other; the function that it returns waits for the answers.
+func (s *Site) Burst(path string, limit time.Duration, count int) (wait func() []Answer) {
+	c := &Consumer{
+		Path:    path,
+		Limit:   limit,
+		nodes:   s.Nodes,
+		journal: s.Journal,
+	}
+	var group sync.WaitGroup
+	for i := range count {
+		address := s.Nodes[i%len(s.Nodes)].Address(portCallers)
+		group.Go(func() { c.keep(c.Send(address, "")) })
+	}
+	return func() []Answer {
+		group.Wait()
+		return c.Answers()
+	}
+}
+
 // Close ends all processes and removes the temporary folder, unless KEEP names a folder to move it to.
 func (s *Site) Close() {
 	for _, n := range s.Nodes {
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -13,12 +13,14 @@
 	"time"
 )
 
-// Limits of the store as the pages state them: of one record, of one call, and of a page of newest records.
+// Limits of the store as the pages state them: of one record, of one call, and of a page of newest records; and the time that it
+// takes for an answer.
 const (
-	maxRecordBytes = 262_144
-	maxCallBytes   = 2_097_152
-	maxPageItems   = 500
-	maxPageBytes   = 1 << 20
+	storeAnswerTime = 4 * time.Millisecond
+	maxRecordBytes  = 262_144
+	maxCallBytes    = 2_097_152
+	maxPageItems    = 500
+	maxPageBytes    = 1 << 20
 )
 
 // record is a record of a keyed topic; one without a value drops its key.
@@ -78,6 +80,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	topic := query.Get("topic")
+	time.Sleep(storeAnswerTime)
 	if _, _, available := s.state(topic); !available {
 		w.WriteHeader(http.StatusServiceUnavailable) // nothing was done
 		return
