--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -19,6 +19,8 @@
 	// shortPath is the path of streams of shortEvents events.
 	shortPath   = "/quote/short"
 	shortEvents = 2
+	// weights is the version of the weights, which all versions of the software have in common.
+	weights = "1"
 )
 
 // Spec describes a replica.
@@ -202,6 +204,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if expected := q.Header.Get(names["expect-weights"]); expected != "" && expected != weights {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
@@ -224,6 +230,7 @@
 // stream writes the events after the one that the request names.
 func (r *Replica) stream(w http.ResponseWriter, q *http.Request, version string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(names["weights"], weights)
 	after, _ := strconv.Atoi(q.Header.Get(names["last-event"]))
 	control := http.NewResponseController(w)
 	events := r.Events
