--- a/review/harness2/nodes.go
+++ b/review/harness2/nodes.go
@@ -194,7 +194,7 @@
 	return nil
 }
 
-// holder of an address that belongs to no node is empty.
+// holder returns the name of the node that has an address, or an empty string.
 func holder(nodes []*Node, address string) string {
 	for _, n := range nodes {
 		if strings.HasPrefix(address, n.IP+":") {
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -25,9 +25,8 @@
 
 // Bounds of the deployment as its settings name them.
 const (
-	drainBound    = 3 * time.Second
-	contactBound  = 4 * time.Second
-	recoveryBound = 12 * time.Second
+	drainBound   = 3 * time.Second
+	contactBound = 4 * time.Second
 )
 
 // NewSite starts a store with the manifest and prepares nodes; the record is written into a folder.
