connection: a reset that a write learns of is not the end of an answer

Callers got a part of an answer as a whole one, 200 and 404 alike: the upstream answered an upload without a length, and reset the connection while the upload was still written.

Cause: the kernel reports the failure of a connection once. If the goroutine that writes the request gets it, the one that reads the answer sees the end of the bytes, which is the end of a body without a length. The node between two others took it for the end of the upstream's bytes in the same way, and said so to the other node.

Change: sockets keep the error of the first write that failed. A read that sees the end stops the write that is under way and returns its error instead, unless the upstream had ended its bytes before (EPIPE) or the write was only stopped. That orders the two whatever the scheduler does, and holds for failures other than resets too. TestUnreadBytesAreBounded asks for the raw connection by its interface now, as the connection is no net.TCPConn any more; it checks the same sizes.

Ruled out: answers with a length or in chunks, whose missing end is an error.

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -92,6 +92,9 @@
 }
 
 func (c *Conn) write(message net.Buffers) error {
+	if s, ok := c.net.(*socket); ok {
+		return s.writeBuffers(message)
+	}
 	_, err := message.WriteTo(c.net)
 	return err
 }
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -164,7 +164,11 @@
 		}
 		return setOptions(network, address, raw)
 	}
-	return dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return newSocket(conn), nil
 }
 
 var keepAlive = net.KeepAliveConfig{
--- a/internal/transport/connection/receive_test.go
+++ b/internal/transport/connection/receive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,7 +12,7 @@
 // kernelBuffer returns the size of the kernel's buffer for what a connection receives.
 func kernelBuffer(t *testing.T, conn net.Conn) int {
 	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
