response: a checker of what comes from upstreams, stricter than net/http

Callers got a whole answer, stamped and 200, with bytes that were not the upstream's: a blank stood in the name of the line that frames the body, at its start, inside or before the colon.

Cause: net/http keeps a field whose name holds a blank, under that name. The body then has no length for it and lasts to the end of the connection, sizes of chunks included. A line that begins with a blank is taken for a part of the line before. It is as lenient with trailers, with blanks after the size of a chunk, and with answers that have both a length and chunks, or chunks in HTTP/1.0.

Change: package response checks the bytes as they come from the connection, before net/http reads them: lines, names and values of fields, framing, chunks, extensions and trailers, as RFC 9112 has them, in interim answers too. Nothing from the first unsound line on reaches the reader, so that such an answer is lost like one that broke off: 502, or the repeat that the route allows; a stream goes on elsewhere from its last event. The limit of a head moved there. Bytes after the end of an answer still only end the connection.

Ruled out: control bytes in names and values were refused before (their tests pass on the former code).

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,11 +16,6 @@
 // upstream may respond before it has read the whole body.
 const backgroundWriteBytes = 16 << 10
 
-// MaxHeadBytes limits the header of a response, together with the interim responses before it.
-const MaxHeadBytes = 16 << 10
-
-var errHeadTooLong = eris.Errorf("header longer than %d bytes", MaxHeadBytes)
-
 // Request is one HTTP request to an upstream.
 type Request struct {
 	Method string
@@ -131,12 +127,11 @@
 // readHead reads the status line and the headers of the final response. It skips interim responses, which have a status
 // 1xx other than 101.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.source.limit(MaxHeadBytes)
-	defer c.source.unlimit()
+	c.source.begin(method)
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(c.source.fault(), err) // the fault says more
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -68,8 +68,8 @@
 // Conn is one connection to an upstream; it belongs to one goroutine at a time.
 type Conn struct {
 	net net.Conn
-	// source is net with a limit on the bytes of a header; reader reads from it.
-	source *limitedSource
+	// source reads the responses from net, and reader from source.
+	source *source
 	reader *bufio.Reader
 	// address is the address of the upstream.
 	address  string
@@ -141,7 +141,7 @@
 		return nil, eris.Wrapf(err, "connect to upstream %s", address)
 	}
 	p.opened.Add(1)
-	source := &limitedSource{Conn: raw}
+	source := newSource(raw)
 	return &Conn{
 		net:      raw,
 		source:   source,
@@ -217,7 +217,7 @@
 	} else {
 		idle = min(max(idle-idleMargin, idle/2), p.IdleTimeout)
 	}
-	if c.reader.Buffered() > 0 || !p.usable(c) {
+	if c.reader.Buffered() > 0 || c.source.fault() != nil || !p.usable(c) {
 		c.Close()
 		return
 	}
@@ -283,7 +283,7 @@
 // belong to no request and would be taken for the start of the next response. A connection that is not a socket, as in
 // tests, counts as open.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.source.fault() != nil {
 		return false
 	}
 	socket, ok := c.net.(syscall.Conn)
--- a/internal/transport/connection/source.go
+++ b/internal/transport/connection/source.go
@@ -1,27 +1,54 @@
 package connection
 
-import "net"
+import (
+	"net"
+	"sync"
 
-// limitedSource reads from a connection, and fails once a limit is exhausted.
-type limitedSource struct {
+	"lagoongw/internal/protocol/response"
+)
+
+// MaxHeadBytes limits the header of a response, together with the interim responses before it.
+const MaxHeadBytes = 16 << 10
+
+// source reads responses from a connection, and fails at the first byte that is not sound HTTP/1.1.
+type source struct {
 	net.Conn
-	limited bool
-	// left is the number of bytes that may still be read while limited.
-	left int
+
+	mu      sync.Mutex
+	checker response.Checker
 }
 
-func (l *limitedSource) limit(n int) { l.limited, l.left = true, n }
+func newSource(conn net.Conn) *source {
+	return &source{
+		Conn:    conn,
+		checker: response.Checker{MaxHeadBytes: MaxHeadBytes},
+	}
+}
 
-func (l *limitedSource) unlimit() { l.limited = false }
+// begin tells that the response to a request with a method comes next.
+func (s *source) begin(method string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checker.Begin(method)
+}
 
-func (l *limitedSource) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.Conn.Read(p)
+// Read reads bytes up to the first one that is not sound, and returns an error in its place.
+func (s *source) Read(p []byte) (int, error) {
+	if err := s.fault(); err != nil {
+		return 0, err
 	}
-	if l.left <= 0 {
-		return 0, errHeadTooLong
+	n, err := s.Conn.Read(p)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n, fault := s.checker.Check(p[:n]); fault != nil {
+		return n, fault
 	}
-	n, err := l.Conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
 	return n, err
 }
+
+// fault returns why a byte that was read is not sound, nil if all are.
+func (s *source) fault() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checker.Fault()
+}
