response: a status that HTTP doesn't have is a broken answer at once

An answer with status 000 never came out; its caller waited until the time limit. With another head behind it, that one did.

Cause: every status under 200 was taken for that of an interim answer, and the reader went on to the next one. A status of 600 and more was passed on, and so was 101, for which no caller can have asked: Upgrade isn't passed on.

Change: the status line has to be sound: version 1.x, three digits from 100 to 599, one blank before the reason even if there is none, and no 101.

--- a/internal/protocol/response/checker_test.go
+++ b/internal/protocol/response/checker_test.go
@@ -37,6 +37,21 @@
 	// not whole
 	{text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbod"},
 	{text: "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"},
+	// status lines
+	{text: "HTTP/1.1 000 X\r\n\r\n"},
+	{text: "HTTP/1.1 099 X\r\n\r\n"},
+	{text: "HTTP/1.1 101 X\r\n\r\n"},
+	{text: "HTTP/1.1 600 X\r\n\r\n"},
+	{text: "HTTP/1.1 2000 X\r\n\r\n"},
+	{text: "HTTP/1.1 +20 X\r\n\r\n"},
+	{text: "HTTP/1.1 200\r\n\r\n"},
+	{text: "HTTP/1.1  200 X\r\n\r\n"},
+	{text: "HTTP/1.1 200 \x01\r\n\r\n"},
+	{text: "HTTP/1.10 200 X\r\n\r\n"},
+	{text: "HTTP/2.0 200 X\r\n\r\n"},
+	{text: "http/1.1 200 X\r\n\r\n"},
+	{text: "\r\nHTTP/1.1 200 X\r\n\r\n"},
+	{text: "HTTP/1.1 200 X\n\n"},
 	// field lines
 	{text: "HTTP/1.1 200 X\r\n Content-Length: 4\r\n\r\nbody"},
 	{text: "HTTP/1.1 200 X\r\nX: 1\r\n\tContent-Length: 4\r\n\r\nbody"},
--- a/internal/protocol/response/head.go
+++ b/internal/protocol/response/head.go
@@ -15,8 +15,12 @@
 	chunked  = -2
 )
 
-// maxQuotedBytes limits what an error quotes of a response.
-const maxQuotedBytes = 40
+const (
+	minStatus = 100
+	maxStatus = 599
+	// maxQuotedBytes limits what an error quotes of a response.
+	maxQuotedBytes = 40
+)
 
 // head is what the lines of a head have told so far.
 type head struct {
@@ -26,14 +30,24 @@
 	lengths, codings []string
 }
 
-// readStatus reads the status line.
+// readStatus reads the status line. Unlike net/http it allows no other version than 1.x, and no status that HTTP doesn't have.
 func (h *head) readStatus(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil {
+	code, reason, found := strings.Cut(rest, " ")
+	if !found || !httpguts.ValidHeaderFieldValue(reason) {
 		return unsound("status line %s", quote(line))
 	}
+	minor, found := strings.CutPrefix(version, "HTTP/1.")
+	if !found || len(minor) != 1 || !isDigits(minor) {
+		return unsound("version %s", quote(version))
+	}
+	status, err := strconv.Atoi(code)
+	if err != nil || !isDigits(code) || len(code) != 3 || status < minStatus || status > maxStatus {
+		return unsound("status %s", quote(code))
+	}
+	if status == http.StatusSwitchingProtocols {
+		return unsound("status 101 to a request that asks for no other protocol")
+	}
 	h.status, h.version = status, version
 	return nil
 }
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -125,7 +125,7 @@
 }
 
 // readHead reads the status line and the headers of the final response. It skips interim responses, which have a status
-// 1xx other than 101.
+// 1xx.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.source.begin(method)
 	for {
@@ -133,7 +133,7 @@
 		if err != nil {
 			return nil, cmp.Or(c.source.fault(), err) // the fault says more
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
--- a/internal/transport/gateway/unsound_answer_test.go
+++ b/internal/transport/gateway/unsound_answer_test.go
@@ -44,6 +44,9 @@
 	heads["chunks of HTTP/1.0"] = "HTTP/1.0 200 X\r\n" + answerHeaders + "Transfer-Encoding: chunked\r\n"
 	heads["interim answer with an odd line"] = "HTTP/1.1 103 X\r\nOther X: 1\r\n\r\nHTTP/1.1 200 X\r\n" + answerHeaders + "Content-Length: 15\r\n"
 	heads["interim answer in chunks"] = "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 X\r\n" + answerHeaders + "Content-Length: 15\r\n"
+	heads["status 000 before an answer"] = "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 X\r\n" + answerHeaders + "Content-Length: 15\r\n"
+	heads["protocol that was not asked for"] = "HTTP/1.1 101 X\r\n" + answerHeaders + "Upgrade: x\r\n"
+	heads["HTTP/2.0"] = "HTTP/2.0 200 X\r\n" + answerHeaders + "Content-Length: 15\r\n"
 	return heads
 }
 
@@ -61,6 +64,20 @@
 	}
 }
 
+// TestStatusThatHTTPDoesNotHaveIsBrokenAtOnce guards against callers that wait until their deadline for what follows an answer whose
+// status is taken for that of an interim one.
+func TestStatusThatHTTPDoesNotHaveIsBrokenAtOnce(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "20", "2000", "-20", "2x0"} {
+		for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"} {
+			t.Run(status+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					callUnsound(t, path, "HTTP/1.1 "+status+" X\r\n"+answerHeaders+"Content-Length: 0\r\n\r\n", true)
+				})
+			})
+		}
+	}
+}
+
 // callUnsound calls a gateway whose first upstream answers with raw text and may leave the connection open, and checks that the
 // caller gets 502, or the second upstream's answer on the routes that allow a repeat.
 func callUnsound(t *testing.T, path, raw string, keepOpen bool) {
