Clients of net/http take no unsound answer either

Cause: the clients of the store, the platform API and the upstreams of serve, and the commands that call an entry VM, read answers with net/http alone. An answer of the store with a blank in the line that frames it was read for records, a call of the platform API counted as executed by one, an append as done; and a reset during a long write was the end of an answer without a length here as well.

Change: connection.CheckResponses wraps the dial function of an http.Transport; the connections are the same sockets, with the same checker, as those to upstreams. A call whose answer is not sound ends like one without an answer: it may have run. Of the platform API's answers, whose status is all that counts, an unsound body is an error now too; one that is only cut is none, as before.

Looked at, and left as they are: entry VMs talk among themselves in frames of their own, whose lengths are checked; probes of upstreams only connect, or use the client above; an order to an engine is settled by the status alone.

--- a/internal/transport/command/client.go
+++ b/internal/transport/command/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"lagoongw/internal/protocol/wire"
+	"lagoongw/internal/transport/connection"
 )
 
 const (
@@ -36,6 +37,15 @@
 	body   []byte
 }
 
+// client fails on responses that are not sound HTTP/1.1.
+var client = &http.Client{Transport: newTransport()}
+
+func newTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = connection.CheckResponses(transport.DialContext)
+	return transport
+}
+
 func call(ctx context.Context, method, node, path, token string, request any) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
@@ -54,7 +64,7 @@
 	if token != "" {
 		r.Header.Set("Authorization", "Bearer "+token)
 	}
-	httpResponse, err := http.DefaultClient.Do(r)
+	httpResponse, err := client.Do(r)
 	if err != nil {
 		return response{}, eris.Wrapf(err, "call entry VM %s (try another with --node)", node)
 	}
--- a/internal/transport/connection/socket_test.go
+++ b/internal/transport/connection/socket_test.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -123,3 +124,29 @@
 		}
 	}
 }
+
+// TestResetDuringUploadsOfATransportIsNotTheEndOfTheAnswer guards against the same at the clients that use net/http.
+func TestResetDuringUploadsOfATransportIsNotTheEndOfTheAnswer(t *testing.T) {
+	proceed := make(chan struct{})
+	close(proceed)
+	address := early(t, proceed, func(conn *net.TCPConn) {
+		time.Sleep(2 * time.Millisecond)
+		Reset(conn)
+	})
+	client := http.Client{Transport: &http.Transport{DialContext: CheckResponses(NewDialer(time.Second, time.Second).DialContext)}}
+	for range 300 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, bytes.NewReader(make([]byte, 8<<20)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			continue // the write failed first
+		}
+		_, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err == nil {
+			t.Fatal("a part of an answer was taken for whole")
+		}
+	}
+}
--- a/internal/transport/connection/source.go
+++ b/internal/transport/connection/source.go
@@ -1,6 +1,8 @@
 package connection
 
 import (
+	"bytes"
+	"context"
 	"net"
 	"sync"
 
@@ -52,3 +54,33 @@
 	defer s.mu.Unlock()
 	return s.checker.Fault()
 }
+
+// checkedConn is a connection on which requests are written one after the other, each of which begins a response.
+type checkedConn struct {
+	*source
+}
+
+// Write writes a request or a part of one.
+func (c checkedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.checker.Done() {
+		method, _, _ := bytes.Cut(p, []byte(" "))
+		c.checker.Begin(string(method))
+	}
+	c.mu.Unlock()
+	return c.source.Write(p)
+}
+
+// CheckResponses returns a dial function for an http.Transport. Its TCP connections fail where a response is not sound HTTP/1.1,
+// and don't end where they were reset.
+func CheckResponses(
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return checkedConn{source: newSource(newSocket(conn))}, nil
+	}
+}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -50,7 +50,7 @@
 func (c *Client) Open() {
 	breaker.NoBreakerFor(serviceName)
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    8,
 		DisableCompression:     true,
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -86,7 +86,7 @@
 // with disableKeepAlives never resends.
 func newService(disableKeepAlives bool) httpc.Service {
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		IdleConnTimeout:        idleConnTimeout,
 		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
 		DisableCompression:     true,
