--- a/internal/transport/connection/socket_test.go
+++ b/internal/transport/connection/socket_test.go
@@ -39,6 +39,17 @@
 	return listener.Addr().String()
 }
 
+// earlyReset is early with connections that are reset just after the text.
+func earlyReset(t *testing.T) (address string) {
+	t.Helper()
+	proceed := make(chan struct{})
+	close(proceed)
+	return early(t, proceed, func(conn *net.TCPConn) {
+		time.Sleep(2 * time.Millisecond)
+		Reset(conn)
+	})
+}
+
 func upload(t *testing.T, p *Pool, address string, size int) *Response {
 	t.Helper()
 	c, err := p.Get(t.Context(), address, "id")
@@ -82,12 +93,7 @@
 
 // TestResetDuringUploadsBesideAReadIsNotTheEndOfTheAnswer is the same with a read that waits while the connection is reset.
 func TestResetDuringUploadsBesideAReadIsNotTheEndOfTheAnswer(t *testing.T) {
-	proceed := make(chan struct{})
-	close(proceed)
-	address := early(t, proceed, func(conn *net.TCPConn) {
-		time.Sleep(2 * time.Millisecond)
-		Reset(conn)
-	})
+	address := earlyReset(t)
 	p := NewPool()
 	for range 300 {
 		response := upload(t, p, address, 8<<20)
@@ -127,12 +133,7 @@
 
 // TestResetDuringUploadsOfATransportIsNotTheEndOfTheAnswer guards against the same at the clients that use net/http.
 func TestResetDuringUploadsOfATransportIsNotTheEndOfTheAnswer(t *testing.T) {
-	proceed := make(chan struct{})
-	close(proceed)
-	address := early(t, proceed, func(conn *net.TCPConn) {
-		time.Sleep(2 * time.Millisecond)
-		Reset(conn)
-	})
+	address := earlyReset(t)
 	client := http.Client{Transport: &http.Transport{DialContext: CheckResponses(NewDialer(time.Second, time.Second).DialContext)}}
 	for range 300 {
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, bytes.NewReader(make([]byte, 8<<20)))
