connection, response: comments that say what a newcomer would ask

Cause: read as a newcomer, the comments left open what a checked connection takes for a request, what else it reports, and what the limit of a head means for trailers.

Change: comments alone.

--- a/internal/protocol/response/checker.go
+++ b/internal/protocol/response/checker.go
@@ -35,7 +35,8 @@
 
 // Checker checks the bytes of the responses on one connection in the order in which they come. It is not safe for concurrent use.
 type Checker struct {
-	// MaxHeadBytes limits the head of a response together with those of the interim responses before it, and the trailers.
+	// MaxHeadBytes limits the head of a response together with those of the interim responses before it, and its trailers by
+	// themselves.
 	MaxHeadBytes int
 
 	next part
@@ -50,7 +51,7 @@
 	fault error
 }
 
-// Begin tells the checker that the response to a request with a method comes next.
+// Begin tells the checker that the response to a request with a method comes next. The method decides whether it has a body.
 func (c *Checker) Begin(method string) {
 	c.next, c.method = statusLine, method
 	c.head, c.lineBytes = head{}, 0
--- a/internal/transport/connection/source.go
+++ b/internal/transport/connection/source.go
@@ -55,7 +55,7 @@
 	return s.checker.Fault()
 }
 
-// checkedConn is a connection on which requests are written one after the other, each of which begins a response.
+// checkedConn is a source whose responses begin by themselves: a write after the end of one is taken for the next request.
 type checkedConn struct {
 	*source
 }
@@ -71,8 +71,8 @@
 	return c.source.Write(p)
 }
 
-// CheckResponses returns a dial function for an http.Transport. Its TCP connections fail where a response is not sound HTTP/1.1,
-// and don't end where they were reset.
+// CheckResponses returns a dial function for an http.Transport, whose connections fail on responses that are not sound HTTP/1.1. They
+// also report each failure of a TCP connection, which a plain one may report as the end of its bytes.
 func CheckResponses(
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) func(ctx context.Context, network, address string) (net.Conn, error) {
