connection: pooled connections are read without a lock

Cause: the checker of a connection was guarded by a lock, taken twice for each read, though a connection of the pool belongs to one goroutine at a time; only those of an http.Transport are read and written at once.

That the locks made the crash likelier is suspected, not shown.

--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -127,11 +127,11 @@
 // readHead reads the status line and the headers of the final response. It skips interim responses, which have a status
 // 1xx.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.source.begin(method)
+	c.source.checker.Begin(method)
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, cmp.Or(c.source.fault(), err) // the fault says more
+			return nil, cmp.Or(c.source.checker.Fault(), err) // the fault says more
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -217,7 +217,7 @@
 	} else {
 		idle = min(max(idle-idleMargin, idle/2), p.IdleTimeout)
 	}
-	if c.reader.Buffered() > 0 || c.source.fault() != nil || !p.usable(c) {
+	if c.reader.Buffered() > 0 || c.source.checker.Fault() != nil || !p.usable(c) {
 		c.Close()
 		return
 	}
@@ -283,7 +283,7 @@
 // belong to no request and would be taken for the start of the next response. A connection that is not a socket, as in
 // tests, counts as open.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 || c.source.fault() != nil {
+	if c.reader.Buffered() > 0 || c.source.checker.Fault() != nil {
 		return false
 	}
 	socket, ok := c.net.(syscall.Conn)
