connection, response: one path for writes, one check for leftovers, and numbers read by strconv alone

Cause: read once more, the change wrote some things twice. socket wrote one buffer and several by two copies of the same steps; two places asked whether bytes had come after a response; numbers were checked digit by digit beside strconv.ParseInt, in two ways, to keep out signs.

Change: Write is writeBuffers with one buffer, hasUnread serves both places, and strconv.ParseUint refuses signs by itself. The end of a chunk is a case of its own. What is refused stays the same.

--- a/internal/protocol/response/checker.go
+++ b/internal/protocol/response/checker.go
@@ -164,10 +164,11 @@
 		return checkTrailer(line)
 	case chunkLine:
 		return c.beginChunk(line)
-	}
-	c.next, c.lineBytes = chunkLine, 0
-	if line != "" {
-		return unsound("chunk longer than its size")
+	case chunkEnd:
+		if line != "" {
+			return unsound("chunk longer than its size")
+		}
+		c.next, c.lineBytes = chunkLine, 0
 	}
 	return nil
 }
--- a/internal/protocol/response/head.go
+++ b/internal/protocol/response/head.go
@@ -38,17 +38,17 @@
 		return unsound("status line %s", quote(line))
 	}
 	minor, found := strings.CutPrefix(version, "HTTP/1.")
-	if !found || len(minor) != 1 || !isDigits(minor) {
+	if _, err := strconv.ParseUint(minor, 10, 63); !found || err != nil || len(minor) != 1 {
 		return unsound("version %s", quote(version))
 	}
-	status, err := strconv.Atoi(code)
-	if err != nil || !isDigits(code) || len(code) != 3 || status < minStatus || status > maxStatus {
+	status, err := strconv.ParseUint(code, 10, 63)
+	if err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
 		return unsound("status %s", quote(code))
 	}
 	if status == http.StatusSwitchingProtocols {
 		return unsound("status 101 to a request that asks for no other protocol")
 	}
-	h.status, h.version = status, version
+	h.status, h.version = int(status), version
 	return nil
 }
 
@@ -134,11 +134,11 @@
 			return 0, unsound("lengths %s and %s", quote(first), quote(other))
 		}
 	}
-	length, err := strconv.ParseInt(first, 10, 64)
-	if err != nil || !isDigits(first) {
+	length, err := strconv.ParseUint(first, 10, 63)
+	if err != nil {
 		return 0, unsound("length %s", quote(first))
 	}
-	return length, nil
+	return int64(length), nil
 }
 
 const (
@@ -155,22 +155,15 @@
 	if at := strings.IndexByte(line, ';'); at >= 0 {
 		digits, extensions = line[:at], line[at:]
 	}
-	for _, digit := range []byte(digits) {
-		if !strings.ContainsRune("0123456789abcdefABCDEF", rune(digit)) {
-			return 0, unsound("chunk size %s", quote(digits))
-		}
-	}
-	size, err := strconv.ParseInt(digits, 16, 64)
+	size, err := strconv.ParseUint(digits, 16, 63)
 	if err != nil {
 		return 0, unsound("chunk size %s", quote(digits))
 	}
 	if extensions != "" && !chunkExtensions.MatchString(extensions) {
 		return 0, unsound("chunk extension %s", quote(extensions))
 	}
-	return size, nil
+	return int64(size), nil
 }
 
-func isDigits(text string) bool { return text != "" && strings.Trim(text, "0123456789") == "" }
-
 // quote quotes the beginning of a text.
 func quote(text string) string { return strconv.Quote(text[:min(len(text), maxQuotedBytes)]) }
--- a/internal/transport/connection/exchange.go
+++ b/internal/transport/connection/exchange.go
@@ -89,7 +89,8 @@
 
 func (c *Conn) write(message net.Buffers) error {
 	if s, ok := c.net.(*socket); ok {
-		return s.writeBuffers(message)
+		_, err := s.writeBuffers(message)
+		return err
 	}
 	_, err := message.WriteTo(c.net)
 	return err
--- a/internal/transport/connection/pool.go
+++ b/internal/transport/connection/pool.go
@@ -217,7 +217,7 @@
 	} else {
 		idle = min(max(idle-idleMargin, idle/2), p.IdleTimeout)
 	}
-	if c.reader.Buffered() > 0 || c.source.checker.Fault() != nil || !p.usable(c) {
+	if c.hasUnread() || !p.usable(c) {
 		c.Close()
 		return
 	}
@@ -279,11 +279,14 @@
 	_ = conn.Close()
 }
 
+// hasUnread reports whether bytes have come after the end of the last response.
+func (c *Conn) hasUnread() bool { return c.reader.Buffered() > 0 || c.source.checker.Fault() != nil }
+
 // reusable reports whether the connection is open and has no unread bytes. Bytes that arrive on an idle connection
 // belong to no request and would be taken for the start of the next response. A connection that is not a socket, as in
 // tests, counts as open.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 || c.source.checker.Fault() != nil {
+	if c.hasUnread() {
 		return false
 	}
 	socket, ok := c.net.(syscall.Conn)
--- a/internal/transport/connection/socket.go
+++ b/internal/transport/connection/socket.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -14,8 +15,8 @@
 // socket is a TCP connection whose reads return io.EOF only if the other side has ended its bytes. The kernel reports a failure of
 // the connection only once; if a write learns of it, a read sees nothing but the end of the bytes.
 type socket struct {
-	net.Conn
-	tcp *net.TCPConn
+	net.Conn // hides those methods of tcp that write past Write
+	tcp      *net.TCPConn
 	// ended reports that a read has seen the end of the other side's bytes.
 	ended atomic.Bool
 
@@ -45,32 +46,20 @@
 
 // Write writes bytes. It fails once a read has seen the end of the other side's bytes.
 func (s *socket) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended.Load() {
-		return 0, syscall.EPIPE
-	}
-	n, err := s.tcp.Write(p)
-	return n, s.noteWrite(err)
+	n, err := s.writeBuffers(net.Buffers{p})
+	return int(n), err
 }
 
-// writeBuffers writes several buffers in as few calls as the kernel allows, else like Write.
-func (s *socket) writeBuffers(buffers net.Buffers) error {
+// writeBuffers writes several buffers as Write does, in as few calls as the kernel allows.
+func (s *socket) writeBuffers(buffers net.Buffers) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended.Load() {
-		return syscall.EPIPE
-	}
-	_, err := buffers.WriteTo(s.tcp)
-	return s.noteWrite(err)
-}
-
-// noteWrite keeps the error of the first write that failed; mu is held.
-func (s *socket) noteWrite(err error) error {
-	if s.writeErr == nil {
-		s.writeErr = err
+		return 0, syscall.EPIPE
 	}
-	return err
+	n, err := buffers.WriteTo(s.tcp)
+	s.writeErr = cmp.Or(s.writeErr, err)
+	return n, err
 }
 
 // Read reads bytes. It returns the error of a write instead of io.EOF if that means that the connection has failed.
