standin: one listener for the raw stand-ins

Cause: the loop that accepts connections stood in ServeRaw, in the tests of connection, detour and of uploads through a process.

Change: standin.Listen has it; the assertions are untouched.

--- a/internal/transport/connection/socket_test.go
+++ b/internal/transport/connection/socket_test.go
@@ -11,32 +11,24 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"lagoongw/test/standin"
 )
 
 // early accepts connections on a loopback address, sends begunAnswer once the first bytes of a request have come, and calls end once
 // the channel is closed or receives.
 func early(t *testing.T, proceed <-chan struct{}, end func(conn *net.TCPConn)) (address string) {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := standin.Listen(t.Context(), func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 10))
+		_, _ = io.WriteString(conn, begunAnswer)
+		<-proceed
+		end(conn.(*net.TCPConn))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = conn.Read(make([]byte, 10))
-				_, _ = io.WriteString(conn, begunAnswer)
-				<-proceed
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 // earlyReset is early with connections that are reset just after the text.
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -14,26 +14,17 @@
 
 	"lagoongw/internal/coordination/reach"
 	"lagoongw/internal/transport/connection"
+	"lagoongw/test/standin"
 )
 
 // listen starts a listener that handles each connection, and returns its address.
 func listen(t *testing.T, handle func(conn net.Conn)) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := standin.Listen(t.Context(), handle)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go handle(conn)
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/transport/entryvm/upload_test.go
+++ b/internal/transport/entryvm/upload_test.go
@@ -7,42 +7,36 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"lagoongw/internal/transport/connection"
+	"lagoongw/test/standin"
 )
 
 // startResettingUpstream starts an upstream that answers while requests still come, with a status in turn and without a length, and
 // resets each connection after a part of the body, at once or up to 0.3 ms later. It returns its address.
 func startResettingUpstream(t *testing.T, statuses []int) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	var served atomic.Int64
+	address, err := standin.Listen(t.Context(), func(conn net.Conn) {
+		defer connection.Reset(conn)
+		number := int(served.Add(1)) - 1
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Lagoongw-Attempt-Id: %s\r\nX-Lagoongw-Response-Stamp: s\r\n\r\npart",
+			statuses[number%len(statuses)], request.Header.Get("X-Lagoongw-Attempt-Id"))
+		time.Sleep(time.Duration(number%4) * 100 * time.Microsecond)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for served := 0; ; served++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Reset(conn)
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Lagoongw-Attempt-Id: %s\r\nX-Lagoongw-Response-Stamp: s\r\n\r\npart",
-					statuses[served%len(statuses)], request.Header.Get("X-Lagoongw-Attempt-Id"))
-				time.Sleep(time.Duration(served%4) * 100 * time.Microsecond)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 // TestUploadsWhoseAnswerIsResetFail guards against a part of an answer that a caller takes for whole, as the connection to the upstream
--- a/test/standin/raw.go
+++ b/test/standin/raw.go
@@ -9,8 +9,8 @@
 	"net/http"
 )
 
-// ServeRaw answers each request to a loopback address with a raw text, and closes the connection. It ends with the context.
-func ServeRaw(ctx context.Context, answer string) (address string, err error) {
+// Listen accepts connections on a loopback address until the context ends, and has each handled in a goroutine.
+func Listen(ctx context.Context, handle func(conn net.Conn)) (address string, err error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -22,12 +22,17 @@
 			if err != nil {
 				return
 			}
-			go answerRaw(conn, answer)
+			go handle(conn)
 		}
 	}()
 	return listener.Addr().String(), nil
 }
 
+// ServeRaw answers each request to a loopback address with a raw text, and closes the connection. It ends with the context.
+func ServeRaw(ctx context.Context, answer string) (address string, err error) {
+	return Listen(ctx, func(conn net.Conn) { answerRaw(conn, answer) })
+}
+
 func answerRaw(conn net.Conn, answer string) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
