Clients of net/http: the head of a response is limited in one place

Cause: since their connections are checked, the limit of a head stands there and in each http.Transport once more.

--- a/internal/transport/connection/source.go
+++ b/internal/transport/connection/source.go
@@ -78,8 +78,9 @@
 	return c.Conn.Write(p)
 }
 
-// CheckResponses returns a dial function for an http.Transport, whose connections fail on responses that are not sound HTTP/1.1. They
-// also report each failure of a TCP connection, which a plain one may report as the end of its bytes.
+// CheckResponses returns a dial function for an http.Transport, whose connections fail on responses that are not sound HTTP/1.1, and on
+// heads longer than MaxHeadBytes. They also report each failure of a TCP connection, which a plain one may report as the end of its
+// bytes.
 func CheckResponses(
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -50,11 +50,10 @@
 func (c *Client) Open() {
 	breaker.NoBreakerFor(serviceName)
 	transport := &http.Transport{
-		DialContext:            connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
-		IdleConnTimeout:        idleTimeout,
-		MaxIdleConnsPerHost:    8,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: connection.MaxHeadBytes,
+		DialContext:         connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: 8,
+		DisableCompression:  true,
 	}
 	c.service = httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport})
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -86,12 +86,11 @@
 // with disableKeepAlives never resends.
 func newService(disableKeepAlives bool) httpc.Service {
 	transport := &http.Transport{
-		DialContext:            connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
-		IdleConnTimeout:        idleConnTimeout,
-		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: connection.MaxHeadBytes,
-		DisableKeepAlives:      disableKeepAlives,
+		DialContext:         connection.CheckResponses((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
+		DisableCompression:  true,
+		DisableKeepAlives:   disableKeepAlives,
 	}
 	return httpc.NewServiceWithClient(serviceName, &http.Client{
 		Transport: transport,
